--- a/packages/config/src/types/records.ts
+++ b/packages/config/src/types/records.ts
@@ -1,13 +1,4 @@
-import type {
-    AttemptId,
-    GrantId,
-    HostId,
-    ModelId,
-    ProcessId,
-    RequestId,
-    ServerId,
-    TeamId,
-} from "@skylarkmill/protocol";
+import type { GrantId, HostId, ModelId, ServerId, TeamId } from "@skylarkmill/protocol";
 
 /** Right of a backend server to load one replica of a model. */
 export interface Grant {
@@ -43,24 +34,6 @@
     readonly changes: readonly string[];
 }
 
-/** Value of `claims/<service>/<sha256 of the idempotency key>`. */
-export interface ClaimRecord {
-    readonly requestId: RequestId;
-    readonly attemptId: AttemptId;
-    readonly processId: ProcessId;
-    readonly claimedAtMs: number;
-    /** SHA-256 of method, path and body; a repeat with another body is a conflict. */
-    readonly fingerprint: string;
-    readonly outcome: ClaimOutcome | undefined;
-}
-
-export interface ClaimOutcome {
-    readonly status: number;
-    readonly contentType: string;
-    /** Base64 of the body; `undefined` when it is longer than 64 KiB. */
-    readonly bodyBase64: string | undefined;
-}
-
 export const RECORD_PREFIX = "/skylarkmill/";
 
 /** Keys in the key-value service. */
--- a/packages/coordination/src/types/versioned-record.ts
+++ b/packages/coordination/src/types/versioned-record.ts
@@ -8,6 +8,8 @@
     /** Tells apart two records that were written with the same version. */
     readonly nonce: string;
     readonly editId: EditId;
+    /** Wall-clock time of the write, in milliseconds since 1970. */
+    readonly writtenAtMs: number;
     /** `undefined` marks a deletion. */
     readonly value: T | undefined;
 }
