feat(coordination): add records, duty lease, permits, claims and the peer interface

Cause: configuration, grants and claims need a shared state that survives an outage, a pause and a lost answer. Change: record store with version rules, repair and peer exchange; record writer that reads a lost answer back and fences off a delayed write; duty lease; permit broker with a static share as fallback; claims in groups; connect-es peer client and server with key check and exclusive port. Ruled out: unconditional writes of a claim's outcome, since a delayed one could overwrite a later claim of the same key. Conclusion: the other packages can use the factories.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -1,8 +1,18 @@
+export { type ClaimWriterOptions, createClaimWriter } from "./node/claim-writer.ts";
+export { createDutyLease, type DutyLeaseOptions } from "./node/duty-lease.ts";
+export { createPeerClient, type PeerClient, type PeerClientOptions } from "./node/peer-client.ts";
+export { acceptsKey, createPeerServer, type PeerServer, type PeerServerOptions } from "./node/peer-server.ts";
+export { createRecordStore, type RecordStoreOptions } from "./node/record-store.ts";
 export * from "./runtime/mailbox.ts";
+export { createPermitBroker, type PermitBrokerOptions } from "./runtime/permit-broker.ts";
+export { createPermitClient, type PermitClientOptions } from "./runtime/permit-client.ts";
 export * from "./types/claim.ts";
 export * from "./types/duty-lease.ts";
 export * from "./types/key-value-store.ts";
+export * from "./types/logger.ts";
 export * from "./types/permits.ts";
 export * from "./types/record-store.ts";
 export * from "./types/versioned-record.ts";
+export { encodeStoredRecord, parseStoredRecord, type StoredRecord } from "./utils/record-codec.ts";
 export * from "./utils/rendezvous.ts";
+export * from "./utils/sleep.ts";
--- /dev/null
+++ b/packages/coordination/src/node/peer-server.ts
@@ -0,0 +1,116 @@
+import { Code, ConnectError, type Interceptor, type ServiceImpl } from "@connectrpc/connect";
+import { connectNodeAdapter } from "@connectrpc/connect-node";
+import { PeerService, UnavailableError } from "@skylarkmill/protocol";
+import { ResultAsync } from "neverthrow";
+import { createHash, timingSafeEqual } from "node:crypto";
+import { createServer, type Http2Server, type ServerHttp2Session } from "node:http2";
+import type { AddressInfo } from "node:net";
+import { MAX_PEER_MESSAGE_BYTES } from "./peer-client.ts";
+
+export interface PeerServerOptions {
+    readonly host: string;
+    /** 0 takes any free port. */
+    readonly port: number;
+    /** Any of the keys is accepted, so that keys can be rotated. */
+    readonly keys: () => readonly string[];
+    readonly handlers: Partial<ServiceImpl<typeof PeerService>>;
+    /** Called for each refused or malformed call. */
+    readonly onRefused?: (reason: "key" | "message") => void;
+}
+
+export interface PeerServer {
+    readonly port: number;
+    close(): Promise<void>;
+}
+
+function digest(text: string): Buffer {
+    return createHash("sha256").update(text).digest();
+}
+
+/**
+ * Compares a bearer header with the accepted keys in constant time.
+ *
+ * @example
+ * acceptsKey("Bearer secret", ["secret"]); // true
+ */
+export function acceptsKey(authorization: string | undefined, keys: readonly string[]): boolean {
+    const given = digest(authorization?.replace(/^Bearer /i, "") ?? "");
+    return keys.some(key => key !== "" && timingSafeEqual(digest(key), given));
+}
+
+/**
+ * Serves the calls of other processes. The port is bound exclusively: a second process on the
+ * same host fails with `UnavailableError`, also while the first one is suspended.
+ *
+ * @example
+ * const server = await createPeerServer({ host: "127.0.0.1", port: 7001, keys, handlers });
+ */
+export function createPeerServer(options: PeerServerOptions): ResultAsync<PeerServer, UnavailableError> {
+    const authorize: Interceptor = next => request => {
+        if (acceptsKey(request.header.get("authorization") ?? undefined, options.keys())) return next(request);
+        options.onRefused?.("key");
+        throw new ConnectError("the peer key is missing or wrong", Code.Unauthenticated);
+    };
+    const count: Interceptor = next => async request => {
+        try {
+            return await next(request);
+        }
+        catch (error) {
+            const { code } = ConnectError.from(error);
+            if (code === Code.InvalidArgument || code === Code.ResourceExhausted) options.onRefused?.("message");
+            throw error;
+        }
+    };
+    const server = createServer(connectNodeAdapter({
+        routes: router => router.service(PeerService, options.handlers),
+        interceptors: [count, authorize],
+        readMaxBytes: MAX_PEER_MESSAGE_BYTES,
+        grpc: false,
+        grpcWeb: false,
+    }));
+    const sessions = trackSessions(server);
+    return ResultAsync.fromPromise(
+        listen(server, options, sessions),
+        cause =>
+            new UnavailableError(`The peer interface can't bind ${options.host}:${options.port}.`, {
+                step: "peer.listen",
+                peer: `${options.host}:${options.port}`,
+                cause,
+            }),
+    );
+}
+
+function trackSessions(server: Http2Server): Set<ServerHttp2Session> {
+    const sessions = new Set<ServerHttp2Session>();
+    server.on("session", session => {
+        sessions.add(session);
+        session.on("close", () => sessions.delete(session));
+        // A connection that breaks is reported through its calls.
+        session.on("error", () => undefined);
+    });
+    return sessions;
+}
+
+function listen(
+    server: Http2Server,
+    options: PeerServerOptions,
+    sessions: ReadonlySet<ServerHttp2Session>,
+): Promise<PeerServer> {
+    return new Promise((resolve, reject) => {
+        server.once("error", reject);
+        server.listen({ host: options.host, port: options.port, exclusive: true }, () => {
+            server.off("error", reject);
+            resolve({
+                port: (server.address() as AddressInfo).port,
+                close: () => closeServer(server, sessions),
+            });
+        });
+    });
+}
+
+function closeServer(server: Http2Server, sessions: ReadonlySet<ServerHttp2Session>): Promise<void> {
+    return new Promise(resolve => {
+        server.close(() => resolve());
+        for (const session of sessions) session.destroy();
+    });
+}
