--- /dev/null
+++ b/packages/policy/src/budgets/hedge-policies.ts
@@ -0,0 +1,92 @@
+import type { HedgePolicy } from "../types/policies.ts";
+import { numberOption } from "../utils/options.ts";
+import { TokenBudget } from "./token-budget.ts";
+
+export interface HedgePolicyOptions {
+    /** @default "budgeted" */
+    readonly name?: "none" | "budgeted";
+    /** Hedges as a share of the requests. @default 0.05 */
+    readonly share?: number;
+    /** Hedges that may be saved up. @default 20 */
+    readonly maxTokens?: number;
+    /** Shortest delay before a hedge. @default 10 */
+    readonly minDelayMs?: number;
+    /** Delay as a factor on the high percentile of the duration. @default 1 */
+    readonly delayFactor?: number;
+    /** Slowness from which a hedge goes out after the expected duration. @default 2.5 */
+    readonly stragglerSlowness?: number;
+}
+
+export interface ResolvedHedgePolicy {
+    readonly name: "none" | "budgeted";
+    readonly share: number;
+    readonly maxTokens: number;
+    readonly minDelayMs: number;
+    readonly delayFactor: number;
+    readonly stragglerSlowness: number;
+}
+
+/** Baseline: no request is sent twice. */
+export class NoHedge implements HedgePolicy {
+    recordRequest(_nowMs: number): void {}
+
+    hedgeAfterMs(_expectedMs: number, _highMs: number, _slowness: number): number | undefined {
+        return undefined;
+    }
+
+    tryTake(_nowMs: number): boolean {
+        return false;
+    }
+}
+
+/** Sends a second attempt when the first is late, within a share of the requests. */
+export class BudgetedHedge implements HedgePolicy {
+    private readonly budget: TokenBudget;
+
+    constructor(private readonly options: ResolvedHedgePolicy) {
+        this.budget = new TokenBudget(options.share, options.maxTokens, 0);
+    }
+
+    recordRequest(_nowMs: number): void {
+        this.budget.earn();
+    }
+
+    hedgeAfterMs(expectedMs: number, highMs: number, slowness: number): number | undefined {
+        const { minDelayMs, delayFactor, stragglerSlowness } = this.options;
+        const lateMs = slowness >= stragglerSlowness ? expectedMs : Math.max(expectedMs, highMs * delayFactor);
+        return Math.max(minDelayMs, lateMs);
+    }
+
+    tryTake(_nowMs: number): boolean {
+        return this.budget.trySpend();
+    }
+}
+
+/**
+ * Checks the options of a hedge policy and fills in the defaults.
+ *
+ * @throws InvalidInputError when a value is out of range.
+ */
+export function resolveHedgePolicy(options: HedgePolicyOptions = {}): ResolvedHedgePolicy {
+    return {
+        name: options.name ?? "budgeted",
+        share: numberOption("share", options.share, 0.05, 0, 1),
+        maxTokens: numberOption("maxTokens", options.maxTokens, 20, 1),
+        minDelayMs: numberOption("minDelayMs", options.minDelayMs, 10, 0),
+        delayFactor: numberOption("delayFactor", options.delayFactor, 1, 0),
+        stragglerSlowness: numberOption("stragglerSlowness", options.stragglerSlowness, 2.5, 1),
+    };
+}
+
+/**
+ * Creates the hedge policy of one router.
+ *
+ * @throws InvalidInputError when a value is out of range.
+ * @example
+ * const hedges = createHedgePolicy({ share: 0.05 });
+ * const delayMs = hedges.hedgeAfterMs(300, 900, 1);
+ */
+export function createHedgePolicy(options?: HedgePolicyOptions): HedgePolicy {
+    const resolved = resolveHedgePolicy(options);
+    return resolved.name === "none" ? new NoHedge() : new BudgetedHedge(resolved);
+}
--- /dev/null
+++ b/packages/policy/src/queue-order/fifo-order.ts
@@ -0,0 +1,41 @@
+import type { RequestId } from "@skylarkmill/protocol";
+import type { QueueEntry, QueueOrder, RunningWork } from "../types/policies.ts";
+
+/** Baseline: first come, first served; every free slot takes any request. */
+export class FifoOrder<Entry extends QueueEntry = QueueEntry> implements QueueOrder<Entry> {
+    private readonly waiting = new Map<RequestId, Entry>();
+
+    constructor(private readonly longMs: number) {}
+
+    get size(): number {
+        return this.waiting.size;
+    }
+
+    push(entry: Entry): void {
+        this.waiting.set(entry.requestId, entry);
+    }
+
+    next(_nowMs: number, running: RunningWork, ready: (entry: Entry) => boolean): Entry | undefined {
+        if (running.runningCount >= running.slotCount) return undefined;
+        for (const entry of this.waiting.values()) {
+            if (!ready(entry)) continue;
+            this.waiting.delete(entry.requestId);
+            return entry;
+        }
+        return undefined;
+    }
+
+    remove(requestId: RequestId): Entry | undefined {
+        const entry = this.waiting.get(requestId);
+        this.waiting.delete(requestId);
+        return entry;
+    }
+
+    entries(): readonly Entry[] {
+        return [...this.waiting.values()];
+    }
+
+    isLong(expectedMs: number): boolean {
+        return expectedMs >= this.longMs;
+    }
+}
--- /dev/null
+++ b/packages/policy/src/residency/baseline-residency.ts
@@ -0,0 +1,36 @@
+import type { ModelId } from "@skylarkmill/protocol";
+import type { ResidencyPolicy, ResidentModel } from "../types/policies.ts";
+import { chooseEvictions } from "./evictions.ts";
+
+/** Baseline: a model stays until its memory is needed; the one used least recently goes first. */
+export class KeepWarmResidency implements ResidencyPolicy {
+    idleModels(_resident: readonly ResidentModel[], _nowMs: number): readonly ModelId[] {
+        return [];
+    }
+
+    evictions(
+        resident: readonly ResidentModel[],
+        freeBytes: number,
+        neededBytes: number,
+        _nowMs: number,
+    ): readonly ModelId[] | undefined {
+        return chooseEvictions(resident, freeBytes, neededBytes, model => model.lastUsedAtMs);
+    }
+
+    prefetches(_absent: readonly ResidentModel[], _freeBytes: number, _nowMs: number): readonly ModelId[] {
+        return [];
+    }
+}
+
+/** Baseline: unloads a model after a fixed idle time. */
+export class FixedIdleResidency extends KeepWarmResidency {
+    constructor(private readonly maxIdleMs: number) {
+        super();
+    }
+
+    override idleModels(resident: readonly ResidentModel[], nowMs: number): readonly ModelId[] {
+        return resident
+            .filter(model => model.inUseCount === 0 && nowMs - model.lastUsedAtMs >= this.maxIdleMs)
+            .map(model => model.modelId);
+    }
+}
--- /dev/null
+++ b/packages/policy/src/scaling/scaling-policies.ts
@@ -0,0 +1,66 @@
+import type { ScalingInput, ScalingPolicy } from "../types/policies.ts";
+import { numberOption } from "../utils/options.ts";
+
+export interface ScalingPolicyOptions {
+    /** @default "backlog" */
+    readonly name?: "fixed" | "backlog";
+    /** Replicas of `fixed` once work waits. @default 1 */
+    readonly replicas?: number;
+    /** Factor on the load time that the backlog of a replica must exceed. @default 1 */
+    readonly loadFactor?: number;
+}
+
+export interface ResolvedScalingPolicy {
+    readonly name: "fixed" | "backlog";
+    readonly replicas: number;
+    readonly loadFactor: number;
+}
+
+/** Baseline: a constant number of replicas, whatever the backlog. */
+export class FixedReplicas implements ScalingPolicy {
+    constructor(private readonly replicas: number) {}
+
+    wantedReplicas(input: ScalingInput): number {
+        const idle = input.queuedMs <= 0 && input.loadedCount === 0;
+        return idle ? 0 : Math.min(input.grantCount, this.replicas);
+    }
+}
+
+/** Adds replicas while the backlog per replica takes longer than a load. */
+export class BacklogScaling implements ScalingPolicy {
+    constructor(private readonly options: ResolvedScalingPolicy) {}
+
+    wantedReplicas(input: ScalingInput): number {
+        if (input.queuedMs <= 0) return Math.min(input.grantCount, input.loadedCount);
+        const perReplicaMs = Math.max(1, input.loadMs * this.options.loadFactor) * Math.max(1, input.slotCount);
+        const byBacklog = Math.floor(input.queuedMs / perReplicaMs);
+        return Math.min(input.grantCount, Math.max(1, input.loadedCount, byBacklog));
+    }
+}
+
+/**
+ * Checks the options of a scaling policy and fills in the defaults.
+ *
+ * @throws InvalidInputError when a value is out of range.
+ */
+export function resolveScalingPolicy(options: ScalingPolicyOptions = {}): ResolvedScalingPolicy {
+    return {
+        name: options.name ?? "backlog",
+        replicas: numberOption("replicas", options.replicas, 1, 0),
+        loadFactor: numberOption("loadFactor", options.loadFactor, 1, 0),
+    };
+}
+
+/**
+ * Creates the policy that decides how many of a model's grants are loaded.
+ *
+ * @throws InvalidInputError when a value is out of range.
+ * @example
+ * const wanted = createScalingPolicy().wantedReplicas(
+ *     { loadedCount: 1, grantCount: 3, queuedMs: 160_000, loadMs: 8_000, slotCount: 8 },
+ * );
+ */
+export function createScalingPolicy(options?: ScalingPolicyOptions): ScalingPolicy {
+    const resolved = resolveScalingPolicy(options);
+    return resolved.name === "fixed" ? new FixedReplicas(resolved.replicas) : new BacklogScaling(resolved);
+}
--- a/packages/policy/src/types/policies.ts
+++ b/packages/policy/src/types/policies.ts
@@ -149,6 +149,8 @@
     readonly demandPerSecond: number;
     /** Servers of the grants that exist, revoking ones included. */
     readonly grantedTo: readonly { readonly serverId: ServerId; readonly revoking: boolean; }[];
+    /** Models that become active at about the same time; kept on other servers where possible. */
+    readonly activeTogether?: readonly ModelId[];
 }
 
 export interface PlacementChange {
