--- /dev/null
+++ b/packages/platform/src/node/backend-client.ts
@@ -0,0 +1,66 @@
+import { OutcomeUnknownError, UnavailableError } from "@skylarkmill/protocol";
+import { err, ok, type Result, ResultAsync } from "neverthrow";
+import { type Dispatcher, Pool } from "undici";
+import { type SendTracker, trackSend } from "../runtime/tracked-dispatch.ts";
+import type { BackendClient, BackendRequest } from "../types/engine.ts";
+
+export interface BackendClientOptions {
+    /** Base URL of the backend server, such as `http://127.0.0.1:9000`. */
+    readonly baseUrl: string;
+    /** Connections to the server; further requests wait for one. @default 64 */
+    readonly maxConnections?: number;
+    /** Time to open a connection. @default 1000 */
+    readonly connectTimeoutMs?: number;
+}
+
+export interface ClosableBackendClient extends BackendClient {
+    close(): Promise<void>;
+}
+
+/**
+ * Sends requests to one backend server over kept connections.
+ *
+ * `UnavailableError`: no byte of the request was sent. `OutcomeUnknownError`: the request may have run.
+ * The caller's signal bounds the time; the client adds no limit of its own.
+ *
+ * @example
+ * const client = createBackendClient({ baseUrl: "http://127.0.0.1:9000", maxConnections: 32 });
+ * const response = await client.send({ method: "GET", path: "/stock/hub", headers: {}, body: undefined, signal });
+ */
+export function createBackendClient(options: BackendClientOptions): ClosableBackendClient {
+    const url = new URL(options.baseUrl);
+    const pool = new Pool(url.origin, {
+        connections: options.maxConnections ?? 64,
+        pipelining: 1,
+        connectTimeout: options.connectTimeoutMs ?? 1000,
+        headersTimeout: 0,
+        bodyTimeout: 0,
+    });
+    const dispatcher = pool.compose(trackSend);
+    const context = { step: "backend.send", peer: url.host };
+
+    async function send(
+        request: BackendRequest,
+    ): Promise<Result<Dispatcher.ResponseData, UnavailableError | OutcomeUnknownError>> {
+        const sendTracker: SendTracker = { started: false };
+        const { method, path, headers, body, signal } = request;
+        const requestOptions = {
+            method: method,
+            path,
+            headers: { ...headers },
+            signal,
+            sendTracker,
+            ...(body === undefined ? {} : { body }),
+        };
+        try {
+            return ok(await dispatcher.request(requestOptions));
+        }
+        catch (cause) {
+            const message = `${method} ${path} failed: ${cause instanceof Error ? cause.message : String(cause)}`;
+            if (sendTracker.started) return err(new OutcomeUnknownError(message, { ...context, cause }));
+            return err(new UnavailableError(message, { ...context, cause }));
+        }
+    }
+
+    return { send: request => new ResultAsync(send(request)), close: () => pool.destroy() };
+}
