--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -1,2 +1,10 @@
+export * from "./runtime/config-view.ts";
+export * from "./samples/index.ts";
+export * from "./types/config-view.ts";
 export * from "./types/document.ts";
 export * from "./types/records.ts";
+export { checkDocument, documentFaults, MAX_SECTION_BYTES } from "./utils/check-document.ts";
+export { diffSections } from "./utils/diff-sections.ts";
+export { DEFAULT_LIMITS } from "./utils/effective-config.ts";
+export { parseDocument, parseName, parseSection } from "./utils/parse-section.ts";
+export { matchesRule } from "./utils/request-rules.ts";
--- a/packages/config/src/types/document.ts
+++ b/packages/config/src/types/document.ts
@@ -8,9 +8,21 @@
 /** The part of the document that one team owns. A service stands in exactly one section. */
 export interface ConfigSection {
     readonly team: TeamId;
+    /** Limits that all services share; at most one section sets them. */
+    readonly limits?: LimitsConfig | undefined;
     readonly services: Readonly<Record<ServiceId, ServiceConfig>>;
 }
 
+/** Shared soft limits of the weight store and of adapter loads. */
+export interface LimitsConfig {
+    /** Model loads started per second, over all engines. @default 3.5 */
+    readonly loadsPerSecond: number;
+    /** Model loads at once at the weight store's full speed. @default 4 */
+    readonly maxConcurrentLoads: number;
+    /** Adapter loads in flight over all engines. @default 32 */
+    readonly maxConcurrentAdapterLoads: number;
+}
+
 export type ServiceConfig = ModelServiceConfig | PlainServiceConfig;
 
 interface CommonServiceConfig {
--- /dev/null
+++ b/packages/config/src/utils/effective-config.ts
@@ -0,0 +1,87 @@
+import type { AdapterId, ModelId, ServiceId } from "@skylarkmill/protocol";
+import { toId } from "@skylarkmill/protocol";
+import type { AdapterInForce, ModelInForce, SectionInForce, ServiceInForce } from "../types/config-view.ts";
+import type { LimitsConfig, ModelServiceConfig } from "../types/document.ts";
+
+export const DEFAULT_LIMITS: LimitsConfig = {
+    loadsPerSecond: 3.5,
+    maxConcurrentLoads: 4,
+    maxConcurrentAdapterLoads: 32,
+};
+
+/** All sections in force, indexed by service, model and adapter. */
+export interface EffectiveConfig {
+    readonly sections: readonly SectionInForce[];
+    readonly services: ReadonlyMap<ServiceId, ServiceInForce>;
+    readonly models: ReadonlyMap<ModelId, ModelInForce>;
+    readonly adapters: ReadonlyMap<AdapterId, AdapterInForce>;
+    readonly limits: LimitsConfig;
+    readonly problems: readonly string[];
+}
+
+class EffectiveConfigBuilder {
+    readonly services = new Map<ServiceId, ServiceInForce>();
+    readonly models = new Map<ModelId, ModelInForce>();
+    readonly adapters = new Map<AdapterId, AdapterInForce>();
+    readonly problems: string[] = [];
+    limits: LimitsConfig | undefined;
+
+    addSection(inForce: SectionInForce): void {
+        const { name, section } = inForce;
+        if (section.limits !== undefined) {
+            if (this.limits === undefined) this.limits = section.limits;
+            else this.problems.push(`Section ${name} sets limits that another section sets; they are ignored.`);
+        }
+        for (const [id, config] of Object.entries(section.services)) {
+            const serviceId = toId<ServiceId>(id);
+            if (this.services.has(serviceId)) {
+                this.problems.push(
+                    `Section ${name} offers service ${id}, which another section offers; it is ignored.`,
+                );
+                continue;
+            }
+            this.services.set(serviceId, { serviceId, sectionName: name, config });
+            if (config.kind === "model") this.addModels(serviceId, config);
+        }
+    }
+
+    private addModels(serviceId: ServiceId, service: ModelServiceConfig): void {
+        for (const [id, config] of Object.entries(service.models)) {
+            const modelId = toId<ModelId>(id);
+            if (this.models.has(modelId)) {
+                this.problems.push(
+                    `Service ${serviceId} names model ${id}, which another service names; it is ignored.`,
+                );
+                continue;
+            }
+            this.models.set(modelId, { modelId, serviceId, config });
+            for (const adapterId of config.adapters) this.addAdapter({ adapterId, modelId, serviceId });
+        }
+    }
+
+    private addAdapter(adapter: AdapterInForce): void {
+        if (!this.adapters.has(adapter.adapterId)) this.adapters.set(adapter.adapterId, adapter);
+        else this.problems.push(`Model ${adapter.modelId} names adapter ${adapter.adapterId} a second time.`);
+    }
+}
+
+/**
+ * Indexes the sections in force. Edits of two sections that are accepted at the same moment can
+ * contradict each other; then the section whose name sorts first holds in every process.
+ *
+ * @example
+ * buildEffectiveConfig(sections).models.size;
+ */
+export function buildEffectiveConfig(sections: readonly SectionInForce[]): EffectiveConfig {
+    const ordered = [...sections].sort((a, b) => (a.name < b.name ? -1 : 1));
+    const builder = new EffectiveConfigBuilder();
+    for (const section of ordered) builder.addSection(section);
+    return {
+        sections: ordered,
+        services: builder.services,
+        models: builder.models,
+        adapters: builder.adapters,
+        limits: builder.limits ?? DEFAULT_LIMITS,
+        problems: builder.problems,
+    };
+}
