--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,1 +1,10 @@
-export {};
+export * from "./node/engine-stand-in.ts";
+export * from "./node/fault-proxy.ts";
+export * from "./node/host-list-stand-in.ts";
+export * from "./node/key-value-stand-in.ts";
+export * from "./node/service-stand-in.ts";
+export { type EngineFaults } from "./runtime/engine-faults.ts";
+export { Journal, type JournalEvent } from "./runtime/journal.ts";
+export { createWeightStoreStandIn, type WeightStoreOptions, type WeightStoreStandIn } from "./runtime/weight-store.ts";
+export type { CheckpointPlace, EngineStandInOptions } from "./types/engine.ts";
+export type { ListenAddress, StandIn } from "./types/stand-in.ts";
--- /dev/null
+++ b/packages/stand-ins/src/node/engine-stand-in.ts
@@ -0,0 +1,229 @@
+import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
+import { randomUUID } from "node:crypto";
+import { z } from "zod";
+import { type EngineFaults, engineFaults, noEngineFaults, takeFault } from "../runtime/engine-faults.ts";
+import { EngineRepository, type OrderResult, type RepositoryModel } from "../runtime/engine-repository.ts";
+import { EngineRunner } from "../runtime/engine-runner.ts";
+import { EngineStream } from "../runtime/engine-stream.ts";
+import { Journal } from "../runtime/journal.ts";
+import { createWeightStoreStandIn } from "../runtime/weight-store.ts";
+import type { EngineRequest, EngineStandInOptions, ResolvedEngineOptions } from "../types/engine.ts";
+import type { StandIn } from "../types/stand-in.ts";
+import { chatSchema, completionSchema, eventCount, toEngineRequest, wholeAnswer } from "../utils/engine-answer.ts";
+import {
+    createStandInApp,
+    dropConnection,
+    hangForever,
+    listenHttp,
+    readJson,
+    type StandInContext,
+} from "./http-server.ts";
+
+export interface EngineStandIn extends StandIn {
+    setFaults(faults: Partial<EngineFaults>): void;
+}
+
+const orderSchema = z.object({
+    parameters: z.object({
+        version: z.string().optional(),
+        memory_bytes: z.number().min(0).optional(),
+        fencing_token: z.number().optional(),
+        adapter: z.string().optional(),
+    }).prefault({}),
+});
+
+// Time for which a finished stream can still be resumed.
+const FINISHED_STREAM_MS = 10_000;
+
+function resolveOptions(options: EngineStandInOptions): ResolvedEngineOptions {
+    return {
+        name: "engine",
+        memorySizeBytes: 3_000_000_000,
+        slotCount: 8,
+        tokensPerSecond: 200,
+        prefillMs: 10,
+        loadMs: { memory: 100, disk: 400, remote: 1000 },
+        unloadMs: 20,
+        checksFencing: false,
+        cachedModelIds: [],
+        weightStore: createWeightStoreStandIn(),
+        resumeGraceMs: 250,
+        ...options,
+    };
+}
+
+class EngineServer {
+    readonly journal: Journal;
+    readonly faults = noEngineFaults();
+    readonly repository: EngineRepository;
+    readonly runner: EngineRunner;
+    private readonly options: ResolvedEngineOptions;
+    private readonly streams = new Map<string, EngineStream>();
+
+    constructor(options: ResolvedEngineOptions) {
+        this.options = options;
+        this.journal = new Journal(options.name);
+        this.repository = new EngineRepository(options, this.journal, this.faults);
+        this.runner = new EngineRunner(options, this.repository, this.journal, this.faults);
+    }
+
+    setFaults(faults: Partial<EngineFaults>): void {
+        Object.assign(this.faults, faults);
+        this.journal.add("faults", { ...faults });
+    }
+
+    metadata(): object {
+        return {
+            name: this.options.name,
+            version: "1",
+            extensions: ["model_repository"],
+            parameters: {
+                memory_size_bytes: this.options.memorySizeBytes,
+                slot_count: this.options.slotCount,
+                used_bytes: this.repository.usedBytes(),
+                running_count: this.runner.slots.runningCount,
+                queued_count: this.runner.slots.waitingCount,
+            },
+        };
+    }
+
+    async order(context: StandInContext, verb: "load" | "unload", name: string): Promise<Response> {
+        const request = await readJson(context, orderSchema);
+        if ("response" in request) return request.response;
+        const { parameters } = request.value;
+        if (verb === "unload") return toOrderResponse(context, await this.repository.unload(name, parameters));
+        const result = this.repository.load(name, parameters);
+        if (parameters.adapter === undefined && takeFault(this.faults, "unansweredLoads")) {
+            return dropConnection(context);
+        }
+        if (parameters.adapter === undefined && takeFault(this.faults, "hungLoads")) return hangForever(context);
+        return toOrderResponse(context, await result);
+    }
+
+    async complete(context: StandInContext, schema: typeof chatSchema | typeof completionSchema): Promise<Response> {
+        const requestId = context.req.header("x-request-id") ?? randomUUID();
+        const lastSequence = Number(context.req.header("last-event-id"));
+        if (lastSequence > 0) return this.resume(context, requestId, lastSequence);
+        const body = await readJson(context, schema);
+        if ("response" in body) return body.response;
+        const model = this.repository.findReady(body.value.model);
+        if (model === undefined) {
+            const error = { message: `model ${body.value.model} is not loaded`, code: "model_not_loaded" };
+            return context.json({ error }, 404);
+        }
+        const request = toEngineRequest(body.value, requestId, model.name);
+        const fields = {
+            requestId,
+            modelId: model.name,
+            model: request.model,
+            tokenCount: request.tokenCount,
+            idempotencyKey: context.req.header("idempotency-key"),
+        };
+        if (request.stream) return this.stream(context, request, model, fields);
+        return this.answerWhole(context, request, model, fields);
+    }
+
+    private async answerWhole(
+        context: StandInContext,
+        request: EngineRequest,
+        model: RepositoryModel,
+        fields: Readonly<Record<string, unknown>>,
+    ): Promise<Response> {
+        const abort = new AbortController();
+        const { outgoing } = context.env;
+        outgoing.once("close", () => abort.abort());
+        const finished = await this.runner.run(request, model, fields, abort.signal, () => undefined);
+        if (!finished) return RESPONSE_ALREADY_SENT;
+        const isForeign = takeFault(this.faults, "misaddressed") || takeFault(this.faults, "crossed");
+        const addressed = isForeign ? { ...request, requestId: "of-another-request", lastMessage: "FOREIGN" } : request;
+        const body = JSON.stringify(wholeAnswer(addressed, Math.floor(Date.now() / 1000)));
+        if (!takeFault(this.faults, "truncated")) {
+            return context.body(body, 200, { "content-type": "application/json" });
+        }
+        outgoing.writeHead(200, { "content-type": "application/json", "content-length": Buffer.byteLength(body) });
+        outgoing.write(body.slice(0, body.length / 2), () => outgoing.destroy());
+        return RESPONSE_ALREADY_SENT;
+    }
+
+    private stream(
+        context: StandInContext,
+        request: EngineRequest,
+        model: RepositoryModel,
+        fields: Readonly<Record<string, unknown>>,
+    ): Response {
+        const abort = new AbortController();
+        const stream = new EngineStream(request, this.faults);
+        this.streams.set(request.requestId, stream);
+        this.watchReader(context, stream, abort);
+        void this.runner
+            .run(request, model, fields, abort.signal, count => {
+                if (count > 0 && !stream.isAttachedOnce) stream.attach(context.env.outgoing, 0);
+                stream.produce(count);
+            })
+            .then(finished => this.finishStream(stream, finished));
+        return RESPONSE_ALREADY_SENT;
+    }
+
+    private finishStream(stream: EngineStream, finished: boolean): void {
+        if (finished) stream.produce(eventCount(stream.request));
+        else stream.close();
+        const forget = (): void => {
+            if (this.streams.get(stream.request.requestId) === stream) this.streams.delete(stream.request.requestId);
+        };
+        setTimeout(forget, finished ? FINISHED_STREAM_MS : 0).unref();
+    }
+
+    private watchReader(context: StandInContext, stream: EngineStream, abort: AbortController): void {
+        const { outgoing } = context.env;
+        stream.abort = abort;
+        outgoing.once("close", () => {
+            if (!stream.isAttachedOnce) abort.abort();
+            stream.detach(outgoing, this.options.resumeGraceMs, () => abort.abort());
+        });
+    }
+
+    private resume(context: StandInContext, requestId: string, lastSequence: number): Response {
+        const stream = this.streams.get(requestId);
+        if (stream === undefined) {
+            return context.json({ error: { message: `no stream ${requestId}`, code: "stream_not_found" } }, 404);
+        }
+        this.journal.add("stream_resumed", { requestId, lastSequence });
+        if (stream.abort !== undefined) this.watchReader(context, stream, stream.abort);
+        stream.attach(context.env.outgoing, lastSequence);
+        return RESPONSE_ALREADY_SENT;
+    }
+}
+
+function toOrderResponse(context: StandInContext, result: OrderResult): Response {
+    return result.error === undefined ? context.json({}) : context.json({ error: result.error }, result.status);
+}
+
+/**
+ * Starts a stand-in for a model engine: OpenAI-style completions, whole or as server-sent events, and orders of the
+ * KServe model-repository extension. Tests control it over `PUT /control/faults`.
+ *
+ * A request names itself in `X-Request-Id`; a stream that broke is resumed by the same request with `Last-Event-ID`.
+ *
+ * @example
+ * const engine = await createEngineStandIn({ listen: { host: "127.0.0.1", port: 0 }, name: "engine-1" });
+ */
+export async function createEngineStandIn(options: EngineStandInOptions): Promise<EngineStandIn> {
+    const resolved = resolveOptions(options);
+    const server = new EngineServer(resolved);
+    const app = createStandInApp(server.journal);
+    app.get("/v2", context => context.json(server.metadata()));
+    app.get("/v2/health/ready", context => context.json({}));
+    app.post("/v2/repository/index", context => context.json(server.repository.index()));
+    app.post("/v2/repository/models/:model/load", c => server.order(c, "load", c.req.param("model")));
+    app.post("/v2/repository/models/:model/unload", c => server.order(c, "unload", c.req.param("model")));
+    app.post("/v1/chat/completions", context => server.complete(context, chatSchema));
+    app.post("/v1/completions", context => server.complete(context, completionSchema));
+    app.put("/control/faults", async context => {
+        const faults = await readJson(context, engineFaults);
+        if ("response" in faults) return faults.response;
+        server.setFaults(faults.value);
+        return context.json(server.faults);
+    });
+    const standIn = await listenHttp(app, resolved.listen, server.journal);
+    return { ...standIn, setFaults: faults => server.setFaults(faults) };
+}
--- /dev/null
+++ b/packages/stand-ins/src/node/fault-proxy.ts
@@ -0,0 +1,209 @@
+import { createServer, type Server, type Socket } from "node:net";
+import { connect } from "node:net";
+import type { AddressInfo } from "node:net";
+import { z } from "zod";
+import { Journal } from "../runtime/journal.ts";
+import type { ListenAddress, StandIn } from "../types/stand-in.ts";
+import { createStandInApp, listenHttp, readJson } from "./http-server.ts";
+
+const proxyFaults = z.object({
+    /**
+     * `cut`: all connections break, new ones too. `refuse`: new connections are refused, open ones go on.
+     * `hang`: connections stay open and carry nothing.
+     */
+    mode: z.enum(["pass", "cut", "refuse", "hang"]).optional(),
+    /** Directions to which `hang`, `delayMs` and `resetAfterBytes` apply. */
+    direction: z.enum(["both", "to_target", "from_target"]).optional(),
+    delayMs: z.number().min(0).max(600_000).optional(),
+    /** Breaks a connection once it has carried this many bytes; 0 for never. */
+    resetAfterBytes: z.number().int().min(0).optional(),
+});
+
+export type ProxyFaults = Required<z.output<typeof proxyFaults>>;
+type Direction = "to_target" | "from_target";
+
+export interface FaultProxyOptions {
+    readonly listen: ListenAddress;
+    readonly target: ListenAddress;
+    /** Address of the HTTP interface with `PUT /control/faults`; left out when only this process controls it. */
+    readonly control?: ListenAddress;
+    /** @default "proxy" */
+    readonly name?: string;
+}
+
+export interface FaultProxy {
+    readonly host: string;
+    readonly port: number;
+    readonly journal: Journal;
+    readonly control: StandIn | undefined;
+    setFaults(faults: Partial<ProxyFaults>): Promise<void>;
+    close(): Promise<void>;
+}
+
+interface Link {
+    readonly near: Socket;
+    readonly far: Socket;
+    carriedBytes: number;
+}
+
+class ProxyServer {
+    readonly journal: Journal;
+    readonly faults: ProxyFaults = { mode: "pass", direction: "both", delayMs: 0, resetAfterBytes: 0 };
+    private readonly target: ListenAddress;
+    private readonly links = new Set<Link>();
+    private readonly held = new Set<() => void>();
+    private server: Server | undefined;
+    private address: ListenAddress;
+
+    constructor(listen: ListenAddress, target: ListenAddress, journal: Journal) {
+        this.address = listen;
+        this.target = target;
+        this.journal = journal;
+    }
+
+    async listen(): Promise<ListenAddress> {
+        if (this.server !== undefined) return this.address;
+        const server = createServer({ allowHalfOpen: true }, near => this.accept(near));
+        await new Promise<void>((resolve, reject) => {
+            server.once("error", reject);
+            server.listen({ ...this.address, exclusive: true }, resolve);
+        });
+        this.server = server;
+        // A later listen, after connections were refused, takes the same port again.
+        this.address = { host: this.address.host, port: (server.address() as AddressInfo).port };
+        return this.address;
+    }
+
+    async setFaults(faults: Partial<ProxyFaults>): Promise<void> {
+        Object.assign(this.faults, faults);
+        this.journal.add("faults", { ...faults });
+        if (this.faults.mode === "refuse") this.stopListening();
+        else await this.listen();
+        if (this.faults.mode === "cut") this.breakLinks();
+        if (this.faults.mode !== "hang") {
+            for (const resume of this.held) resume();
+            this.held.clear();
+        }
+    }
+
+    close(): void {
+        this.stopListening();
+        this.breakLinks();
+    }
+
+    private stopListening(): void {
+        this.server?.close();
+        this.server = undefined;
+    }
+
+    private breakLinks(): void {
+        for (const link of this.links) breakLink(link);
+    }
+
+    private accept(near: Socket): void {
+        if (this.faults.mode === "cut") {
+            near.on("error", () => undefined);
+            near.resetAndDestroy();
+            return;
+        }
+        near.setNoDelay(true);
+        const far = connect({ ...this.target, noDelay: true, allowHalfOpen: true });
+        const link: Link = { near, far, carriedBytes: 0 };
+        this.links.add(link);
+        this.forward(link, near, far, "to_target");
+        this.forward(link, far, near, "from_target");
+        near.once("close", () => this.links.delete(link));
+    }
+
+    private forward(link: Link, source: Socket, sink: Socket, direction: Direction): void {
+        // Each chunk waits for the one before it, so that a change of the delay keeps the order.
+        let tail: Promise<void> = Promise.resolve();
+        source.on("data", chunk => {
+            source.pause();
+            tail = tail.then(() => this.carry(link, sink, chunk, direction)).then(() => void source.resume());
+        });
+        source.on("end", () => void tail.then(() => this.whileHung(direction)).then(() => sink.end()));
+        source.on("error", () => breakLink(link));
+        source.on("close", () => {
+            if (!source.readableEnded) breakLink(link);
+        });
+    }
+
+    private async carry(link: Link, sink: Socket, chunk: Buffer, direction: Direction): Promise<void> {
+        await this.whileHung(direction);
+        const applies = this.applies(direction);
+        if (applies && this.faults.delayMs > 0) await new Promise(resolve => setTimeout(resolve, this.faults.delayMs));
+        const limit = this.faults.resetAfterBytes;
+        if (applies && limit > 0) {
+            const rest = limit - link.carriedBytes;
+            link.carriedBytes += chunk.length;
+            if (rest <= chunk.length) {
+                this.journal.add("reset", { afterBytes: limit });
+                sink.write(chunk.subarray(0, Math.max(0, rest)), () => breakLink(link));
+                return;
+            }
+        }
+        if (!sink.destroyed && !sink.write(chunk)) await drained(sink);
+    }
+
+    private applies(direction: Direction): boolean {
+        return this.faults.direction === "both" || this.faults.direction === direction;
+    }
+
+    private async whileHung(direction: Direction): Promise<void> {
+        while (this.faults.mode === "hang" && this.applies(direction)) {
+            await new Promise<void>(resolve => this.held.add(resolve));
+        }
+    }
+}
+
+function drained(socket: Socket): Promise<void> {
+    return new Promise(resolve => {
+        const done = (): void => {
+            socket.off("drain", done).off("close", done);
+            resolve();
+        };
+        socket.on("drain", done).on("close", done);
+    });
+}
+
+function breakLink(link: Link): void {
+    link.near.resetAndDestroy();
+    link.far.resetAndDestroy();
+}
+
+/**
+ * Starts a TCP proxy that injects faults between two processes.
+ *
+ * @example
+ * const proxy = await createFaultProxy({ listen: { host: "127.0.0.1", port: 0 }, target: { host: "127.0.0.1", port: 2379 } });
+ * await proxy.setFaults({ mode: "hang", direction: "from_target" });
+ */
+export async function createFaultProxy(options: FaultProxyOptions): Promise<FaultProxy> {
+    const journal = new Journal(options.name ?? "proxy");
+    const server = new ProxyServer(options.listen, options.target, journal);
+    const { host, port } = await server.listen();
+    const control = options.control === undefined ? undefined : await listenControl(options.control, server);
+    return {
+        host,
+        port,
+        journal,
+        control,
+        setFaults: faults => server.setFaults(faults),
+        close: async () => {
+            server.close();
+            await control?.close();
+        },
+    };
+}
+
+function listenControl(address: ListenAddress, server: ProxyServer): Promise<StandIn> {
+    const app = createStandInApp(server.journal);
+    app.put("/control/faults", async context => {
+        const faults = await readJson(context, proxyFaults);
+        if ("response" in faults) return faults.response;
+        await server.setFaults(faults.value);
+        return context.json(server.faults);
+    });
+    return listenHttp(app, address, server.journal);
+}
--- /dev/null
+++ b/packages/stand-ins/src/node/host-list-stand-in.ts
@@ -0,0 +1,90 @@
+import { z } from "zod";
+import { Journal } from "../runtime/journal.ts";
+import type { ListenAddress, StandIn } from "../types/stand-in.ts";
+import { createStandInApp, dropConnection, hangForever, listenHttp, readJson } from "./http-server.ts";
+
+export interface HostListStandInOptions {
+    readonly listen: ListenAddress;
+    /** Time from a change until readers see it. @default 0 */
+    readonly lagMs?: number;
+    readonly hosts?: readonly StandInHost[];
+}
+
+const hostSchema = z.looseObject({ hostId: z.string(), state: z.enum(["live", "leaving", "gone"]) });
+
+export type StandInHost = z.output<typeof hostSchema>;
+
+export interface HostListStandIn extends StandIn {
+    /** Replaces the list; readers see it after the lag. */
+    setHosts(hosts: readonly StandInHost[]): void;
+}
+
+/**
+ * Starts a stand-in for the platform's host list: `GET /hosts` answers `{"hosts": [...]}`.
+ * Tests control it over `PUT /control/hosts`, `PUT /control/hosts/<hostId>` (`{"state"}`, or `DELETE`),
+ * `PUT /control/lag` (`{"lagMs"}`) and `PUT /control/outage` (`{"mode": "none" | "refuse" | "hang"}`).
+ *
+ * @example
+ * const hosts = await createHostListStandIn({ listen: { host: "127.0.0.1", port: 0 }, lagMs: 500 });
+ */
+export async function createHostListStandIn(options: HostListStandInOptions): Promise<HostListStandIn> {
+    const journal = new Journal("hosts");
+    const app = createStandInApp(journal);
+    const timers = new Set<NodeJS.Timeout>();
+    let lagMs = options.lagMs ?? 0;
+    let outage = "none";
+    let current = options.hosts ?? [];
+    let visible = current;
+
+    function setHosts(hosts: readonly StandInHost[]): void {
+        current = hosts;
+        journal.add("hosts_changed", { hosts: hosts.map(host => ({ hostId: host.hostId, state: host.state })) });
+        if (lagMs === 0) {
+            visible = hosts;
+            return;
+        }
+        const timer = setTimeout(() => {
+            timers.delete(timer);
+            visible = hosts;
+            journal.add("hosts_visible");
+        }, lagMs);
+        timers.add(timer);
+    }
+
+    app.get("/hosts", context => {
+        if (outage === "refuse") return dropConnection(context);
+        if (outage === "hang") return hangForever(context);
+        return context.json({ hosts: visible });
+    });
+    app.put("/control/hosts", async context => {
+        const request = await readJson(context, z.object({ hosts: z.array(hostSchema) }));
+        if ("response" in request) return request.response;
+        setHosts(request.value.hosts);
+        return context.json({});
+    });
+    app.put("/control/hosts/:hostId", async context => {
+        const request = await readJson(context, hostSchema.pick({ state: true }));
+        if ("response" in request) return request.response;
+        const hostId = context.req.param("hostId");
+        setHosts(current.map(host => host.hostId === hostId ? { ...host, state: request.value.state } : host));
+        return context.json({});
+    });
+    app.delete("/control/hosts/:hostId", context => {
+        setHosts(current.filter(host => host.hostId !== context.req.param("hostId")));
+        return context.json({});
+    });
+    app.put("/control/lag", async context => {
+        const request = await readJson(context, z.object({ lagMs: z.number().min(0) }));
+        if ("response" in request) return request.response;
+        lagMs = request.value.lagMs;
+        return context.json({ lagMs });
+    });
+    app.put("/control/outage", async context => {
+        const request = await readJson(context, z.object({ mode: z.enum(["none", "refuse", "hang"]) }));
+        if ("response" in request) return request.response;
+        outage = request.value.mode;
+        return context.json({ mode: outage });
+    });
+    const standIn = await listenHttp(app, options.listen, journal, () => timers.forEach(timer => clearTimeout(timer)));
+    return { ...standIn, setHosts };
+}
--- /dev/null
+++ b/packages/stand-ins/src/node/key-value-stand-in.ts
@@ -0,0 +1,279 @@
+import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
+import type { ServerResponse } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
+import { z } from "zod";
+import { Journal } from "../runtime/journal.ts";
+import * as codec from "../runtime/key-value-codec.ts";
+import { type KeyValueFaults, keyValueFaults, noKeyValueFaults } from "../runtime/key-value-faults.ts";
+import { KeyValueState, type StateSnapshot, type StoredEvent, type Write } from "../runtime/key-value-state.ts";
+import type { ListenAddress, StandIn } from "../types/stand-in.ts";
+import {
+    createStandInApp,
+    dropConnection,
+    hangForever,
+    listenHttp,
+    readJson,
+    type StandInContext,
+} from "./http-server.ts";
+
+export interface KeyValueStandInOptions {
+    readonly listen: ListenAddress;
+    /** Time that each call takes. @default 0 */
+    readonly callMs?: number;
+}
+
+export interface KeyValueStandIn extends StandIn {
+    readonly state: KeyValueState;
+    setFaults(faults: Partial<KeyValueFaults>): void;
+    counts(): Readonly<Record<string, number>>;
+}
+
+interface Watcher {
+    readonly outgoing: ServerResponse;
+    readonly held: StoredEvent[];
+    deliver(events: readonly StoredEvent[]): void;
+}
+
+type Answer = { readonly status: 200 | 400 | 404; readonly body: object; };
+
+const GRPC_NOT_FOUND = 5;
+const GRPC_UNAVAILABLE = 14;
+
+class KeyValueServer {
+    readonly journal = new Journal("kv");
+    readonly state = new KeyValueState();
+    readonly counts = new Map<string, number>();
+    faults = noKeyValueFaults();
+    private readonly callMs: number;
+    private readonly watchers = new Set<Watcher>();
+    private readonly snapshots: StateSnapshot[] = [];
+
+    constructor(callMs: number) {
+        this.callMs = callMs;
+    }
+
+    setFaults(faults: Partial<KeyValueFaults>): void {
+        Object.assign(this.faults, faults);
+        this.journal.add("faults", { ...faults });
+        if (this.faults.outage === "refuse" || this.faults.outage === "unavailable") this.breakWatches();
+        if (this.faults.outage === "none") { for (const watcher of this.watchers) watcher.deliver([]); }
+    }
+
+    snapshot(): number {
+        return this.snapshots.push(this.state.snapshot()) - 1;
+    }
+
+    restore(snapshotId: number | undefined): boolean {
+        const snapshot = this.snapshots.at(snapshotId ?? -1);
+        if (snapshot === undefined) return false;
+        this.state.restore(snapshot);
+        this.breakWatches();
+        this.journal.add("restored", { revision: snapshot.revision });
+        return true;
+    }
+
+    breakWatches(): void {
+        for (const watcher of this.watchers) watcher.outgoing.destroy();
+    }
+
+    /** Carries out one call under the faults in force. */
+    async handle<Schema extends z.ZodType>(
+        context: StandInContext,
+        kind: string,
+        isWrite: boolean,
+        schema: Schema,
+        run: (request: z.output<Schema>) => Answer,
+    ): Promise<Response> {
+        const faulty = await this.beforeCall(context, kind);
+        if (faulty !== undefined) return faulty;
+        const request = await readJson(context, schema);
+        if ("response" in request) return request.response;
+        if (isWrite && this.faults.lateWrites > 0) {
+            this.faults.lateWrites--;
+            setTimeout(() => run(request.value), this.faults.lateWriteMs);
+            return dropConnection(context);
+        }
+        const answer = run(request.value);
+        if (isWrite && this.faults.loseAnswers > 0) {
+            this.faults.loseAnswers--;
+            this.journal.add("answer_lost", { call: kind });
+            return dropConnection(context);
+        }
+        return context.json(answer.body, answer.status);
+    }
+
+    range(request: codec.RangeRequest): Answer {
+        const found = this.state.range(request.key, request.range_end);
+        const limit = request.limit === 0 ? found.length : request.limit;
+        return {
+            status: 200,
+            body: {
+                header: codec.toHeader(this.state.revision),
+                kvs: found.slice(0, limit).map(([key, stored]) => codec.toKv(key, stored)),
+                more: found.length > limit,
+                count: String(found.length),
+            },
+        };
+    }
+
+    transact(request: codec.TxnRequest): Answer {
+        const succeeded = request.compare.every(compare =>
+            (this.state.range(compare.key, undefined)[0]?.[1].modRevision ?? 0) === compare.mod_revision
+        );
+        const operations = succeeded ? request.success : request.failure;
+        const writes = operations.flatMap(toWrite);
+        const unknownLease = writes.some(write =>
+            write.kind === "put" && write.leaseId !== undefined && !this.state.hasLease(write.leaseId)
+        );
+        if (unknownLease) return notFound("etcdserver: requested lease not found");
+        const events = this.state.apply(writes);
+        if (events.length > 0) {
+            this.journal.add("write", { keys: events.map(event => event.key), revision: this.state.revision });
+        }
+        const responses = operations.map(operation => {
+            if (operation.request_range !== undefined) {
+                return { response_range: this.range(operation.request_range).body };
+            }
+            const header = codec.toHeader(this.state.revision);
+            return operation.request_put === undefined
+                ? { response_delete_range: { header } }
+                : { response_put: { header } };
+        });
+        return { status: 200, body: { header: codec.toHeader(this.state.revision), succeeded, responses } };
+    }
+
+    keepAlive(leaseId: string): Answer {
+        const ttlMs = this.state.keepAlive(leaseId);
+        const header = codec.toHeader(this.state.revision);
+        const ttl = ttlMs === undefined ? {} : { TTL: String(Math.round(ttlMs / 1000)) };
+        return { status: 200, body: { result: { header, ID: leaseId, ...ttl } } };
+    }
+
+    grantLease(ttlSeconds: number): Answer {
+        const leaseId = this.state.grantLease(Math.max(1, ttlSeconds) * 1000);
+        const header = codec.toHeader(this.state.revision);
+        return { status: 200, body: { header, ID: leaseId, TTL: String(Math.max(1, ttlSeconds)) } };
+    }
+
+    revokeLease(leaseId: string): Answer {
+        if (!this.state.endLease(leaseId)) return notFound("etcdserver: requested lease not found");
+        return { status: 200, body: { header: codec.toHeader(this.state.revision) } };
+    }
+
+    async watch(context: StandInContext): Promise<Response> {
+        const faulty = await this.beforeCall(context, "watch");
+        if (faulty !== undefined) return faulty;
+        const request = await readJson(context, codec.watchRequest);
+        if ("response" in request) return request.response;
+        const { key, range_end: rangeEnd, start_revision: startRevision } = request.value.create_request;
+        const { outgoing } = context.env;
+        outgoing.writeHead(200, { "content-type": "application/json" });
+        outgoing.write(
+            `${
+                JSON.stringify({
+                    result: { header: codec.toHeader(this.state.revision), watch_id: "0", created: true },
+                })
+            }\n`,
+        );
+        const watcher = this.createWatcher(
+            outgoing,
+            event => rangeEnd === undefined ? event.key === key : event.key >= key && event.key < rangeEnd,
+        );
+        if (startRevision > 0) watcher.deliver(this.state.eventsSince(startRevision));
+        const unsubscribe = this.state.subscribe(events => watcher.deliver(events));
+        this.watchers.add(watcher);
+        outgoing.once("close", () => {
+            unsubscribe();
+            this.watchers.delete(watcher);
+        });
+        return RESPONSE_ALREADY_SENT;
+    }
+
+    private createWatcher(outgoing: ServerResponse, matches: (event: StoredEvent) => boolean): Watcher {
+        const held: StoredEvent[] = [];
+        const deliver = (events: readonly StoredEvent[]): void => {
+            held.push(...events.filter(matches));
+            if (held.length === 0 || this.faults.outage === "hang") return;
+            outgoing.write(codec.toWatchMessage(held.splice(0), this.state.revision));
+        };
+        return { outgoing, held, deliver };
+    }
+
+    private async beforeCall(context: StandInContext, kind: string): Promise<Response | undefined> {
+        this.counts.set(kind, (this.counts.get(kind) ?? 0) + 1);
+        const delayMs = this.callMs + this.faults.delayMs;
+        if (delayMs > 0) await sleep(delayMs);
+        switch (this.faults.outage) {
+            case "refuse":
+                return dropConnection(context);
+            case "hang":
+                return hangForever(context);
+            case "unavailable":
+                return context.json({ error: "etcdserver: no leader", code: GRPC_UNAVAILABLE }, 503);
+            case "none":
+                return undefined;
+        }
+    }
+}
+
+function notFound(message: string): Answer {
+    return { status: 404, body: { error: message, code: GRPC_NOT_FOUND, message } };
+}
+
+function toWrite(operation: codec.Operation): Write[] {
+    const { request_put: put, request_delete_range: remove } = operation;
+    if (put !== undefined) return [{ kind: "put", key: put.key, value: put.value, leaseId: put.lease }];
+    if (remove !== undefined) return [{ kind: "delete", key: remove.key, rangeEnd: remove.range_end }];
+    return [];
+}
+
+/**
+ * Starts a stand-in for the key-value service: the subset of the etcd v3 JSON gateway that the system uses.
+ * Tests control it over `PUT /control/faults`, `POST /control/snapshot`, `POST /control/restore` and
+ * `GET|DELETE /control/counts`.
+ *
+ * @example
+ * const kv = await createKeyValueStandIn({ listen: { host: "127.0.0.1", port: 0 } });
+ */
+export async function createKeyValueStandIn(options: KeyValueStandInOptions): Promise<KeyValueStandIn> {
+    const server = new KeyValueServer(options.callMs ?? 0);
+    const app = createStandInApp(server.journal);
+    app.post("/v3/kv/range", c => server.handle(c, "range", false, codec.rangeRequest, r => server.range(r)));
+    app.post("/v3/kv/txn", c => server.handle(c, "txn", true, codec.txnRequest, r => server.transact(r)));
+    app.post("/v3/watch", c => server.watch(c));
+    app.post(
+        "/v3/lease/grant",
+        c => server.handle(c, "lease_grant", true, codec.leaseGrantRequest, r => server.grantLease(r.TTL)),
+    );
+    app.post(
+        "/v3/lease/keepalive",
+        c => server.handle(c, "lease_keepalive", true, codec.leaseRequest, r => server.keepAlive(r.ID)),
+    );
+    for (const path of ["/v3/lease/revoke", "/v3/kv/lease/revoke"]) {
+        app.post(path, c => server.handle(c, "lease_revoke", true, codec.leaseRequest, r => server.revokeLease(r.ID)));
+    }
+    app.put("/control/faults", async context => {
+        const faults = await readJson(context, keyValueFaults);
+        if ("response" in faults) return faults.response;
+        server.setFaults(faults.value);
+        return context.json(server.faults);
+    });
+    app.post("/control/snapshot", context => context.json({ snapshotId: server.snapshot() }));
+    app.post("/control/restore", async context => {
+        const request = await readJson(context, z.object({ snapshotId: z.number().int().optional() }));
+        if ("response" in request) return request.response;
+        return context.json({ restored: server.restore(request.value.snapshotId) });
+    });
+    app.get("/control/counts", context => context.json(Object.fromEntries(server.counts)));
+    app.delete("/control/counts", context => {
+        server.counts.clear();
+        return context.json({});
+    });
+    const standIn = await listenHttp(app, options.listen, server.journal, () => server.state.close());
+    return {
+        ...standIn,
+        state: server.state,
+        setFaults: faults => server.setFaults(faults),
+        counts: () => Object.fromEntries(server.counts),
+    };
+}
--- /dev/null
+++ b/packages/stand-ins/src/runtime/engine-batch.ts
@@ -0,0 +1,62 @@
+interface Waiting {
+    readonly priority: number;
+    readonly start: (release: (() => void) | undefined) => void;
+}
+
+/** Slots of an engine; waiting requests take a free one by priority, then in order of arrival. */
+export class SlotQueue {
+    private readonly slotCount: number;
+    private waiting: Waiting[] = [];
+    runningCount = 0;
+
+    constructor(slotCount: number) {
+        this.slotCount = slotCount;
+    }
+
+    get waitingCount(): number {
+        return this.waiting.length;
+    }
+
+    /** Resolves with the function that frees the slot, or with `undefined` once the signal aborts. */
+    async take(priority: number, signal: AbortSignal): Promise<(() => void) | undefined> {
+        if (signal.aborted) return undefined;
+        if (this.runningCount < this.slotCount) return this.occupy();
+        return new Promise(resolve => {
+            const entry: Waiting = { priority, start: resolve };
+            const index = this.waiting.findIndex(other => other.priority > priority);
+            this.waiting.splice(index < 0 ? this.waiting.length : index, 0, entry);
+            signal.addEventListener("abort", () => {
+                this.waiting = this.waiting.filter(other => other !== entry);
+                resolve(undefined);
+            }, { once: true });
+        });
+    }
+
+    private occupy(): () => void {
+        this.runningCount++;
+        let released = false;
+        return () => {
+            if (released) return;
+            released = true;
+            this.runningCount--;
+            if (this.runningCount < this.slotCount) this.waiting.shift()?.start(this.occupy());
+        };
+    }
+}
+
+const MAX_PREFIXES = 64;
+const PREFIX_LENGTH = 256;
+
+/** Prompt prefixes whose prefill an engine has cached, in limited memory. */
+export class PrefixCache {
+    private readonly prefixes = new Set<string>();
+
+    /** Returns whether the prompt's prefix was cached, and caches it. */
+    touch(model: string, prompt: string): boolean {
+        const key = `${model}\n${prompt.slice(0, PREFIX_LENGTH)}`;
+        const hit = this.prefixes.delete(key);
+        this.prefixes.add(key);
+        if (this.prefixes.size > MAX_PREFIXES) this.prefixes.delete(this.prefixes.values().next().value!);
+        return hit;
+    }
+}
--- /dev/null
+++ b/packages/stand-ins/src/runtime/engine-repository.ts
@@ -0,0 +1,220 @@
+import type { CheckpointPlace, ResolvedEngineOptions } from "../types/engine.ts";
+import { type EngineFaults, takeFault } from "./engine-faults.ts";
+import type { Journal } from "./journal.ts";
+
+export type ModelState = "LOADING" | "READY" | "UNLOADING" | "UNAVAILABLE" | "FAILED";
+
+export interface RepositoryModel {
+    readonly name: string;
+    version: string;
+    state: ModelState;
+    memoryBytes: number;
+    place: CheckpointPlace;
+    readonly adapters: Set<string>;
+    loading: Promise<OrderResult> | undefined;
+    runningCount: number;
+    whenIdle: (() => void) | undefined;
+}
+
+export interface OrderParameters {
+    readonly version?: string | undefined;
+    readonly memory_bytes?: number | undefined;
+    readonly fencing_token?: number | undefined;
+    readonly adapter?: string | undefined;
+}
+
+export interface OrderResult {
+    readonly status: 200 | 400 | 409;
+    readonly error?: string;
+}
+
+// Checkpoints that stay in host memory after an unload; older ones go back to disk.
+const HOST_MEMORY_CHECKPOINTS = 2;
+
+const OK: OrderResult = { status: 200 };
+
+function sleep(ms: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, ms));
+}
+
+/** Models and adapters of one engine, and the orders that change them. */
+export class EngineRepository {
+    readonly models = new Map<string, RepositoryModel>();
+    private readonly options: ResolvedEngineOptions;
+    private readonly journal: Journal;
+    private readonly faults: EngineFaults;
+    private readonly inHostMemory: RepositoryModel[] = [];
+    private newestToken = 0;
+
+    constructor(options: ResolvedEngineOptions, journal: Journal, faults: EngineFaults) {
+        this.options = options;
+        this.journal = journal;
+        this.faults = faults;
+        for (const name of options.cachedModelIds) this.model(name).place = "disk";
+    }
+
+    /** Memory of all models that are loading, loaded or unloading. */
+    usedBytes(): number {
+        const resident = [...this.models.values()].filter(({ state }) =>
+            state === "LOADING" || state === "READY" || state === "UNLOADING"
+        );
+        return resident.reduce((sum, model) => sum + model.memoryBytes, 0);
+    }
+
+    index(): readonly object[] {
+        return [...this.models.values()].map(model => ({
+            name: model.name,
+            version: model.version,
+            state: model.state,
+            parameters: {
+                memory_bytes: model.memoryBytes,
+                locality: model.place,
+                adapters: [...model.adapters],
+            },
+        }));
+    }
+
+    /** Finds the loaded model of a request that names a model, an adapter or `<model>:<adapter>`. */
+    findReady(name: string): RepositoryModel | undefined {
+        const [modelName = "", adapter] = name.split(":");
+        const model = this.models.get(modelName);
+        if (model?.state === "READY" && (adapter === undefined || model.adapters.has(adapter))) return model;
+        return [...this.models.values()].find(other => other.state === "READY" && other.adapters.has(name));
+    }
+
+    addRunning(model: RepositoryModel): () => void {
+        model.runningCount++;
+        return () => {
+            model.runningCount--;
+            if (model.runningCount === 0) model.whenIdle?.();
+        };
+    }
+
+    async load(name: string, parameters: OrderParameters): Promise<OrderResult> {
+        const refusal = this.checkToken("load", name, parameters.fencing_token);
+        if (refusal !== undefined) return refusal;
+        if (parameters.adapter !== undefined) return this.loadAdapter(name, parameters.adapter);
+        const model = this.model(name);
+        const version = parameters.version ?? "1";
+        if (model.state === "UNLOADING") return this.refuse("load", name, 409, "the model is unloading");
+        const isResident = model.state === "READY" || model.state === "LOADING";
+        if (isResident && model.version !== version) return this.refuse("load", name, 409, "another version is loaded");
+        if (model.state === "READY") return OK;
+        if (model.loading !== undefined) return model.loading;
+        model.loading = this.runLoad(model, version, parameters);
+        const result = await model.loading;
+        model.loading = undefined;
+        return result;
+    }
+
+    async unload(name: string, parameters: OrderParameters): Promise<OrderResult> {
+        const refusal = this.checkToken("unload", name, parameters.fencing_token);
+        if (refusal !== undefined) return refusal;
+        const model = this.models.get(name);
+        if (model === undefined || model.state === "UNAVAILABLE" || model.state === "FAILED") return OK;
+        if (model.state !== "READY") {
+            return this.refuse("unload", name, 409, `the model is ${model.state.toLowerCase()}`);
+        }
+        model.state = "UNLOADING";
+        this.journal.add("unload_started", { modelId: name, running: model.runningCount, ...tokenField(parameters) });
+        if (model.runningCount > 0) {
+            await new Promise<void>(resolve => {
+                model.whenIdle = resolve;
+            });
+            model.whenIdle = undefined;
+        }
+        await sleep(this.options.unloadMs);
+        this.toAbsent(model, "UNAVAILABLE");
+        this.keepInHostMemory(model);
+        this.journal.add("unload_finished", { modelId: name, usedBytes: this.usedBytes() });
+        return OK;
+    }
+
+    private model(name: string): RepositoryModel {
+        const found = this.models.get(name);
+        if (found !== undefined) return found;
+        const model: RepositoryModel = {
+            name,
+            version: "1",
+            state: "UNAVAILABLE",
+            memoryBytes: 0,
+            place: "remote",
+            adapters: new Set(),
+            loading: undefined,
+            runningCount: 0,
+            whenIdle: undefined,
+        };
+        this.models.set(name, model);
+        return model;
+    }
+
+    private async runLoad(model: RepositoryModel, version: string, order: OrderParameters): Promise<OrderResult> {
+        model.version = version;
+        model.memoryBytes = order.memory_bytes ?? 0;
+        model.state = "LOADING";
+        const fields = { modelId: model.name, version, place: model.place, memoryBytes: model.memoryBytes };
+        const usedBytes = this.usedBytes();
+        this.journal.add("load_started", { ...fields, usedBytes, ...tokenField(order) });
+        if (usedBytes > this.options.memorySizeBytes) {
+            this.journal.add("overcommit", { modelId: model.name, usedBytes, sizeBytes: this.options.memorySizeBytes });
+        }
+        const durationMs = this.options.loadMs[model.place] * this.faults.loadSlowFactor;
+        if (model.place === "remote") await this.options.weightStore.load(durationMs);
+        else await sleep(durationMs);
+        if (takeFault(this.faults, "failLoads")) {
+            this.toAbsent(model, "FAILED");
+            this.journal.add("load_failed", fields);
+            return { status: 400, error: "the checkpoint could not be read" };
+        }
+        model.state = "READY";
+        model.place = "memory";
+        this.journal.add("load_finished", fields);
+        return OK;
+    }
+
+    private async loadAdapter(name: string, adapter: string): Promise<OrderResult> {
+        const model = this.models.get(name);
+        if (model?.state !== "READY") return this.refuse("load_adapter", name, 409, "the model is not loaded");
+        if (model.adapters.has(adapter)) return OK;
+        this.journal.add("adapter_load_started", { modelId: name, adapterId: adapter });
+        await this.options.weightStore.loadAdapter();
+        if (model.state === "READY") model.adapters.add(adapter);
+        this.journal.add("adapter_load_finished", { modelId: name, adapterId: adapter });
+        return OK;
+    }
+
+    private checkToken(order: string, name: string, token: number | undefined): OrderResult | undefined {
+        if (token === undefined) return undefined;
+        if (token >= this.newestToken) {
+            this.newestToken = token;
+            return undefined;
+        }
+        if (this.options.checksFencing) return this.refuse(order, name, 409, `fencing token ${token} is old`);
+        this.journal.add("stale_order", { order, modelId: name, token, newestToken: this.newestToken });
+        return undefined;
+    }
+
+    private refuse(order: string, name: string, status: 400 | 409, error: string): OrderResult {
+        this.journal.add("order_refused", { order, modelId: name, reason: error });
+        return { status, error };
+    }
+
+    private toAbsent(model: RepositoryModel, state: "UNAVAILABLE" | "FAILED"): void {
+        model.state = state;
+        model.memoryBytes = 0;
+        model.adapters.clear();
+    }
+
+    private keepInHostMemory(model: RepositoryModel): void {
+        const index = this.inHostMemory.indexOf(model);
+        if (index >= 0) this.inHostMemory.splice(index, 1);
+        this.inHostMemory.push(model);
+        if (this.inHostMemory.length <= HOST_MEMORY_CHECKPOINTS) return;
+        const oldest = this.inHostMemory.shift()!;
+        if (oldest.state !== "READY" && oldest.state !== "LOADING") oldest.place = "disk";
+    }
+}
+
+function tokenField(order: OrderParameters): object {
+    return order.fencing_token === undefined ? {} : { token: order.fencing_token };
+}
--- /dev/null
+++ b/packages/stand-ins/src/runtime/engine-runner.ts
@@ -0,0 +1,90 @@
+import type { EngineRequest, ResolvedEngineOptions } from "../types/engine.ts";
+import { PrefixCache, SlotQueue } from "./engine-batch.ts";
+import type { EngineFaults } from "./engine-faults.ts";
+import type { EngineRepository, RepositoryModel } from "./engine-repository.ts";
+import type { Journal } from "./journal.ts";
+
+// Shorter timers would cost more time than the tokens that they stand for.
+const MIN_TICK_MS = 4;
+const CACHED_PREFILL_SHARE = 0.1;
+
+/** Sleeps until the time or the signal; returns whether the signal has aborted. */
+function pause(ms: number, signal: AbortSignal): Promise<boolean> {
+    if (signal.aborted || ms <= 0) return Promise.resolve(signal.aborted);
+    return new Promise(resolve => {
+        const onAbort = (): void => {
+            clearTimeout(timer);
+            resolve(true);
+        };
+        const timer = setTimeout(() => {
+            signal.removeEventListener("abort", onAbort);
+            resolve(false);
+        }, ms);
+        signal.addEventListener("abort", onAbort, { once: true });
+    });
+}
+
+/** Runs requests in the engine's slots with continuous batching. */
+export class EngineRunner {
+    readonly slots: SlotQueue;
+    private readonly options: ResolvedEngineOptions;
+    private readonly repository: EngineRepository;
+    private readonly journal: Journal;
+    private readonly faults: EngineFaults;
+    private readonly prefixes = new PrefixCache();
+
+    constructor(options: ResolvedEngineOptions, repository: EngineRepository, journal: Journal, faults: EngineFaults) {
+        this.options = options;
+        this.repository = repository;
+        this.journal = journal;
+        this.faults = faults;
+        this.slots = new SlotQueue(options.slotCount);
+    }
+
+    /** Runs one request; returns whether it came to its end. */
+    async run(
+        request: EngineRequest,
+        model: RepositoryModel,
+        fields: Readonly<Record<string, unknown>>,
+        signal: AbortSignal,
+        onTokens: (count: number) => void,
+    ): Promise<boolean> {
+        const leaveModel = this.repository.addRunning(model);
+        const release = await this.slots.take(request.priority, signal);
+        if (release === undefined) {
+            leaveModel();
+            this.journal.add("request_cancelled", fields);
+            return false;
+        }
+        this.journal.add("execution_started", fields);
+        const finished = await this.decode(request, signal, onTokens);
+        this.journal.add("execution_finished", { ...fields, outcome: finished ? "complete" : "cancelled" });
+        release();
+        leaveModel();
+        return finished;
+    }
+
+    private async decode(
+        request: EngineRequest,
+        signal: AbortSignal,
+        onTokens: (count: number) => void,
+    ): Promise<boolean> {
+        const cached = this.prefixes.touch(request.model, request.prompt);
+        const prefillMs = this.options.prefillMs * (cached ? CACHED_PREFILL_SHARE : 1) * this.faults.slowFactor;
+        if (await pause(prefillMs + this.faults.delayMs, signal)) return false;
+        let doneCount = 0;
+        let credit = 1;
+        while (doneCount < request.tokenCount) {
+            const count = Math.min(request.tokenCount - doneCount, Math.floor(credit));
+            doneCount += count;
+            credit -= count;
+            if (count > 0) onTokens(count);
+            if (doneCount >= request.tokenCount) break;
+            const tokenMs = (1000 / this.options.tokensPerSecond) * this.faults.slowFactor;
+            const startMs = performance.now();
+            if (await pause(Math.max(MIN_TICK_MS, tokenMs), signal)) return false;
+            credit += (performance.now() - startMs) / tokenMs;
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/packages/stand-ins/src/runtime/key-value-codec.ts
@@ -0,0 +1,92 @@
+import { z } from "zod";
+import type { StoredEvent, StoredValue } from "./key-value-state.ts";
+
+const text = z.string().default("").transform(value => Buffer.from(value, "base64").toString("utf8"));
+const optionalText = z.string().optional().transform(value =>
+    value === undefined || value === "" ? undefined : Buffer.from(value, "base64").toString("utf8")
+);
+const int64 = z.union([z.string(), z.number()]).default(0).transform(Number);
+const leaseId = z.union([z.string(), z.number()]).default("0").transform(value =>
+    String(value) === "0" ? undefined : String(value)
+);
+
+/** The gateway takes field names in snake case and in camel case. */
+function withSnakeCase<Schema extends z.ZodType>(schema: Schema) {
+    return z.preprocess(value => {
+        if (typeof value !== "object" || value === undefined || Array.isArray(value)) return value;
+        const entries = Object.entries(value ?? {});
+        return Object.fromEntries(
+            entries.map((
+                [name, field],
+            ) => [name.replace(/[a-z][A-Z]/g, pair => `${pair[0]}_${pair[1]!.toLowerCase()}`), field]),
+        );
+    }, schema);
+}
+
+export const rangeRequest = withSnakeCase(z.object({
+    key: text,
+    range_end: optionalText,
+    limit: int64,
+    revision: int64,
+}));
+
+const putRequest = withSnakeCase(z.object({ key: text, value: text, lease: leaseId }));
+const deleteRequest = withSnakeCase(z.object({ key: text, range_end: optionalText }));
+
+const operation = withSnakeCase(z.object({
+    request_put: putRequest.optional(),
+    request_delete_range: deleteRequest.optional(),
+    request_range: rangeRequest.optional(),
+}));
+
+// The service refuses transactions with more than 128 operations.
+const MAX_OPERATIONS = 128;
+
+export const txnRequest = z.object({
+    compare: z.array(withSnakeCase(z.object({
+        key: text,
+        target: z.literal("MOD"),
+        result: z.literal("EQUAL").default("EQUAL"),
+        mod_revision: int64,
+    }))).max(MAX_OPERATIONS).default([]),
+    success: z.array(operation).max(MAX_OPERATIONS).default([]),
+    failure: z.array(operation).max(MAX_OPERATIONS).default([]),
+});
+
+export const leaseGrantRequest = z.object({ TTL: int64 });
+export const leaseRequest = z.object({ ID: z.union([z.string(), z.number()]).transform(String) });
+
+export const watchRequest = withSnakeCase(z.object({
+    create_request: withSnakeCase(z.object({ key: text, range_end: optionalText, start_revision: int64 })),
+}));
+
+export type Operation = z.output<typeof operation>;
+export type TxnRequest = z.output<typeof txnRequest>;
+export type RangeRequest = z.output<typeof rangeRequest>;
+
+function toBase64(value: string): string {
+    return Buffer.from(value, "utf8").toString("base64");
+}
+
+export function toHeader(revision: number): object {
+    return { cluster_id: "1", member_id: "1", revision: String(revision), raft_term: "1" };
+}
+
+export function toKv(key: string, stored: StoredValue): object {
+    return {
+        key: toBase64(key),
+        value: toBase64(stored.value),
+        create_revision: String(stored.createRevision),
+        mod_revision: String(stored.modRevision),
+        version: String(stored.version),
+        ...(stored.leaseId === undefined ? {} : { lease: stored.leaseId }),
+    };
+}
+
+export function toWatchMessage(events: readonly StoredEvent[], revision: number): string {
+    const json = events.map(event => {
+        if (event.stored !== undefined) return { kv: toKv(event.key, event.stored) };
+        return { type: "DELETE", kv: { key: toBase64(event.key), mod_revision: String(event.revision) } };
+    });
+    return `${JSON.stringify({ result: { header: toHeader(revision), events: json } })}\n`;
+}
--- /dev/null
+++ b/packages/stand-ins/src/runtime/key-value-state.ts
@@ -0,0 +1,146 @@
+/** One stored key. */
+export interface StoredValue {
+    readonly value: string;
+    readonly createRevision: number;
+    readonly modRevision: number;
+    readonly version: number;
+    readonly leaseId: string | undefined;
+}
+
+export interface StoredEvent {
+    readonly kind: "put" | "delete";
+    readonly key: string;
+    readonly stored: StoredValue | undefined;
+    readonly revision: number;
+}
+
+export type Write =
+    | { readonly kind: "put"; readonly key: string; readonly value: string; readonly leaseId: string | undefined; }
+    | { readonly kind: "delete"; readonly key: string; readonly rangeEnd: string | undefined; };
+
+export interface StateSnapshot {
+    readonly revision: number;
+    readonly keys: ReadonlyMap<string, StoredValue>;
+}
+
+export type StateListener = (events: readonly StoredEvent[]) => void;
+
+interface LeaseState {
+    readonly ttlMs: number;
+    timer: NodeJS.Timeout;
+}
+
+const MAX_HISTORY = 100_000;
+
+function isInRange(key: string, start: string, end: string | undefined): boolean {
+    if (end === undefined || end === "") return key === start;
+    return key >= start && (end === "\0" || key < end);
+}
+
+/** Keys, revisions and leases of the key-value stand-in. */
+export class KeyValueState {
+    private keys = new Map<string, StoredValue>();
+    private history: StoredEvent[] = [];
+    private readonly leases = new Map<string, LeaseState>();
+    private readonly listeners = new Set<StateListener>();
+    private nextLease = 1;
+    revision = 1;
+
+    range(start: string, end: string | undefined): readonly (readonly [string, StoredValue])[] {
+        if (end === undefined || end === "") {
+            const stored = this.keys.get(start);
+            return stored === undefined ? [] : [[start, stored]];
+        }
+        return [...this.keys]
+            .filter(([key]) => isInRange(key, start, end))
+            .sort(([left], [right]) => (left < right ? -1 : 1));
+    }
+
+    /** Applies writes under one new revision. */
+    apply(writes: readonly Write[]): readonly StoredEvent[] {
+        const revision = this.revision + 1;
+        const events = writes.flatMap(write => this.applyOne(write, revision));
+        if (events.length === 0) return [];
+        this.revision = revision;
+        this.history.push(...events);
+        if (this.history.length > MAX_HISTORY) this.history = this.history.slice(-MAX_HISTORY / 2);
+        for (const listener of this.listeners) listener(events);
+        return events;
+    }
+
+    eventsSince(fromRevision: number): readonly StoredEvent[] {
+        return this.history.filter(event => event.revision >= fromRevision);
+    }
+
+    subscribe(listener: StateListener): () => void {
+        this.listeners.add(listener);
+        return () => this.listeners.delete(listener);
+    }
+
+    hasLease(leaseId: string): boolean {
+        return this.leases.has(leaseId);
+    }
+
+    grantLease(ttlMs: number): string {
+        const leaseId = String(7_000_000 + this.nextLease++);
+        this.leases.set(leaseId, { ttlMs, timer: this.startExpiry(leaseId, ttlMs) });
+        return leaseId;
+    }
+
+    /** Returns the lease's duration, or `undefined` when it has expired. */
+    keepAlive(leaseId: string): number | undefined {
+        const lease = this.leases.get(leaseId);
+        if (lease === undefined) return undefined;
+        clearTimeout(lease.timer);
+        lease.timer = this.startExpiry(leaseId, lease.ttlMs);
+        return lease.ttlMs;
+    }
+
+    endLease(leaseId: string): boolean {
+        const lease = this.leases.get(leaseId);
+        if (lease === undefined) return false;
+        clearTimeout(lease.timer);
+        this.leases.delete(leaseId);
+        const held = [...this.keys].filter(([, stored]) => stored.leaseId === leaseId);
+        this.apply(held.map(([key]) => ({ kind: "delete", key, rangeEnd: undefined })));
+        return true;
+    }
+
+    snapshot(): StateSnapshot {
+        return { revision: this.revision, keys: new Map(this.keys) };
+    }
+
+    /** Goes back to an older state, as a service does after a restore from a backup. */
+    restore(snapshot: StateSnapshot): void {
+        this.keys = new Map(snapshot.keys);
+        this.revision = snapshot.revision;
+        this.history = this.history.filter(event => event.revision <= snapshot.revision);
+    }
+
+    close(): void {
+        for (const lease of this.leases.values()) clearTimeout(lease.timer);
+        this.leases.clear();
+    }
+
+    private startExpiry(leaseId: string, ttlMs: number): NodeJS.Timeout {
+        return setTimeout(() => this.endLease(leaseId), ttlMs).unref();
+    }
+
+    private applyOne(write: Write, revision: number): StoredEvent[] {
+        if (write.kind === "delete") {
+            const found = this.range(write.key, write.rangeEnd);
+            for (const [key] of found) this.keys.delete(key);
+            return found.map(([key]) => ({ kind: "delete", key, stored: undefined, revision }));
+        }
+        const before = this.keys.get(write.key);
+        const stored = {
+            value: write.value,
+            createRevision: before?.createRevision ?? revision,
+            modRevision: revision,
+            version: (before?.version ?? 0) + 1,
+            leaseId: write.leaseId,
+        };
+        this.keys.set(write.key, stored);
+        return [{ kind: "put", key: write.key, stored, revision }];
+    }
+}
--- /dev/null
+++ b/packages/stand-ins/src/utils/engine-answer.ts
@@ -0,0 +1,116 @@
+import { z } from "zod";
+import type { EngineRequest } from "../types/engine.ts";
+
+const MAX_TOKENS = 100_000;
+const DEFAULT_TOKENS = 32;
+
+const common = {
+    model: z.string().min(1),
+    stream: z.boolean().default(false),
+    max_tokens: z.number().int().min(1).max(MAX_TOKENS).optional(),
+    max_completion_tokens: z.number().int().min(1).max(MAX_TOKENS).optional(),
+    priority: z.number().default(0),
+};
+
+const content = z.union([
+    z.string(),
+    z.array(z.object({ text: z.string().default("") })).transform(parts => parts.map(part => part.text).join("")),
+]);
+
+export const chatSchema = z.looseObject({
+    ...common,
+    messages: z.array(z.looseObject({ role: z.string(), content })).min(1),
+});
+
+export const completionSchema = z.looseObject({
+    ...common,
+    prompt: z.union([z.string(), z.array(z.string()).min(1).transform(parts => parts.join("\n"))]),
+});
+
+/** Builds the engine's view of a request from a valid body. */
+export function toEngineRequest(
+    body: z.output<typeof chatSchema> | z.output<typeof completionSchema>,
+    requestId: string,
+    modelId: string,
+): EngineRequest {
+    const isChat = "messages" in body;
+    const messages = isChat ? (body as z.output<typeof chatSchema>).messages.map(message => message.content) : [];
+    const prompt = isChat ? messages.join("\n") : body.prompt;
+    return {
+        requestId,
+        kind: isChat ? "chat" : "completion",
+        modelId,
+        model: body.model,
+        stream: body.stream,
+        tokenCount: body.max_completion_tokens ?? body.max_tokens ?? DEFAULT_TOKENS,
+        priority: body.priority,
+        prompt,
+        lastMessage: messages.at(-1) ?? prompt,
+    };
+}
+
+export function answerId(kind: EngineRequest["kind"], requestId: string): string {
+    return `${kind === "chat" ? "chatcmpl" : "cmpl"}-${requestId}`;
+}
+
+/** Text of one token; the first carries the last message of the request. */
+export function tokenText(request: EngineRequest, index: number): string {
+    return index === 0 ? `${request.model} answers: ${request.lastMessage}` : ` t${index}`;
+}
+
+export function fullText(request: EngineRequest): string {
+    return Array.from({ length: request.tokenCount }, (_, index) => tokenText(request, index)).join("");
+}
+
+function usage(request: EngineRequest): object {
+    const promptTokens = Math.ceil(request.prompt.length / 4);
+    return {
+        prompt_tokens: promptTokens,
+        completion_tokens: request.tokenCount,
+        total_tokens: promptTokens + request.tokenCount,
+    };
+}
+
+/** JSON of a whole answer. */
+export function wholeAnswer(request: EngineRequest, createdS: number): object {
+    const text = fullText(request);
+    const choice = request.kind === "chat"
+        ? { index: 0, message: { role: "assistant", content: text }, finish_reason: "stop" }
+        : { index: 0, text, finish_reason: "stop" };
+    return {
+        id: answerId(request.kind, request.requestId),
+        object: request.kind === "chat" ? "chat.completion" : "text_completion",
+        created: createdS,
+        model: request.model,
+        choices: [choice],
+        usage: usage(request),
+    };
+}
+
+function streamChoice(request: EngineRequest, index: number): object {
+    const isLast = index === request.tokenCount;
+    const finish = isLast ? { finish_reason: "stop" } : {};
+    if (request.kind === "completion") return { index: 0, text: isLast ? "" : tokenText(request, index), ...finish };
+    if (isLast) return { index: 0, delta: {}, ...finish };
+    const role = index === 0 ? { role: "assistant" } : {};
+    return { index: 0, delta: { ...role, content: tokenText(request, index) } };
+}
+
+/** Number of events of a stream: one per token, one with the finish reason, and `[DONE]`. */
+export function eventCount(request: EngineRequest): number {
+    return request.tokenCount + 2;
+}
+
+/** Text of one server-sent event; sequence numbers start at 1. */
+export function streamEvent(request: EngineRequest, sequence: number, createdS: number): string {
+    if (sequence === eventCount(request)) return `id: ${sequence}\ndata: [DONE]\n\n`;
+    const chunk = {
+        id: answerId(request.kind, request.requestId),
+        object: request.kind === "chat" ? "chat.completion.chunk" : "text_completion",
+        created: createdS,
+        model: request.model,
+        choices: [streamChoice(request, sequence - 1)],
+        ...(sequence === eventCount(request) - 1 ? { usage: usage(request) } : {}),
+    };
+    return `id: ${sequence}\ndata: ${JSON.stringify(chunk)}\n\n`;
+}
--- /dev/null
+++ b/test/stand-ins/engine.test.ts
@@ -0,0 +1,147 @@
+import { createBackendClient, createTritonEngineControl } from "@skylarkmill/platform";
+import { type AdapterId, type ModelId, toId } from "@skylarkmill/protocol";
+import { createEngineStandIn, type EngineStandIn } from "@skylarkmill/stand-ins";
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+
+const modelId = toId<ModelId>("diagnosis");
+let engine: EngineStandIn;
+let control: ReturnType<typeof createTritonEngineControl>;
+let client: ReturnType<typeof createBackendClient>;
+
+async function start(options: { readonly checksFencing?: boolean; } = {}): Promise<void> {
+    engine = await createEngineStandIn({
+        listen: { host: "127.0.0.1", port: 0 },
+        memorySizeBytes: 250,
+        tokensPerSecond: 2000,
+        prefillMs: 1,
+        loadMs: { memory: 1, disk: 2, remote: 4 },
+        unloadMs: 1,
+        ...options,
+    });
+    control = createTritonEngineControl({ baseUrl: engine.url });
+    client = createBackendClient({ baseUrl: engine.url });
+}
+
+async function stop(): Promise<void> {
+    await Promise.all([control.close(), client.close()]);
+    await engine.close();
+}
+
+beforeEach(() => start());
+afterEach(stop);
+
+function load(name = "diagnosis", fencingToken = 1) {
+    return control.load({ modelId: toId<ModelId>(name), version: "1", memoryBytes: 100, fencingToken });
+}
+
+function kinds(): string[] {
+    return engine.journal.list().map(event => event.kind);
+}
+
+async function ask(requestId: string, body: object, headers: Record<string, string> = {}): Promise<string> {
+    const response = await client.send({
+        method: "POST",
+        path: "/v1/chat/completions",
+        headers: { "content-type": "application/json", "x-request-id": requestId, ...headers },
+        body: JSON.stringify({ model: "diagnosis", messages: [{ role: "user", content: "squeaky hub" }], ...body }),
+        signal: new AbortController().signal,
+    });
+    return response._unsafeUnwrap().body.text();
+}
+
+// Guards against an index that does not show what occupies memory.
+it("shows a model's way from absent to loaded with an adapter and back", async () => {
+    await load();
+    await control.loadAdapter({ modelId, adapterId: toId<AdapterId>("tandem"), fencingToken: 1 });
+    const loaded = (await control.index())._unsafeUnwrap();
+    expect(loaded).toMatchObject({
+        memorySizeBytes: 250,
+        models: [{ state: "ready", memoryBytes: 100, adapterIds: ["tandem"] }],
+    });
+    await control.unload({ modelId, fencingToken: 1 });
+    expect((await control.index())._unsafeUnwrap().models).toMatchObject([{ state: "absent", locality: "memory" }]);
+});
+
+// Guards against a journal that can't show a broken memory invariant.
+it("journals loads beyond its memory", async () => {
+    await load("a");
+    await load("b");
+    expect(kinds()).not.toContain("overcommit");
+    await load("c");
+    expect(kinds()).toContain("overcommit");
+});
+
+// Guards against orders of a replaced agent.
+describe("fencing", () => {
+    it.each([[true, "order_refused"], [false, "stale_order"]])("checksFencing %s journals %s", async (checks, kind) => {
+        await stop();
+        await start({ checksFencing: checks });
+        await load("a", 2);
+        expect((await load("b", 1)).isErr()).toBe(checks);
+        expect(kinds()).toContain(kind);
+    });
+});
+
+// Guards against load faults that can't be told apart by their effect.
+describe("load faults", () => {
+    const cases = [
+        { fault: "failLoads", code: "refused", state: "failed" },
+        { fault: "unansweredLoads", code: "outcome_unknown", state: "ready" },
+    ];
+    it.each(cases)("$fault gives $code and leaves the model $state", async ({ fault, code, state }) => {
+        engine.setFaults({ [fault]: 1 });
+        expect(await load()).toMatchObject({ error: { code } });
+        await expect.poll(async () => (await control.index())._unsafeUnwrap().models[0]?.state).toBe(state);
+    });
+});
+
+describe("answers", () => {
+    // Guards against answers that don't belong to their request.
+    it("answers whole with the request's id and last message", async () => {
+        await load();
+        const answer = JSON.parse(await ask("r1", { max_tokens: 3 })) as Record<string, unknown>;
+        expect(answer).toMatchObject({ id: "chatcmpl-r1", usage: { completion_tokens: 3 } });
+        expect(JSON.stringify(answer.choices)).toContain("squeaky hub");
+    });
+
+    it("streams events numbered from 1 to [DONE]", async () => {
+        await load();
+        const events = (await ask("r2", { max_tokens: 4, stream: true })).trim().split("\n\n");
+        expect(events.map(event => event.split("\n")[0])).toEqual([1, 2, 3, 4, 5, 6].map(id => `id: ${id}`));
+        expect(events.at(-1)).toBe("id: 6\ndata: [DONE]");
+        const chunks = events.slice(0, -1).map(event => JSON.parse(event.split("data: ")[1]!) as { id: string; });
+        expect(new Set(chunks.map(chunk => chunk.id))).toEqual(new Set(["chatcmpl-r2"]));
+    });
+
+    // Guards against a resumed stream that runs a second time or repeats events.
+    it("resumes a broken stream after the last event without a second execution", async () => {
+        await load();
+        engine.setFaults({ unfinished: 1 });
+        const first = await ask("r3", { max_tokens: 40, stream: true });
+        const lastId = [...first.matchAll(/^id: (\d+)$/gm)].at(-1)![1]!;
+        const rest = await ask("r3", { stream: true }, { "last-event-id": lastId });
+        const ids = [...(first + rest).matchAll(/^id: (\d+)$/gm)].map(match => Number(match[1]));
+        expect(ids).toEqual(Array.from({ length: 42 }, (_, index) => index + 1));
+        expect(kinds().filter(kind => kind === "execution_started")).toHaveLength(1);
+    });
+
+    // Guards against fault switches without effect, which would make failure tests pass for nothing.
+    const faults = [
+        { fault: "crossed", shows: (text: string) => text.includes("FOREIGN") },
+        { fault: "duplicated", shows: (text: string) => text.match(/^id: 2$/gm)?.length === 2 },
+        { fault: "skipped", shows: (text: string) => !/^id: 2$/m.test(text) },
+        { fault: "unfinished", shows: (text: string) => !text.includes("[DONE]") },
+    ];
+    it.each(faults)("shows the fault $fault once", async ({ fault, shows }) => {
+        await load();
+        engine.setFaults({ [fault]: 1 });
+        expect(shows(await ask("r4", { stream: true }))).toBe(true);
+        expect(shows(await ask("r5", { stream: true }))).toBe(false);
+    });
+
+    it("breaks the connection in the middle of a truncated answer", async () => {
+        await load();
+        engine.setFaults({ truncated: 1 });
+        await expect(ask("r6", { stream: true })).rejects.toThrow();
+    });
+});
