feat(control): add the operators' HTTP interface

Operators need to edit sections, read back what is in force and drain hosts. Edits are checked against the whole document, written by compare-and-swap with the audit entry in the same transaction, and a lost answer is resolved by edit id.

--- a/packages/config/src/runtime/config-view.ts
+++ b/packages/config/src/runtime/config-view.ts
@@ -103,6 +103,11 @@
         return this.current().limits;
     }
 
+    isComplete(): boolean {
+        this.current();
+        return [...this.cache.values()].every(({ inForce, problem }) => problem === undefined || inForce !== undefined);
+    }
+
     problems(): readonly string[] {
         return this.current().problems;
     }
--- a/packages/config/src/types/config-view.ts
+++ b/packages/config/src/types/config-view.ts
@@ -59,6 +59,8 @@
      */
     isNonIdempotent(serviceId: ServiceId, method: string, path: string): boolean;
     limits(): LimitsConfig;
+    /** False while a section is known only in a form that can't be applied, so that services may be missing. */
+    isComplete(): boolean;
     /** One sentence each on records that can't be applied or contradict another section. */
     problems(): readonly string[];
     /** Calls back after each change; returns the function that ends it. */
--- /dev/null
+++ b/packages/control/src/node/operator-app.ts
@@ -0,0 +1,157 @@
+import { type ConfigSection, KEYS } from "@skylarkmill/config";
+import { silentLogger } from "@skylarkmill/coordination";
+import { type EditId, type TeamId, toId } from "@skylarkmill/protocol";
+import { type Context, Hono } from "hono";
+import { bodyLimit } from "hono/body-limit";
+import { randomUUID } from "node:crypto";
+import { AuditLog } from "../runtime/audit-log.ts";
+import { ConfigEditor } from "../runtime/config-editor.ts";
+import { DrainOrders } from "../runtime/drain-orders.ts";
+import { FleetReader } from "../runtime/fleet-reader.ts";
+import type { OperatorAnswer, OperatorOptions, ResolvedOperatorOptions } from "../types/operator.ts";
+import { toConfigStatus } from "../utils/config-status.ts";
+import { toFleetStatus } from "../utils/fleet-status.ts";
+import { refuse, unavailable } from "../utils/operator-answers.ts";
+import { readAuditQuery, readEditId, readHostId, readIfMatch, readSectionName } from "../utils/request-input.ts";
+import { findTeam } from "../utils/team-tokens.ts";
+
+interface Env {
+    readonly Variables: { readonly team: TeamId; };
+}
+
+type OperatorContext = Context<Env>;
+
+/** A section takes at most 1 MB as stored; indented text is longer. */
+const MAX_BODY_BYTES = 4 * 1024 * 1024;
+
+const DEFAULTS = { peerTimeoutMs: 1_000, maxConcurrentCalls: 32, logger: silentLogger };
+
+/**
+ * Creates the operators' HTTP interface of a router, with the paths below `/operator`.
+ *
+ * @example
+ * app.route("/", createOperatorApp({ records, store, config, membership, peers, teamTokens }));
+ */
+export function createOperatorApp(options: OperatorOptions): Hono<Env> {
+    const resolved: ResolvedOperatorOptions = { ...DEFAULTS, ...options };
+    const audit = new AuditLog(resolved.store);
+    const app = new Hono<Env>();
+    app.use("/operator/*", async (context, next) => {
+        const team = findTeam(context.req.header("authorization"), resolved.teamTokens());
+        if (team === undefined) {
+            const refusal = refuse(401, "unauthorized", "A team's token is needed: Authorization: Bearer <token>.");
+            return send(context, { ...refusal, headers: { "www-authenticate": "Bearer" } });
+        }
+        context.set("team", team);
+        return next();
+    });
+    app.use(
+        "/operator/*",
+        bodyLimit({
+            maxSize: MAX_BODY_BYTES,
+            onError: context => send(context, refuse(413, "too_large", `The body is over ${MAX_BODY_BYTES} bytes.`)),
+        }),
+    );
+    app.onError((error, context) => {
+        resolved.logger.error({ step: "operator", path: context.req.path, err: error }, "operator request failed");
+        return send(context, refuse(500, "internal", "The request failed; the router's log has the cause."));
+    });
+    addConfigRoutes(app, resolved, new ConfigEditor(resolved, audit));
+    addInspectionRoutes(app, resolved, audit);
+    addDrainRoutes(app, new DrainOrders(resolved, audit));
+    app.all("/operator/*", context => send(context, refuse(404, "not_found", `No such path: ${context.req.path}.`)));
+    return app;
+}
+
+function send(context: Pick<Context, "json">, answer: OperatorAnswer): Response {
+    return context.json(answer.body, answer.status, answer.headers);
+}
+
+function ok(body: object, headers?: Record<string, string>): OperatorAnswer {
+    return { status: 200, body, ...(headers === undefined ? {} : { headers }) };
+}
+
+async function readJson(context: OperatorContext): Promise<{ readonly value: unknown; } | undefined> {
+    try {
+        return { value: await context.req.json<unknown>() };
+    }
+    catch {
+        return undefined;
+    }
+}
+
+function addConfigRoutes(app: Hono<Env>, options: ResolvedOperatorOptions, editor: ConfigEditor): void {
+    const { records, config } = options;
+    app.get("/operator/config", context => {
+        const sections = config.sections().map(({ name, version, section }) => [name, { version, section }]);
+        return send(context, ok({ sections: Object.fromEntries(sections) as object, problems: config.problems() }));
+    });
+    app.get("/operator/config/status", async context => {
+        const reports = await new FleetReader(options).read();
+        return send(context, ok(toConfigStatus(reports, records.versions())));
+    });
+    app.get("/operator/config/edits/:editId", async context => {
+        const editId = readEditId(context.req.param("editId"));
+        const section = readSectionName(context.req.query("section"));
+        if (editId.isErr()) return send(context, editId.error);
+        if (section.isErr()) return send(context, section.error);
+        return send(context, await editor.outcome(section.value, editId.value, context.get("team")));
+    });
+    app.get("/operator/config/:section", context => {
+        const name = context.req.param("section");
+        const record = records.get<ConfigSection>(KEYS.config(name));
+        if (record?.value === undefined) {
+            return send(context, refuse(404, "unknown_section", `There is no section ${name}.`));
+        }
+        const { version, editId, writtenAtMs, value } = record;
+        return send(context, ok({ name, version, editId, writtenAtMs, section: value }, { etag: `"${version}"` }));
+    });
+    app.put("/operator/config/:section", async context => {
+        const section = readSectionName(context.req.param("section"));
+        const editId = readEditId(context.req.header("x-edit-id"));
+        const ifMatch = readIfMatch(context.req.header("if-match"));
+        for (const input of [section, editId, ifMatch]) if (input.isErr()) return send(context, input.error);
+        const body = await readJson(context);
+        if (body === undefined) return send(context, refuse(400, "invalid_json", "The body is not JSON."));
+        return send(
+            context,
+            await editor.edit({
+                team: context.get("team"),
+                section: section._unsafeUnwrap(),
+                editId: editId._unsafeUnwrap(),
+                ifMatch: ifMatch._unsafeUnwrap(),
+                input: body.value,
+            }),
+        );
+    });
+}
+
+function addInspectionRoutes(app: Hono<Env>, options: ResolvedOperatorOptions, audit: AuditLog): void {
+    const { records, config, membership } = options;
+    app.get("/operator/status", async context => {
+        const reports = await new FleetReader(options).read();
+        const { hasReadService } = records;
+        return send(context, ok(toFleetStatus({ config, records, membership, reports, hasReadService })));
+    });
+    app.get("/operator/audit", async context => {
+        const configKeys = records.list(KEYS.configPrefix).map(record => record.key);
+        const query = readAuditQuery(context.req.query(), configKeys);
+        if (query.isErr()) return send(context, query.error);
+        const result = await audit.query(query.value);
+        return send(context, result.match<OperatorAnswer>(ok, error => unavailable(error)));
+    });
+}
+
+function addDrainRoutes(app: Hono<Env>, drains: DrainOrders): void {
+    const order = async (context: OperatorContext, draining: boolean) => {
+        const hostId = readHostId(context.req.param("host") ?? "");
+        const editId = readEditId(context.req.header("x-edit-id") ?? randomUUID());
+        if (hostId.isErr()) return send(context, hostId.error);
+        if (editId.isErr()) return send(context, editId.error);
+        const team = context.get("team");
+        const answer = await drains.order({ team, draining, hostId: hostId.value, editId: toId<EditId>(editId.value) });
+        return send(context, answer);
+    };
+    app.put("/operator/drains/:host", context => order(context, true));
+    app.delete("/operator/drains/:host", context => order(context, false));
+}
--- /dev/null
+++ b/packages/control/src/node/operator-peers.ts
@@ -0,0 +1,39 @@
+import { createPeerClient } from "@skylarkmill/coordination";
+import type { HostEntry } from "@skylarkmill/platform";
+import { type ProcessId, toId } from "@skylarkmill/protocol";
+import type { OperatorPeers } from "../types/operator.ts";
+
+export interface OperatorPeersOptions {
+    /** Keys of the peer interface; the first is sent. */
+    readonly keys: () => readonly string[];
+}
+
+type PeerCalls = ReturnType<typeof createPeerClient>["calls"];
+
+/**
+ * Creates the operators' calls to other processes. Operators ask rarely, so each call has its own
+ * connection.
+ *
+ * @example
+ * const peers = createOperatorPeers({ keys: () => ["secret"] });
+ */
+export function createOperatorPeers(options: OperatorPeersOptions): OperatorPeers {
+    const call = async <T>(host: HostEntry, use: (calls: PeerCalls) => Promise<T>): Promise<T> => {
+        const client = createPeerClient({
+            processId: toId<ProcessId>(host.hostId),
+            address: host.address,
+            port: host.peerPort,
+            keys: options.keys,
+        });
+        try {
+            return await use(client.calls);
+        }
+        finally {
+            client.close();
+        }
+    };
+    return {
+        getStatus: (host, signal) => call(host, calls => calls.getStatus({}, { signal })),
+        drain: (host, request, signal) => call(host, calls => calls.drain(request, { signal })),
+    };
+}
