feat(agent): serve requests with loads on demand, checked answers and drains

A backend server needs one process that alone sends it orders. The agent keeps the memory ledger, the replicas under grants, the queue and the answer checks in one task, and its start-up, replica and drain states in charts.

--- /dev/null
+++ b/packages/agent/src/runtime/index-facts.ts
@@ -0,0 +1,56 @@
+import type { EngineModel } from "@skylarkmill/platform";
+import type { MemoryLedger } from "./memory-ledger.ts";
+import type { Replica } from "./replica.ts";
+
+export interface IndexContext {
+    readonly ledger: MemoryLedger;
+    readonly nowMs: number;
+    /** Stamp at which the read of the index began. */
+    readonly stamp: number;
+    readonly settleMs: number;
+    /** The model left memory, or never reached it; `failed` after a load that did not succeed. */
+    readonly onGone: (replica: Replica, failed: boolean) => void;
+}
+
+/** Whether a model in this state occupies memory. */
+export function occupiesMemory(found: EngineModel): boolean {
+    return found.state === "loading" || found.state === "ready" || found.state === "unloading";
+}
+
+/** Takes over what the index says about a model that occupies memory. */
+export function applyPresent(replica: Replica, found: EngineModel, context: IndexContext): void {
+    context.ledger.account(replica.modelId, found.memoryBytes);
+    if (context.stamp <= replica.orderStamp) return;
+    replica.absentSinceMs = undefined;
+    if (found.state === "ready") applyReady(replica, found, context.nowMs);
+    if (found.state === "loading" && replica.state !== "unloading") replica.send("FOUND_LOADING");
+    if (found.state === "unloading") replica.send("FOUND_UNLOADING");
+}
+
+function applyReady(replica: Replica, found: EngineModel, nowMs: number): void {
+    // An unload that the engine has not begun is repeated by the replica set.
+    if (replica.state === "unloading") return;
+    replica.takeFacts(found);
+    if (!replica.send("FOUND_READY")) return;
+    replica.orderId = undefined;
+    replica.mayArriveLate = false;
+    replica.failureCount = 0;
+    replica.loadedAtMs = nowMs;
+    replica.lastUsedAtMs = Math.max(replica.lastUsedAtMs, nowMs);
+}
+
+/** Takes over that the index does not show a model which the agent counts as present. */
+export function applyAbsent(replica: Replica, context: IndexContext): void {
+    if (replica.state === "absent" || context.stamp <= replica.orderStamp) return;
+    if (replica.state !== "loading") {
+        context.onGone(replica, false);
+        return;
+    }
+    // The order is on its way or waits for a permit.
+    if (replica.orderId !== undefined) return;
+    if (replica.mayArriveLate) {
+        replica.absentSinceMs ??= context.nowMs;
+        if (context.nowMs - replica.absentSinceMs < context.settleMs) return;
+    }
+    context.onGone(replica, true);
+}
--- /dev/null
+++ b/packages/agent/src/runtime/start-up.ts
@@ -0,0 +1,50 @@
+import { sleep } from "@skylarkmill/coordination";
+import type { SkylarkmillError } from "@skylarkmill/protocol";
+import type Logger from "bunyan";
+import type { ResultAsync } from "neverthrow";
+import startUpChart from "../charts/start-up.json" with { type: "json" };
+import { backoffMs } from "../utils/backoff.ts";
+import { Chart } from "../utils/chart.ts";
+
+export type StartUpStep = "bindPeerPort" | "readIndex" | "readGrants" | "raiseFence" | "exchangeRecords";
+export type StartUpState = StartUpStep | "acceptingLoads";
+
+export interface StartUpOptions {
+    readonly steps: Readonly<Record<StartUpStep, () => ResultAsync<void, SkylarkmillError>>>;
+    readonly retryMinMs: number;
+    readonly retryMaxMs: number;
+    readonly logger: Logger;
+}
+
+/** Runs the start-up chart; each step is repeated until it succeeds. */
+export class StartUp {
+    private readonly chart = new Chart<StartUpState, "DONE">(startUpChart);
+
+    constructor(private readonly options: StartUpOptions) {}
+
+    get state(): StartUpState {
+        return this.chart.state;
+    }
+
+    /** Resolves once the given state is reached or the signal aborts. */
+    async runUntil(state: StartUpState, signal: AbortSignal): Promise<void> {
+        let failureCount = 0;
+        while (!signal.aborted && this.state !== state) {
+            const step = this.state;
+            if (step === "acceptingLoads") return;
+            const result = await this.options.steps[step]();
+            if (result.isOk()) {
+                failureCount = 0;
+                this.chart.send("DONE");
+                continue;
+            }
+            failureCount += 1;
+            const { error } = result;
+            this.options.logger.warn(
+                { step: error.step, peer: error.peer, state: step, err: error },
+                "start-up step failed",
+            );
+            await sleep(backoffMs(failureCount, this.options.retryMinMs, this.options.retryMaxMs), signal);
+        }
+    }
+}
--- /dev/null
+++ b/packages/agent/src/utils/backoff.ts
@@ -0,0 +1,10 @@
+/**
+ * Exponential delay with full jitter in its upper half.
+ *
+ * @example
+ * backoffMs(3, 100, 5000); // between 400 and 800
+ */
+export function backoffMs(failureCount: number, minMs: number, maxMs: number): number {
+    const longest = Math.min(maxMs, minMs * 2 ** Math.max(0, failureCount - 1));
+    return longest / 2 + Math.random() * longest / 2;
+}
--- /dev/null
+++ b/packages/agent/src/utils/refusals.ts
@@ -0,0 +1,42 @@
+import type { Execution, Refusal, RefusalType } from "@skylarkmill/protocol";
+
+const RETRY_SOON_MS = 200;
+
+function refusal(
+    status: number,
+    type: RefusalType,
+    code: string,
+    message: string,
+    execution: Execution = "not_run",
+): Refusal {
+    return { status, type, code, message, execution };
+}
+
+/** The refusals of an agent. Those with status 503 and `not_run` may be moved to another server. */
+export const REFUSALS = {
+    badHead: (detail: string) => refusal(400, "invalid_request_error", "bad_request_head", detail),
+    unauthorized: () => refusal(401, "authentication_error", "bad_peer_key", "The peer key is missing or unknown."),
+    bodyTooLarge: () => refusal(413, "invalid_request_error", "body_too_large", "The request body is too large."),
+    wrongService: () =>
+        refusal(503, "unavailable_error", "wrong_service", "This backend server does not run the service."),
+    modelNotFound: () =>
+        refusal(404, "invalid_request_error", "model_not_found", "The service does not offer the model."),
+    noGrant: () => refusal(503, "unavailable_error", "no_grant", "This backend server may not load the model."),
+    notReady: () => ({
+        ...refusal(503, "unavailable_error", "not_ready", "The agent has not taken stock of its engine yet."),
+        retryAfterMs: RETRY_SOON_MS,
+    }),
+    draining: () => refusal(503, "unavailable_error", "draining", "The backend server is leaving."),
+    overloaded: (code: string, retryAfterMs: number): Refusal => ({
+        ...refusal(503, "overloaded_error", code, "The backend server can't finish the request in time."),
+        retryAfterMs,
+    }),
+    deadline: (execution: Execution, cause: string) =>
+        refusal(504, "timeout_error", "deadline_exceeded", `The deadline passed ${cause}.`, execution),
+    alreadyDispatched: () =>
+        refusal(409, "conflict_error", "already_dispatched", "The request was dispatched before.", "unknown"),
+    backendUnavailable: () =>
+        refusal(503, "unavailable_error", "backend_unavailable", "The backend server refused the connection."),
+    backendFailed: (detail: string) => refusal(502, "backend_error", "backend_failed", detail, "unknown"),
+    badAnswer: (detail: string) => refusal(502, "backend_error", "bad_answer", detail, "unknown"),
+} as const;
--- /dev/null
+++ b/packages/agent/src/utils/request-head.ts
@@ -0,0 +1,40 @@
+import { HEADERS, toId } from "@skylarkmill/protocol";
+import { err, ok, type Result } from "neverthrow";
+import type { RequestHead } from "../types/request.ts";
+
+const MAX_DEADLINE_MS = 600_000;
+
+/**
+ * Reads the head of a request from a router's headers; the error names the faulty header.
+ *
+ * @example
+ * const head = parseRequestHead(name => request.headers.get(name) ?? undefined, Date.now());
+ */
+export function parseRequestHead(
+    header: (name: string) => string | undefined,
+    nowMs: number,
+): Result<RequestHead, string> {
+    const requestId = header(HEADERS.requestId);
+    const attemptId = header(HEADERS.attemptId);
+    const serviceId = header(HEADERS.service);
+    const remainingMs = Number(header(HEADERS.deadlineMs) ?? Number.NaN);
+    if (!requestId) return err(`Header ${HEADERS.requestId} is missing.`);
+    if (!attemptId) return err(`Header ${HEADERS.attemptId} is missing.`);
+    if (!serviceId) return err(`Header ${HEADERS.service} is missing.`);
+    if (!(remainingMs >= 0 && remainingMs <= MAX_DEADLINE_MS)) {
+        return err(`Header ${HEADERS.deadlineMs} must be a number from 0 to ${MAX_DEADLINE_MS}.`);
+    }
+    const modelId = header(HEADERS.model);
+    const adapterId = header(HEADERS.adapter);
+    return ok({
+        requestId: toId(requestId),
+        attemptId: toId(attemptId),
+        serviceId: toId(serviceId),
+        modelId: modelId ? toId(modelId) : undefined,
+        adapterId: adapterId ? toId(adapterId) : undefined,
+        once: header(HEADERS.once) === "1",
+        idempotencyKey: header(HEADERS.idempotencyKey) || undefined,
+        requestClass: header(HEADERS.requestClass) || undefined,
+        deadlineAtMs: nowMs + remainingMs,
+    });
+}
--- /dev/null
+++ b/packages/agent/src/utils/resolve-options.ts
@@ -0,0 +1,38 @@
+import {
+    createAdmissionPolicy,
+    createDurationEstimator,
+    createQueueOrder,
+    createResidencyPolicy,
+} from "@skylarkmill/policy";
+import type { AgentLimits, AgentOptions, AgentPolicies, ResolvedAgentOptions } from "../types/options.ts";
+import type { WaitingRequest } from "../types/request.ts";
+
+const MIB = 1024 * 1024;
+
+const DEFAULT_LIMITS: AgentLimits = {
+    maxQueuedCount: 1000,
+    maxBodyBytes: 4 * MIB,
+    maxAnswerBytes: 16 * MIB,
+    indexIntervalMs: 1000,
+    settleMs: 2000,
+    orderTimeoutMs: 600_000,
+    retryMinMs: 100,
+    retryMaxMs: 5000,
+    bindTimeoutMs: 10_000,
+    onceMaxCount: 10_000,
+    onceMaxAgeMs: 24 * 3600 * 1000,
+    maxResumeCount: 3,
+};
+
+/** Fills in the defaults of an agent's options. */
+export function resolveAgent(options: AgentOptions): ResolvedAgentOptions {
+    const limits = { ...DEFAULT_LIMITS, ...options.limits };
+    const policies: AgentPolicies = {
+        createQueueOrder: () => createQueueOrder<WaitingRequest>(),
+        admission: createAdmissionPolicy({ maxCount: limits.maxQueuedCount }),
+        durations: createDurationEstimator(),
+        residency: createResidencyPolicy(),
+        ...options.policies,
+    };
+    return { ...options, limits, policies };
+}
