feat(router): relay callers' requests to granted backend servers

Callers need an entry point. The router now takes the callers' interface, chooses a server that holds a grant, relays whole and streamed answers, enforces the deadline, moves refused and lost attempts, and claims keyed non-idempotent requests before dispatch. The operators' interface and the placement duty are not wired yet.

--- /dev/null
+++ b/packages/router/src/node/caller-server.ts
@@ -0,0 +1,84 @@
+import { createAdaptorServer, type HttpBindings } from "@hono/node-server";
+import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
+import { type Refusal, toRefusalBody, toRefusalHeaders } from "@skylarkmill/protocol";
+import { type Context, Hono } from "hono";
+import { type Server, STATUS_CODES } from "node:http";
+import type { Socket } from "node:net";
+import type { RequestHandler } from "../runtime/request-handler.ts";
+import type { RouterContext } from "../types/context.ts";
+import { listModels } from "../utils/model-list.ts";
+import { refusals } from "../utils/refusals.ts";
+import { splitServicePath } from "../utils/service-path.ts";
+
+type CallerContext = Context<{ Bindings: HttpBindings; }>;
+
+/** Longer than the usual idle time of load balancers, so that they close idle connections first. */
+const KEEP_ALIVE_TIMEOUT_MS = 75_000;
+
+export interface CallerServerOptions {
+    readonly context: RouterContext;
+    readonly handler: RequestHandler;
+    readonly isReady: () => boolean;
+}
+
+/** Builds the server of the callers' interface; it is not listening yet. */
+export function createCallerServer(options: CallerServerOptions): Server {
+    const { maxHeaderBytes } = options.context.options.limits;
+    const app = createCallerApp(options);
+    const server = createAdaptorServer({
+        fetch: app.fetch,
+        overrideGlobalObjects: false,
+        autoCleanupIncoming: false,
+        serverOptions: { maxHeaderSize: maxHeaderBytes, keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS, noDelay: true },
+    }) as Server;
+    server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
+        if (!socket.writable || error.code === "ECONNRESET") return socket.destroy();
+        const tooLarge = error.code === "HPE_HEADER_OVERFLOW";
+        socket.end(toRawRefusal(tooLarge ? refusals.headersTooLarge(maxHeaderBytes) : refusals.malformed()));
+    });
+    return server;
+}
+
+function createCallerApp(options: CallerServerOptions): Hono<{ Bindings: HttpBindings; }> {
+    const { handler, context } = options;
+    const app = new Hono<{ Bindings: HttpBindings; }>();
+    const handleModel = (c: CallerContext) => {
+        void handler.handleModel(c.env.incoming, c.env.outgoing);
+        return RESPONSE_ALREADY_SENT;
+    };
+    const handlePlain = (c: CallerContext) => {
+        const { serviceId, path } = splitServicePath(c.env.incoming.url!);
+        void handler.handlePlain(c.env.incoming, c.env.outgoing, serviceId, path);
+        return RESPONSE_ALREADY_SENT;
+    };
+    const refuse = (refusal: (c: CallerContext) => Refusal) => (c: CallerContext) => {
+        handler.refuseUnknown(c.env.incoming, c.env.outgoing, refusal(c));
+        return RESPONSE_ALREADY_SENT;
+    };
+    const notAllowed = refuse(c => refusals.methodNotAllowed(c.req.method));
+    app.post("/v1/chat/completions", handleModel).all(notAllowed);
+    app.post("/v1/completions", handleModel).all(notAllowed);
+    app.all("/services/:service", handlePlain);
+    app.all("/services/:service/*", handlePlain);
+    app.get("/v1/models", c => c.json(listModels(context.config)));
+    app.get("/healthz", c => c.json({ status: "ok" }));
+    app.get("/readyz", c => options.isReady() ? c.json({ status: "ready" }) : c.json({ status: "not_ready" }, 503));
+    app.get("/metrics", async c => {
+        const { registry } = context.metrics;
+        return c.text(await registry.metrics(), 200, { "content-type": registry.contentType });
+    });
+    app.notFound(refuse(c => refusals.unknownPath(c.req.path)));
+    return app;
+}
+
+/** A connection whose request can't be parsed has no response object to write to. */
+function toRawRefusal(refusal: Refusal): string {
+    const body = JSON.stringify(toRefusalBody(refusal));
+    const headers = {
+        ...toRefusalHeaders(refusal),
+        "content-length": String(Buffer.byteLength(body)),
+        "connection": "close",
+    };
+    const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join("");
+    return `HTTP/1.1 ${refusal.status} ${STATUS_CODES[refusal.status] ?? ""}\r\n${lines}\r\n${body}`;
+}
--- /dev/null
+++ b/packages/router/src/node/router.ts
@@ -0,0 +1,204 @@
+import { create } from "@bufbuild/protobuf";
+import { type ConfigView, createConfigView, KEYS } from "@skylarkmill/config";
+import {
+    type ClaimWriter,
+    createClaimWriter,
+    createPeerServer,
+    createPermitBroker,
+    createRecordStore,
+    type PeerServer,
+    type PermitLimit,
+    type RecordStore,
+} from "@skylarkmill/coordination";
+import {
+    type AttemptId,
+    type ProcessStatus,
+    ProcessStatusSchema,
+    type SkylarkmillError,
+    toId,
+} from "@skylarkmill/protocol";
+import type { ResultAsync } from "neverthrow";
+import { randomBytes } from "node:crypto";
+import type { Server } from "node:http";
+import { AgentPools } from "../runtime/agent-pools.ts";
+import { KeyedRequests } from "../runtime/keyed-requests.ts";
+import { Peers } from "../runtime/peers.ts";
+import { RequestCounts } from "../runtime/request-counts.ts";
+import { RequestHandler } from "../runtime/request-handler.ts";
+import { RouterMetrics } from "../runtime/router-metrics.ts";
+import { createRouterPolicies } from "../runtime/router-policies.ts";
+import { ServerDirectory } from "../runtime/server-directory.ts";
+import { ServerViews } from "../runtime/server-views.ts";
+import type { RouterContext } from "../types/context.ts";
+import {
+    type ResolvedRouterOptions,
+    resolveRouterOptions,
+    type Router,
+    type RouterOptions,
+    type RouterPorts,
+} from "../types/options.ts";
+import { createCallerServer } from "./caller-server.ts";
+import { closeServer, listen } from "./listen.ts";
+import { createPeerHandlers } from "./peer-handlers.ts";
+
+/**
+ * Creates a router. The host list must have been started.
+ *
+ * @example
+ * const router = createRouter({ processId, hostId, dataCentre, listen: { host: "127.0.0.1", port: 8080 }, ... });
+ * const ports = (await router.start())._unsafeUnwrap();
+ * await router.stop();
+ */
+export function createRouter(options: RouterOptions): Router {
+    return new RouterProcess(resolveRouterOptions(options));
+}
+
+/** Owns the parts of one router and the order in which they start and stop. */
+class RouterProcess implements Router {
+    private readonly options: ResolvedRouterOptions;
+    private readonly records: RecordStore;
+    private readonly config: ConfigView;
+    private readonly peers: Peers;
+    private readonly directory: ServerDirectory;
+    private readonly pools: AgentPools;
+    private readonly claims: ClaimWriter;
+    private readonly context: RouterContext;
+    private readonly handler: RequestHandler;
+    private readonly callerServer: Server;
+    private readonly unsubscribes: (() => void)[] = [];
+    private peerServer: PeerServer | undefined;
+    private lastChangeMs = 0;
+
+    constructor(options: ResolvedRouterOptions) {
+        const { processId, hostId, store, hostList, limits } = options;
+        this.options = options;
+        this.peers = new Peers(options);
+        this.records = createRecordStore({
+            processId,
+            store,
+            prefixes: [KEYS.configPrefix, KEYS.grantsPrefix, KEYS.drainsPrefix],
+            peers: () => this.peers.all(),
+            isReader: () => this.peers.isReader(),
+            logger: options.logger,
+        });
+        this.config = createConfigView(this.records);
+        this.directory = new ServerDirectory(hostList, this.records);
+        this.pools = new AgentPools(limits.connectTimeoutMs);
+        this.claims = createClaimWriter({
+            store,
+            processId,
+            keyOf: (serviceId, keyHash) => KEYS.claim(serviceId, keyHash),
+            timeoutMs: limits.claimTimeoutMs,
+            logger: options.logger,
+        });
+        const counts = new RequestCounts();
+        const policies = createRouterPolicies(limits.maxRequests, options.policies);
+        this.context = {
+            options,
+            logger: options.logger,
+            policies,
+            config: this.config,
+            directory: this.directory,
+            views: new ServerViews({
+                records: this.records,
+                directory: this.directory,
+                policies,
+                maxServersPerService: limits.maxServersPerService,
+                subsetKey: hostId,
+            }),
+            pools: this.pools,
+            metrics: new RouterMetrics(() => counts.total),
+            counts,
+            newAttemptId: createAttemptIds(),
+        };
+        this.handler = new RequestHandler(this.context, new KeyedRequests(this.context, this.claims));
+        this.callerServer = createCallerServer({
+            context: this.context,
+            handler: this.handler,
+            isReady: () => this.isReady(),
+        });
+    }
+
+    start(): ResultAsync<RouterPorts, SkylarkmillError> {
+        this.unsubscribes.push(
+            this.records.subscribe(KEYS.configPrefix, record => {
+                this.lastChangeMs = Math.max(0, Date.now() - record.writtenAtMs);
+            }),
+            this.options.hostList.subscribe(() => this.pools.retain(this.options.hostList.hosts())),
+        );
+        this.peers.start();
+        this.directory.start();
+        return this.startPeerServer().andThen(peerPort => {
+            this.records.start();
+            return listen(this.callerServer, this.options.listen, "caller.listen")
+                .map(port => ({ port, operatorPort: 0, peerPort }));
+        });
+    }
+
+    async stop(): Promise<void> {
+        this.handler.stop();
+        await this.context.counts.untilIdle();
+        await closeServer(this.callerServer);
+        await this.claims.stop();
+        for (const unsubscribe of this.unsubscribes) unsubscribe();
+        this.directory.stop();
+        this.config.close();
+        await this.records.stop();
+        await this.peerServer?.close();
+        this.peers.stop();
+        await this.pools.stop();
+    }
+
+    private startPeerServer(): ResultAsync<number, SkylarkmillError> {
+        const { peerListen, peerKeys } = this.options;
+        const broker = createPermitBroker({ limits: () => permitLimits(this.config) });
+        return createPeerServer({
+            host: peerListen.host,
+            port: peerListen.port,
+            keys: peerKeys,
+            handlers: createPeerHandlers({
+                records: this.records,
+                broker,
+                peers: this.peers,
+                status: () => this.status(),
+            }),
+        }).map(server => {
+            this.peerServer = server;
+            return server.port;
+        });
+    }
+
+    private isReady(): boolean {
+        return !this.handler.isStopping && this.config.services().size > 0;
+    }
+
+    private status(): ProcessStatus {
+        const { processId, dataCentre } = this.options;
+        return create(ProcessStatusSchema, {
+            processId,
+            role: "router",
+            dataCentre,
+            ready: this.isReady(),
+            draining: this.handler.isStopping,
+            versions: [...this.records.versions()],
+            lastChangeMs: Math.min(this.lastChangeMs, 0xffff_ffff),
+            duties: [],
+            problems: [...this.config.problems()],
+        });
+    }
+}
+
+function permitLimits(config: ConfigView): readonly PermitLimit[] {
+    const { loadsPerSecond, maxConcurrentLoads, maxConcurrentAdapterLoads } = config.limits();
+    return [
+        { kind: "model_load", ratePerSecond: loadsPerSecond, maxInFlight: maxConcurrentLoads },
+        { kind: "adapter_load", ratePerSecond: undefined, maxInFlight: maxConcurrentAdapterLoads },
+    ];
+}
+
+/** Ids are unique over all routers and starts; a counter after a random prefix costs less than a random id each. */
+function createAttemptIds(): () => AttemptId {
+    const prefix = randomBytes(9).toString("base64url").replaceAll(/[-_]/g, "0");
+    let count = 0;
+    return () => toId<AttemptId>(`${prefix}${(count++).toString(36)}`);
+}
--- /dev/null
+++ b/packages/router/src/runtime/attempt.ts
@@ -0,0 +1,127 @@
+import { type AttemptId, HEADERS } from "@skylarkmill/protocol";
+import type { Dispatcher, Pool } from "undici";
+import type { AnswerHead, RequestSpec } from "../types/request.ts";
+import type { ServerState } from "../types/server.ts";
+
+/** Receives what one attempt delivers. */
+export interface AttemptOwner {
+    onHead(attempt: Attempt, head: AnswerHead): void;
+    onData(attempt: Attempt, chunk: Buffer): void;
+    onEnd(attempt: Attempt): void;
+    /** The attempt failed; `attempt.wasSent` says whether the agent may have got any of it. */
+    onLost(attempt: Attempt, error: Error): void;
+    /** A chunk arrived after the attempt was cancelled. */
+    onLateChunk(): void;
+}
+
+export class CancelledError extends Error {}
+
+/** One dispatch of a request to one agent; owns the exchange with that agent. */
+export class Attempt implements Dispatcher.DispatchHandler {
+    readonly attemptId: AttemptId;
+    readonly server: ServerState;
+    readonly isHedge: boolean;
+    readonly sentAtMs: number;
+    /** A byte of the request may have left this process. */
+    wasSent = false;
+    head: AnswerHead | undefined;
+    private readonly owner: AttemptOwner;
+    private controller: Dispatcher.DispatchController | undefined;
+    private ended = false;
+    private cancelled = false;
+
+    constructor(attemptId: AttemptId, server: ServerState, isHedge: boolean, sentAtMs: number, owner: AttemptOwner) {
+        this.attemptId = attemptId;
+        this.server = server;
+        this.isHedge = isHedge;
+        this.sentAtMs = sentAtMs;
+        this.owner = owner;
+    }
+
+    start(pool: Pool, spec: RequestSpec, remainingMs: number): void {
+        this.server.outstandingCount += 1;
+        pool.dispatch({
+            method: spec.method,
+            path: spec.path,
+            headers: toAgentHeaders(spec, this.attemptId, remainingMs),
+            body: spec.body,
+        }, this);
+    }
+
+    /** Ends the exchange; what still arrives is dropped. */
+    cancel(): void {
+        if (this.ended || this.cancelled) return;
+        this.cancelled = true;
+        this.controller?.abort(new CancelledError("cancelled"));
+        this.finish();
+    }
+
+    pause(): void {
+        this.controller?.pause();
+    }
+
+    resume(): void {
+        if (!this.cancelled) this.controller?.resume();
+    }
+
+    onRequestStart(controller: Dispatcher.DispatchController): void {
+        this.controller = controller;
+        if (this.cancelled) controller.abort(new CancelledError("cancelled"));
+        else this.wasSent = true;
+    }
+
+    onResponseStart(
+        _controller: Dispatcher.DispatchController,
+        status: number,
+        headers: Record<string, string | string[] | undefined>,
+    ): void {
+        if (this.cancelled || status < 200) return;
+        this.head = { status, headers };
+        this.owner.onHead(this, this.head);
+    }
+
+    onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+        if (this.cancelled) this.owner.onLateChunk();
+        else this.owner.onData(this, chunk);
+    }
+
+    onResponseEnd(): void {
+        if (this.cancelled) return;
+        this.finish();
+        this.owner.onEnd(this);
+    }
+
+    onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+        if (this.cancelled || this.ended) return;
+        this.finish();
+        this.owner.onLost(this, error);
+    }
+
+    private finish(): void {
+        if (this.ended) return;
+        this.ended = true;
+        this.server.outstandingCount -= 1;
+    }
+}
+
+function toAgentHeaders(spec: RequestSpec, attemptId: AttemptId, remainingMs: number): string[] {
+    const { target } = spec;
+    const headers = [
+        ...spec.headers,
+        HEADERS.requestId,
+        spec.requestId,
+        HEADERS.attemptId,
+        attemptId,
+        HEADERS.deadlineMs,
+        String(Math.max(1, Math.ceil(remainingMs))),
+        HEADERS.service,
+        target.serviceId,
+        HEADERS.requestClass,
+        spec.requestClass.name,
+    ];
+    if (target.modelId !== undefined) headers.push(HEADERS.model, target.modelId);
+    if (target.adapterId !== undefined) headers.push(HEADERS.adapter, target.adapterId);
+    if (!spec.idempotent) headers.push(HEADERS.once, "1");
+    if (spec.idempotencyKey !== undefined) headers.push(HEADERS.idempotencyKey, spec.idempotencyKey);
+    return headers;
+}
--- /dev/null
+++ b/packages/router/src/runtime/server-directory.ts
@@ -0,0 +1,148 @@
+import { type DrainRecord, KEYS } from "@skylarkmill/config";
+import type { RecordReader } from "@skylarkmill/coordination";
+import type { HostEntry, Membership } from "@skylarkmill/platform";
+import type { ServerId, ServiceId } from "@skylarkmill/protocol";
+import type { ServerReport, ServerState } from "../types/server.ts";
+
+/** Pauses before an agent that refused connections is chosen again. */
+const FIRST_PAUSE_MS = 250;
+const LONGEST_PAUSE_MS = 4000;
+
+/** The backend servers, from the host list, the drain records and what this router observes itself. */
+export class ServerDirectory {
+    private readonly hostList: Membership;
+    private readonly records: RecordReader;
+    private readonly servers = new Map<ServerId, ServerState>();
+    private readonly byService = new Map<ServiceId, ServerState[]>();
+    private readonly listeners = new Set<() => void>();
+    private readonly unsubscribes: (() => void)[] = [];
+
+    constructor(hostList: Membership, records: RecordReader) {
+        this.hostList = hostList;
+        this.records = records;
+    }
+
+    start(): void {
+        this.unsubscribes.push(
+            this.hostList.subscribe(() => this.readHosts()),
+            this.records.subscribe(KEYS.drainsPrefix, () => this.readDrains()),
+            this.records.subscribe(KEYS.grantsPrefix, () => this.notify()),
+            this.records.subscribe(KEYS.configPrefix, () => this.notify()),
+        );
+        this.readHosts();
+    }
+
+    stop(): void {
+        for (const unsubscribe of this.unsubscribes) unsubscribe();
+        this.listeners.clear();
+    }
+
+    /** Calls back after each change that may make a server available or unavailable. */
+    subscribe(listener: () => void): () => void {
+        this.listeners.add(listener);
+        return () => this.listeners.delete(listener);
+    }
+
+    get(serverId: ServerId): ServerState | undefined {
+        return this.servers.get(serverId);
+    }
+
+    all(): Iterable<ServerState> {
+        return this.servers.values();
+    }
+
+    serversOf(serviceId: ServiceId): readonly ServerState[] {
+        return this.byService.get(serviceId) ?? [];
+    }
+
+    /** The server may get new work. */
+    isAvailable(server: ServerState, nowMs: number): boolean {
+        return server.host.state === "live" && !server.agentDraining && !server.operatorDraining
+            && server.unreachableUntilMs <= nowMs;
+    }
+
+    applyReport(server: ServerState, report: ServerReport, nowMs: number): void {
+        server.report = report;
+        server.reportedAtMs = nowMs;
+        server.failureCount = 0;
+        const changed = server.agentDraining !== report.draining || server.unreachableUntilMs > 0;
+        server.agentDraining = report.draining;
+        server.unreachableUntilMs = 0;
+        if (changed) this.notify();
+    }
+
+    /** The agent said that it drains; it gets no new work until a later report says otherwise. */
+    markDraining(server: ServerState): void {
+        if (server.agentDraining) return;
+        server.agentDraining = true;
+        this.notify();
+    }
+
+    /** A connection to the agent failed. */
+    markUnreachable(server: ServerState, nowMs: number): void {
+        server.failureCount += 1;
+        const pauseMs = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** (server.failureCount - 1));
+        server.unreachableUntilMs = nowMs + pauseMs;
+        this.notify();
+    }
+
+    private readHosts(): void {
+        const listed = new Set<ServerId>();
+        for (const host of this.hostList.hosts()) {
+            if (host.role !== "backend" || host.serverId === undefined || host.serviceId === undefined) continue;
+            listed.add(host.serverId);
+            this.applyHost(host, host.serverId, host.serviceId);
+        }
+        for (const server of this.servers.values()) {
+            const vanished = !listed.has(server.serverId) && this.hostList.isGone(server.host.hostId);
+            if (vanished) this.servers.delete(server.serverId);
+        }
+        this.groupByService();
+        this.readDrains();
+    }
+
+    private applyHost(host: HostEntry, serverId: ServerId, serviceId: ServiceId): void {
+        const known = this.servers.get(serverId);
+        const sameAgent = known?.host.address === host.address && known.host.requestPort === host.requestPort;
+        if (known !== undefined && sameAgent && known.serviceId === serviceId) {
+            known.host = host;
+            return;
+        }
+        this.servers.set(serverId, {
+            serverId,
+            serviceId,
+            host,
+            report: undefined,
+            reportedAtMs: 0,
+            outstandingCount: 0,
+            agentDraining: false,
+            operatorDraining: false,
+            unreachableUntilMs: 0,
+            slowness: 1,
+            slownessAtMs: 0,
+            failureCount: 0,
+        });
+    }
+
+    private groupByService(): void {
+        this.byService.clear();
+        for (const server of this.servers.values()) {
+            const group = this.byService.get(server.serviceId);
+            if (group === undefined) this.byService.set(server.serviceId, [server]);
+            else group.push(server);
+        }
+    }
+
+    private readDrains(): void {
+        for (const server of this.servers.values()) {
+            const drain = this.records.get<DrainRecord>(KEYS.drain(server.host.hostId));
+            server.operatorDraining = drain?.value !== undefined;
+        }
+        this.notify();
+    }
+
+    private notify(): void {
+        // A listener may subscribe again, so the loop runs over a copy.
+        for (const listener of [...this.listeners]) listener();
+    }
+}
--- /dev/null
+++ b/packages/router/src/runtime/server-views.ts
@@ -0,0 +1,118 @@
+import { type GrantRecord, KEYS } from "@skylarkmill/config";
+import { rankByRendezvous, type RecordReader } from "@skylarkmill/coordination";
+import type { ServerView } from "@skylarkmill/policy";
+import type { ServerId } from "@skylarkmill/protocol";
+import type { RouterPolicies } from "../types/policies.ts";
+import type { RequestSpec, Target } from "../types/request.ts";
+import type { ServerState } from "../types/server.ts";
+import type { ServerDirectory } from "./server-directory.ts";
+
+/** Slots assumed for a backend server until it has reported. */
+const ASSUMED_SLOT_COUNT = 8;
+const SLOWNESS_AGE_MS = 10;
+
+interface Candidate {
+    readonly server: ServerState;
+    readonly grantPosition: number | undefined;
+}
+
+export interface ServerViewsOptions {
+    readonly records: RecordReader;
+    readonly directory: ServerDirectory;
+    readonly policies: RouterPolicies;
+    readonly maxServersPerService: number;
+    /** Key that gives each router its own subset of a large service. */
+    readonly subsetKey: string;
+}
+
+/** Builds what a router knows of the servers that may run a request. */
+export class ServerViews {
+    private readonly options: ServerViewsOptions;
+    private readonly subsets = new WeakMap<readonly ServerState[], readonly ServerState[]>();
+
+    constructor(options: ServerViewsOptions) {
+        this.options = options;
+    }
+
+    /** Servers that may get the request now. */
+    forRequest(spec: RequestSpec, nowMs: number): ServerView[] {
+        const { directory } = this.options;
+        const views: ServerView[] = [];
+        for (const candidate of this.candidates(spec.target)) {
+            if (directory.isAvailable(candidate.server, nowMs)) views.push(this.toView(candidate, spec, nowMs));
+        }
+        return views;
+    }
+
+    private candidates(target: Target): readonly Candidate[] {
+        if (target.modelId !== undefined) return this.grantHolders(target.modelId);
+        const servers = this.options.directory.serversOf(target.serviceId);
+        return this.subset(servers).map(server => ({ server, grantPosition: undefined }));
+    }
+
+    /** Holders in the order of the grant record; those that must unload only while there are no others. */
+    private grantHolders(modelId: string): readonly Candidate[] {
+        const record = this.options.records.get<GrantRecord>(KEYS.grants(modelId))?.value;
+        const holders: Candidate[] = [];
+        const revoked: Candidate[] = [];
+        for (const grant of record?.grants ?? []) {
+            const server = this.options.directory.get(grant.serverId);
+            if (server === undefined) continue;
+            if (!grant.revoking) holders.push({ server, grantPosition: holders.length });
+            else if (isLoaded(server, modelId)) revoked.push({ server, grantPosition: undefined });
+        }
+        return holders.length > 0 ? holders : revoked;
+    }
+
+    private subset(servers: readonly ServerState[]): readonly ServerState[] {
+        const { maxServersPerService, subsetKey } = this.options;
+        if (servers.length <= maxServersPerService) return servers;
+        let subset = this.subsets.get(servers);
+        if (subset === undefined) {
+            const ids = rankByRendezvous<ServerId>(subsetKey, servers.map(server => server.serverId));
+            const chosen = new Set(ids.slice(0, maxServersPerService));
+            subset = servers.filter(server => chosen.has(server.serverId));
+            this.subsets.set(servers, subset);
+        }
+        return subset;
+    }
+
+    /** The detector compares all servers, so its verdict is kept for a moment. */
+    private slowness(server: ServerState, nowMs: number): number {
+        if (nowMs - server.slownessAtMs >= SLOWNESS_AGE_MS) {
+            server.slowness = this.options.policies.stragglers.slowness(server.serverId, nowMs);
+            server.slownessAtMs = nowMs;
+        }
+        return server.slowness;
+    }
+
+    private toView(candidate: Candidate, spec: RequestSpec, nowMs: number): ServerView {
+        const { server, grantPosition } = candidate;
+        const { modelId, model, adapterId } = spec.target;
+        const { affinity } = this.options.policies;
+        const { report } = server;
+        const loadedModel = modelId === undefined ? undefined : report?.models.get(modelId);
+        return {
+            serverId: server.serverId,
+            dataCentre: server.host.dataCentre,
+            loaded: modelId === undefined || loadedModel?.state === "ready",
+            loading: loadedModel?.state === "loading",
+            adapterLoaded: adapterId === undefined || loadedModel?.adapterIds.includes(adapterId) === true,
+            grantPosition,
+            outstandingCount: server.outstandingCount,
+            reportedCount: (report?.queuedCount ?? 0) + (report?.runningCount ?? 0),
+            backlogMs: report?.backlogMs ?? 0,
+            slotCount: report?.slotCount || ASSUMED_SLOT_COUNT,
+            reportAgeMs: report === undefined ? Infinity : nowMs - server.reportedAtMs,
+            slowness: this.slowness(server, nowMs),
+            prefixMatch: modelId === undefined || spec.prompt === ""
+                ? 0
+                : affinity.match(server.serverId, modelId, adapterId, spec.prompt, nowMs),
+            expectedLoadMs: model?.expectedLoadMs ?? 0,
+        };
+    }
+}
+
+function isLoaded(server: ServerState, modelId: string): boolean {
+    return server.report?.models.get(modelId)?.state === "ready";
+}
--- /dev/null
+++ b/packages/router/src/types/context.ts
@@ -0,0 +1,24 @@
+import type { ConfigView } from "@skylarkmill/config";
+import type { AttemptId } from "@skylarkmill/protocol";
+import type Logger from "bunyan";
+import type { AgentPools } from "../runtime/agent-pools.ts";
+import type { RequestCounts } from "../runtime/request-counts.ts";
+import type { RouterMetrics } from "../runtime/router-metrics.ts";
+import type { ServerDirectory } from "../runtime/server-directory.ts";
+import type { ServerViews } from "../runtime/server-views.ts";
+import type { ResolvedRouterOptions } from "./options.ts";
+import type { RouterPolicies } from "./policies.ts";
+
+/** What the tasks of one router share. */
+export interface RouterContext {
+    readonly options: ResolvedRouterOptions;
+    readonly logger: Logger;
+    readonly policies: RouterPolicies;
+    readonly config: ConfigView;
+    readonly directory: ServerDirectory;
+    readonly views: ServerViews;
+    readonly pools: AgentPools;
+    readonly metrics: RouterMetrics;
+    readonly counts: RequestCounts;
+    readonly newAttemptId: () => AttemptId;
+}
--- /dev/null
+++ b/packages/router/src/types/policies.ts
@@ -0,0 +1,20 @@
+import type {
+    AdmissionPolicy,
+    DurationEstimator,
+    HedgePolicy,
+    PrefixAffinity,
+    RetryBudget,
+    ServerChooser,
+    StragglerDetector,
+} from "@skylarkmill/policy";
+
+/** The decisions that a router takes. */
+export interface RouterPolicies {
+    readonly chooser: ServerChooser;
+    readonly admission: AdmissionPolicy;
+    readonly estimator: DurationEstimator;
+    readonly stragglers: StragglerDetector;
+    readonly hedges: HedgePolicy;
+    readonly retries: RetryBudget;
+    readonly affinity: PrefixAffinity;
+}
--- /dev/null
+++ b/packages/router/src/utils/agent-refusal.ts
@@ -0,0 +1,47 @@
+import { type Execution, HEADERS, type Refusal, type RefusalBody, type RefusalType } from "@skylarkmill/protocol";
+import type { AnswerHead } from "../types/request.ts";
+
+const TYPES: ReadonlySet<string> = new Set<RefusalType>([
+    "invalid_request_error",
+    "authentication_error",
+    "conflict_error",
+    "overloaded_error",
+    "timeout_error",
+    "backend_error",
+    "unavailable_error",
+]);
+
+/**
+ * Returns what an agent's refusal says of the execution; undefined when the answer is no refusal.
+ *
+ * @example
+ * executionOf({ status: 503, headers: { "x-skylarkmill-execution": "not_run" } }); // "not_run"
+ */
+export function executionOf(head: AnswerHead): Execution | undefined {
+    const value = head.headers[HEADERS.execution];
+    return head.status >= 400 && (value === "not_run" || value === "unknown") ? value : undefined;
+}
+
+/** Reads an agent's refusal; parts that are missing get general values. */
+export function readAgentRefusal(head: AnswerHead, execution: Execution, body: Buffer): Refusal {
+    const error = parseError(body);
+    const retryAfterMs = typeof error?.retry_after_ms === "number" ? error.retry_after_ms : undefined;
+    return {
+        status: head.status,
+        type: error !== undefined && TYPES.has(error.type) ? error.type : "backend_error",
+        code: typeof error?.code === "string" ? error.code : "backend_refused",
+        message: typeof error?.message === "string" ? error.message : "The backend server refused the request.",
+        execution,
+        ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
+    };
+}
+
+function parseError(body: Buffer): RefusalBody["error"] | undefined {
+    try {
+        const parsed = JSON.parse(body.toString("utf8")) as Partial<RefusalBody> | undefined;
+        return typeof parsed?.error === "object" ? parsed.error : undefined;
+    }
+    catch {
+        return undefined;
+    }
+}
--- /dev/null
+++ b/packages/router/src/utils/clock.ts
@@ -0,0 +1,4 @@
+/** Milliseconds on a clock that never steps; deadlines and ages are measured on it. */
+export function nowMs(): number {
+    return performance.now();
+}
--- /dev/null
+++ b/packages/router/src/utils/forwarded-headers.ts
@@ -0,0 +1,61 @@
+import { HEADERS } from "@skylarkmill/protocol";
+
+/** Headers of one connection, which a relay must not pass on (RFC 9110, section 7.6.1). */
+const HOP_BY_HOP = new Set([
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+]);
+
+/** Request headers that the router sets itself; `expect` is answered by the router's own HTTP server. */
+const SET_BY_ROUTER = new Set<string>(["host", "content-length", "expect", ...Object.values(HEADERS)]);
+
+/** Answer headers that only processes of the system read. */
+const INTERNAL_ANSWER = new Set<string>([HEADERS.load, HEADERS.attemptId, HEADERS.execution, HEADERS.requestId]);
+
+function namedByConnection(value: string | string[] | undefined): readonly string[] {
+    if (value === undefined || value === "keep-alive" || value === "close") return [];
+    return String(value).toLowerCase().split(",").map(name => name.trim());
+}
+
+/**
+ * Picks the caller's end-to-end headers from Node's raw header list (name and value in turn).
+ *
+ * @example
+ * pickRequestHeaders(["Accept", "text/plain", "Connection", "close"], "close"); // ["accept", "text/plain"]
+ */
+export function pickRequestHeaders(rawHeaders: readonly string[], connection: string | undefined): string[] {
+    const named = namedByConnection(connection);
+    const picked: string[] = [];
+    for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
+        const name = rawHeaders[i]!.toLowerCase();
+        if (HOP_BY_HOP.has(name) || SET_BY_ROUTER.has(name) || named.includes(name)) continue;
+        picked.push(name, rawHeaders[i + 1]!);
+    }
+    return picked;
+}
+
+/**
+ * Picks the end-to-end headers of a backend server's answer.
+ *
+ * @example
+ * pickAnswerHeaders({ "content-type": "text/plain", connection: "close" }); // { "content-type": "text/plain" }
+ */
+export function pickAnswerHeaders(
+    headers: Readonly<Record<string, string | string[] | undefined>>,
+): Record<string, string | string[]> {
+    const named = namedByConnection(headers["connection"]);
+    const picked: Record<string, string | string[]> = {};
+    for (const name in headers) {
+        const value = headers[name];
+        if (value === undefined || HOP_BY_HOP.has(name) || INTERNAL_ANSWER.has(name) || named.includes(name)) continue;
+        picked[name] = value;
+    }
+    return picked;
+}
--- /dev/null
+++ b/packages/router/src/utils/server-report.ts
@@ -0,0 +1,48 @@
+import type { ServerStatus } from "@skylarkmill/protocol";
+import type { ModelReport, ServerReport } from "../types/server.ts";
+
+interface RawModel {
+    readonly modelId?: string;
+    readonly state?: string;
+    readonly adapterIds?: readonly string[];
+}
+
+type RawStatus = Partial<Omit<ServerStatus, "models">> & { readonly models?: readonly RawModel[]; };
+
+function toReport(status: RawStatus): ServerReport {
+    const models = new Map<string, ModelReport>();
+    for (const model of status.models ?? []) {
+        models.set(model.modelId ?? "", { state: model.state ?? "absent", adapterIds: model.adapterIds ?? [] });
+    }
+    return {
+        queuedCount: status.queuedCount ?? 0,
+        runningCount: status.runningCount ?? 0,
+        slotCount: status.slotCount ?? 0,
+        backlogMs: status.backlogMs ?? 0,
+        slowness: (status.slownessPermille ?? 1000) / 1000,
+        draining: status.draining ?? false,
+        models,
+    };
+}
+
+/** Converts the message of a probe's answer. */
+export function readServerStatus(status: ServerStatus): ServerReport {
+    return toReport(status);
+}
+
+/**
+ * Parses the load header (protobuf JSON of ServerStatus; default values are left out).
+ * Returns undefined when it is not valid, since a report only informs choices.
+ *
+ * @example
+ * parseLoadHeader("{\"queuedCount\":2}")?.queuedCount; // 2
+ */
+export function parseLoadHeader(header: string): ServerReport | undefined {
+    try {
+        const status = JSON.parse(header) as unknown;
+        return typeof status === "object" && status ? toReport(status) : undefined;
+    }
+    catch {
+        return undefined;
+    }
+}
--- /dev/null
+++ b/packages/router/src/utils/stream-tail.ts
@@ -0,0 +1,42 @@
+const END_MARK = "data: [DONE]";
+const ERROR_EVENT = 'data: {"error"';
+/** Longer than the end mark and the head of an error event together with line ends. */
+const KEPT_BYTES = 64;
+
+/** Tracks whether a stream of server-sent events ended with its end mark or with an error event. */
+export class StreamTail {
+    private tail: Buffer = Buffer.alloc(0);
+    private hasError = false;
+
+    push(chunk: Buffer): void {
+        if (!this.hasError && chunk.length < 4096 && this.holdsError(chunk)) this.hasError = true;
+        this.tail = chunk.length >= KEPT_BYTES
+            ? chunk.subarray(chunk.length - KEPT_BYTES)
+            : Buffer.concat([this.tail, chunk]).subarray(-KEPT_BYTES);
+    }
+
+    /** The last event is `data: [DONE]`. */
+    get isComplete(): boolean {
+        return this.tail.toString("latin1").trimEnd().endsWith(END_MARK);
+    }
+
+    /** An error event was passed on. */
+    get endsWithError(): boolean {
+        return this.hasError;
+    }
+
+    /** Event data is JSON on one line, so the head of an error event can't stand inside a text. */
+    private holdsError(chunk: Buffer): boolean {
+        return chunk.indexOf(ERROR_EVENT, 0, "latin1") >= 0;
+    }
+}
+
+/**
+ * Formats the event that ends a stream which can't be completed.
+ *
+ * @example
+ * response.end(toErrorEvent({ error: { ... } }));
+ */
+export function toErrorEvent(body: object): string {
+    return `\n\ndata: ${JSON.stringify(body)}\n\n`;
+}
--- /dev/null
+++ b/test/router/support/fake-agent.ts
@@ -0,0 +1,92 @@
+import {
+    createServer,
+    type IncomingHttpHeaders,
+    type IncomingMessage,
+    type Server,
+    type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+
+export interface JournalEntry {
+    readonly method: string;
+    readonly path: string;
+    readonly headers: IncomingHttpHeaders;
+    readonly body: string;
+}
+
+export type AgentBehaviour = (request: JournalEntry, response: ServerResponse, index: number) => void;
+
+/** An agent on a loopback port that keeps a journal of what it got and of broken connections. */
+export class FakeAgent {
+    readonly journal: JournalEntry[] = [];
+    closedEarlyCount = 0;
+    behave: AgentBehaviour;
+    port = 0;
+    private readonly server: Server;
+    private readonly waiters: { count: number; resolve: () => void; }[] = [];
+
+    constructor(behave: AgentBehaviour = answerJson) {
+        this.behave = behave;
+        this.server = createServer((request, response) => void this.take(request, response));
+    }
+
+    async start(): Promise<void> {
+        await new Promise<void>(resolve => this.server.listen(this.port, "127.0.0.1", resolve));
+        this.port = (this.server.address() as AddressInfo).port;
+    }
+
+    async stop(): Promise<void> {
+        const closed = new Promise<void>(resolve => this.server.close(() => resolve()));
+        this.server.closeAllConnections();
+        await closed;
+    }
+
+    /** Resolves once the journal has `count` entries. */
+    async received(count: number): Promise<void> {
+        if (this.journal.length >= count) return;
+        await new Promise<void>(resolve => this.waiters.push({ count, resolve }));
+    }
+
+    private async take(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const chunks: Buffer[] = [];
+        for await (const chunk of request) chunks.push(chunk as Buffer);
+        const body = Buffer.concat(chunks).toString();
+        const entry = { method: request.method!, path: request.url!, headers: request.headers, body };
+        response.on("close", () => {
+            if (!response.writableFinished) this.closedEarlyCount += 1;
+        });
+        this.journal.push(entry);
+        for (const waiter of this.waiters) if (this.journal.length >= waiter.count) waiter.resolve();
+        this.behave(entry, response, this.journal.length - 1);
+    }
+}
+
+export function answerJson(request: JournalEntry, response: ServerResponse): void {
+    const id = `chatcmpl-${String(request.headers["x-skylarkmill-attempt-id"])}`;
+    const body = JSON.stringify({ id, path: request.path, echo: request.body });
+    response.writeHead(200, { "content-type": "application/json", "x-skylarkmill-execution": "run" });
+    response.end(body);
+}
+
+export function answerStream(request: JournalEntry, response: ServerResponse): void {
+    response.writeHead(200, { "content-type": "text/event-stream" });
+    for (let i = 0; i < 3; i += 1) response.write(`id: ${i}\ndata: {"n":${i}}\n\n`);
+    response.end("data: [DONE]\n\n");
+}
+
+/** Refuses as an agent does. */
+export function refuseWith(
+    status: number,
+    code: string,
+    execution: "not_run" | "unknown",
+    type = "overloaded_error",
+): AgentBehaviour {
+    return (_request, response) => {
+        response.writeHead(status, { "content-type": "application/json", "x-skylarkmill-execution": execution });
+        response.end(JSON.stringify({ error: { type, code, message: code, execution, retry_after_ms: 700 } }));
+    };
+}
+
+export function breakConnection(_request: JournalEntry, response: ServerResponse): void {
+    response.destroy();
+}
--- /dev/null
+++ b/test/router/support/harness.ts
@@ -0,0 +1,168 @@
+import { KEYS } from "@skylarkmill/config";
+import type { HostEntry, HostState, Membership } from "@skylarkmill/platform";
+import { type TeamId, toId } from "@skylarkmill/protocol";
+import { createRouter, type Router, type RouterOptions } from "@skylarkmill/router";
+import bunyan from "bunyan";
+import { request } from "undici";
+import { type AgentBehaviour, FakeAgent } from "./fake-agent.ts";
+import { MemoryStore } from "./memory-store.ts";
+
+const LOOPBACK = { host: "127.0.0.1", port: 0 };
+
+/** A host list that tests change by hand. */
+export class FakeMembership implements Membership {
+    entries: HostEntry[] = [];
+    private readonly listeners = new Set<() => void>();
+
+    start(): void {}
+    stop(): void {}
+
+    hosts(): readonly HostEntry[] {
+        return this.entries;
+    }
+
+    isGone(hostId: string): boolean {
+        return this.entries.find(entry => entry.hostId === hostId)?.state === "gone";
+    }
+
+    ageMs(): number {
+        return 0;
+    }
+
+    subscribe(listener: () => void): () => void {
+        this.listeners.add(listener);
+        return () => this.listeners.delete(listener);
+    }
+
+    setState(serverId: string, state: HostState): void {
+        this.entries = this.entries.map(entry => entry.serverId === serverId ? { ...entry, state } : entry);
+        for (const listener of this.listeners) listener();
+    }
+}
+
+const SECTION = {
+    team: "workshops",
+    services: {
+        "workshop-assistant": {
+            kind: "model",
+            nonIdempotent: [{ method: "POST", path: "/v1/completions" }],
+            classes: { note: { priority: 6, timeoutMs: 20_000, expectedTokens: 60 } },
+            models: {
+                "bench-diagnosis": { memoryBytes: 1000, maxReplicas: 2, adapters: ["trike"] },
+                "parts-note": { memoryBytes: 1000, maxReplicas: 1 },
+            },
+        },
+        "parts-ledger": { kind: "plain", timeoutMs: 10_000, nonIdempotent: [{ method: "GET", path: "/draw" }] },
+    },
+};
+
+export interface Reply {
+    readonly status: number;
+    readonly headers: Record<string, string | string[] | undefined>;
+    readonly text: string;
+    readonly json: { error: { code: string; execution: string; message: string; retry_after_ms?: number; }; };
+}
+
+/** A router with two agents of the model service and two of the plain service. */
+export class Harness {
+    readonly store = new MemoryStore();
+    readonly hostList = new FakeMembership();
+    readonly agents: Record<string, FakeAgent> = {};
+    readonly logged: string[] = [];
+    router!: Router;
+    url = "";
+
+    async start(options: Partial<RouterOptions> = {}, behave?: AgentBehaviour): Promise<this> {
+        await this.addAgents("workshop-assistant", ["engine-1", "engine-2"], behave);
+        await this.addAgents("parts-ledger", ["ledger-1", "ledger-2"], behave);
+        this.store.putRecord(KEYS.config("workshops"), SECTION);
+        this.putGrants("bench-diagnosis", ["engine-1", "engine-2"]);
+        this.putGrants("parts-note", ["engine-1"]);
+        this.router = createRouter({
+            processId: toId("router-1"),
+            hostId: toId("host-router-1"),
+            dataCentre: toId("dc-1"),
+            listen: LOOPBACK,
+            operatorListen: LOOPBACK,
+            peerListen: LOOPBACK,
+            peerKeys: () => ["key"],
+            teamTokens: () => new Map<string, TeamId>(),
+            store: this.store,
+            hostList: this.hostList,
+            logger: bunyan.createLogger({
+                name: "test",
+                level: "debug",
+                stream: { write: (line: string) => this.logged.push(line) } as unknown as NodeJS.WritableStream,
+            }),
+            ...options,
+        });
+        const ports = (await this.router.start())._unsafeUnwrap();
+        this.url = `http://127.0.0.1:${ports.port}`;
+        await this.untilReady();
+        return this;
+    }
+
+    async stop(): Promise<void> {
+        await this.router.stop();
+        await Promise.all(Object.values(this.agents).map(agent => agent.stop()));
+    }
+
+    putGrants(modelId: string, serverIds: readonly string[], version = 1): void {
+        const grants = serverIds.map(serverId => ({
+            grantId: `${modelId}-${serverId}`,
+            serverId,
+            hostId: `host-${serverId}`,
+            revoking: false,
+        }));
+        this.store.putRecord(KEYS.grants(modelId), { modelId, grants }, version);
+    }
+
+    async chat(body: object, headers: Record<string, string> = {}): Promise<Reply> {
+        return this.send("POST", "/v1/chat/completions", JSON.stringify(body), headers);
+    }
+
+    async send(
+        method: string,
+        path: string,
+        body?: string,
+        headers: Record<string, string> = {},
+    ): Promise<Reply> {
+        const response = await request(this.url + path, { method: method as "GET", headers, body });
+        const text = await response.body.text();
+        const json = (text.startsWith("{") ? JSON.parse(text) : {}) as Reply["json"];
+        return { status: response.statusCode, headers: response.headers, text, json };
+    }
+
+    /** Requests that all agents of a service got. */
+    runs(): number {
+        return Object.values(this.agents).reduce((sum, agent) => sum + agent.journal.length, 0);
+    }
+
+    private async addAgents(serviceId: string, serverIds: string[], behave?: AgentBehaviour): Promise<void> {
+        for (const serverId of serverIds) {
+            const agent = new FakeAgent(behave);
+            await agent.start();
+            this.agents[serverId] = agent;
+            this.hostList.entries.push({
+                hostId: toId(`host-${serverId}`),
+                dataCentre: toId("dc-1"),
+                role: "backend",
+                state: "live",
+                address: "127.0.0.1",
+                peerPort: 1,
+                requestPort: agent.port,
+                serverId: toId(serverId),
+                serviceId: toId(serviceId),
+            });
+        }
+    }
+
+    private async untilReady(): Promise<void> {
+        for (;;) {
+            const { statusCode, body } = await request(`${this.url}/readyz`);
+            await body.dump();
+            if (statusCode === 200) return;
+            await new Promise(resolve => setTimeout(resolve, 5));
+        }
+    }
+}
