--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -7,5 +7,6 @@
 export { checkDocument, documentFaults, MAX_SECTION_BYTES } from "./utils/check-document.ts";
 export { diffSections } from "./utils/diff-sections.ts";
 export { DEFAULT_LIMITS } from "./utils/effective-config.ts";
+export { createGrantChange } from "./utils/grant-change.ts";
 export { parseDocument, parseName, parseSection } from "./utils/parse-section.ts";
 export { matchesRule } from "./utils/request-rules.ts";
--- a/packages/config/src/types/records.ts
+++ b/packages/config/src/types/records.ts
@@ -13,6 +13,19 @@
 export interface GrantRecord {
     readonly modelId: ModelId;
     readonly grants: readonly Grant[];
+    /** The decision in force when the placement last wrote the record; holders leave it unchanged. */
+    readonly decided?: ReplicaDecision | undefined;
+}
+
+/**
+ * How many replicas a model may have. Part of the grant record, so that a lowered number makes the
+ * compare-and-swap of a placement fail that still builds on the higher one.
+ */
+export interface ReplicaDecision {
+    readonly replicas: number;
+    /** Section and version that say so; version 0 when no section offers the model. */
+    readonly section: string;
+    readonly sectionVersion: number;
 }
 
 /** Value of `drains/<host>`. */
--- a/packages/control/src/types/operator.ts
+++ b/packages/control/src/types/operator.ts
@@ -18,8 +18,8 @@
     readonly config: ConfigView;
     readonly membership: Membership;
     readonly peers: OperatorPeers;
-    /** Accepted tokens of each team, so that they can be rotated. */
-    readonly teamTokens: () => ReadonlyMap<TeamId, readonly string[]>;
+    /** Operators' tokens with the team that each stands for; a team may have several. */
+    readonly teamTokens: () => ReadonlyMap<string, TeamId>;
     /** Time limit of each call to another process, in milliseconds. @default 1000 */
     readonly peerTimeoutMs?: number;
     /** Calls to other processes at the same time. @default 32 */
