feat(agent): write streamed answers without a web stream and close after the last one

A server that closes only idle connections waited 3 s for a connection that a router had opened and not used. The agent now waits for the answers in progress and then ends all connections; stop takes milliseconds in the test.

--- a/packages/agent/src/node/request-server.ts
+++ b/packages/agent/src/node/request-server.ts
@@ -1,10 +1,13 @@
-import { serve, type ServerType } from "@hono/node-server";
+import { type HttpBindings, serve, type ServerType } from "@hono/node-server";
+import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
 import { acceptsKey } from "@skylarkmill/coordination";
 import { HEADERS, type Refusal, type SkylarkmillError, UnavailableError } from "@skylarkmill/protocol";
 import { type Context, Hono } from "hono";
 import { ResultAsync } from "neverthrow";
-import type { Server } from "node:http";
+import { once } from "node:events";
+import type { OutgoingHttpHeaders, Server, ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
+import { pipeline } from "node:stream/promises";
 import { refusalAnswer } from "../runtime/attempt.ts";
 import type { AgentAnswer } from "../types/answer.ts";
 import type { ListenAddress } from "../types/options.ts";
@@ -12,6 +15,9 @@
 import { REFUSALS } from "../utils/refusals.ts";
 import { parseRequestHead } from "../utils/request-head.ts";
 
+/** Time after a request's deadline to send what is left of its answer. */
+const SEND_GRACE_MS = 1000;
+
 export interface RoutedRequest {
     readonly head: RequestHead;
     readonly method: string;
@@ -53,8 +59,10 @@
     );
 }
 
-function createApp(options: RequestServerOptions): Hono {
-    const app = new Hono();
+type AgentContext = Context<{ Bindings: HttpBindings; }>;
+
+function createApp(options: RequestServerOptions): Hono<{ Bindings: HttpBindings; }> {
+    const app = new Hono<{ Bindings: HttpBindings; }>();
     app.get("/healthz", context => context.text("ok"));
     app.get("/readyz", context => (options.isReady() ? context.text("ready") : context.text("not ready", 503)));
     app.get("/metrics", async context => {
@@ -65,11 +73,12 @@
     return app;
 }
 
-async function handleRequest(context: Context, options: RequestServerOptions): Promise<Response> {
+async function handleRequest(context: AgentContext, options: RequestServerOptions): Promise<Response> {
     const refuse = (refusal: Refusal): Response => {
         options.onRefused(refusal);
-        return toResponse(refusalAnswer(refusal), options);
+        return sendAnswer(refusalAnswer(refusal), outgoing, options);
     };
+    const outgoing = context.env.outgoing;
     const { raw } = context.req;
     const header = (name: string): string | undefined => context.req.header(name);
     if (!acceptsKey(header("authorization"), options.peerKeys())) return refuse(REFUSALS.unauthorized());
@@ -85,35 +94,70 @@
         path: url.pathname + url.search,
         headers: raw.headers,
         body: body?.length === 0 ? undefined : body,
-        signal: raw.signal,
+        signal: signalOf(outgoing, head.value.deadlineAtMs),
     });
-    return toResponse(answer, options);
+    return sendAnswer(answer, outgoing, options);
+}
+
+/** Aborted when the connection closes before the answer has been sent; a router that stops reading is cut off. */
+function signalOf(outgoing: ServerResponse, deadlineAtMs: number): AbortSignal {
+    const abort = new AbortController();
+    const timer = setTimeout(() => outgoing.destroy(), Math.max(0, deadlineAtMs - Date.now()) + SEND_GRACE_MS);
+    const onClose = (): void => {
+        clearTimeout(timer);
+        if (!outgoing.writableFinished) abort.abort();
+    };
+    outgoing.once("close", onClose);
+    if (outgoing.destroyed) onClose();
+    return abort.signal;
 }
 
-function toResponse(answer: AgentAnswer, options: RequestServerOptions): Response {
+function sendAnswer(answer: AgentAnswer, outgoing: ServerResponse, options: RequestServerOptions): Response {
     const { status, headers, body } = answer;
     headers.set(HEADERS.load, options.loadHeader());
     if (!headers.has(HEADERS.execution)) headers.set(HEADERS.execution, "run");
     if (body === undefined || typeof body === "string" || body instanceof Uint8Array) {
         return new Response(body, { status, headers });
     }
-    return new Response(ReadableStream.from(body), { status, headers });
+    // Written without a web stream, which would cost processor time on every token.
+    outgoing.writeHead(status, toNodeHeaders(headers));
+    outgoing.flushHeaders();
+    // A body that breaks off destroys the connection, so that the router sees it.
+    pipeline(body, outgoing).catch(() => undefined);
+    return RESPONSE_ALREADY_SENT;
 }
 
-function listen(app: Hono, address: ListenAddress): Promise<RequestServer> {
+function toNodeHeaders(headers: Headers): OutgoingHttpHeaders {
+    const cookies = headers.getSetCookie();
+    return { ...Object.fromEntries(headers), ...(cookies.length > 0 ? { "set-cookie": cookies } : {}) };
+}
+
+function listen(app: Hono<{ Bindings: HttpBindings; }>, address: ListenAddress): Promise<RequestServer> {
     return new Promise((resolve, reject) => {
         const server: ServerType = serve({ fetch: app.fetch, hostname: address.host, port: address.port });
+        const answers = trackAnswers(server as Server);
         server.once("error", reject);
         server.once("listening", () => {
             server.off("error", reject);
-            resolve({ port: (server.address() as AddressInfo).port, close: () => close(server as Server) });
+            const { port } = server.address() as AddressInfo;
+            resolve({ port, close: () => close(server as Server, answers) });
         });
     });
 }
 
-function close(server: Server): Promise<void> {
-    return new Promise(resolve => {
-        server.close(() => resolve());
-        server.closeIdleConnections();
+function trackAnswers(server: Server): Set<ServerResponse> {
+    const answers = new Set<ServerResponse>();
+    server.on("request", (_request, answer) => {
+        answers.add(answer);
+        answer.once("close", () => answers.delete(answer));
     });
+    return answers;
+}
+
+/** Ends the connections once the last answer has been sent. */
+async function close(server: Server, answers: ReadonlySet<ServerResponse>): Promise<void> {
+    const closed = new Promise<void>(resolve => server.close(() => resolve()));
+    while (answers.size > 0) await Promise.all([...answers].map(answer => once(answer, "close")));
+    server.closeAllConnections();
+    await closed;
 }
--- a/packages/agent/src/runtime/attempt.ts
+++ b/packages/agent/src/runtime/attempt.ts
@@ -42,10 +42,7 @@
     constructor(private readonly options: AttemptOptions) {
         options.signal.addEventListener("abort", this.onRouterGone);
         if (options.signal.aborted) this.abort.abort();
-        this.deadlineTimer = setTimeout(() => {
-            this.deadlinePassed = true;
-            this.abort.abort();
-        }, Math.max(0, options.head.deadlineAtMs - this.startedAtMs));
+        this.deadlineTimer = setTimeout(this.onDeadline, Math.max(0, options.head.deadlineAtMs - this.startedAtMs));
     }
 
     /** Resolves with the answer's head; a stream's body finishes the attempt when it ends. */
@@ -69,6 +66,13 @@
         if (this.firstByteMs !== undefined) this.finish("cancelled");
     };
 
+    private readonly onDeadline = (): void => {
+        this.deadlinePassed = true;
+        this.abort.abort();
+        // A router that has stopped reading does not ask for the rest of the body.
+        if (this.firstByteMs !== undefined) this.finish("unknown");
+    };
+
     private createRequest(): BackendRequest {
         const { method, path, headers, body } = this.options;
         return {
