feat(skylarkmill): add the command line, settings, logs and the demonstration

Secrets come from a variable or a file that is read again when it changes, and never reach the log. dev runs all roles on embedded stand-ins.

--- /dev/null
+++ b/packages/skylarkmill/src/commands/agent.ts
@@ -0,0 +1,24 @@
+import { createBackendClient, createTritonEngineControl } from "@skylarkmill/platform";
+import { type ServerId, type ServiceId, toId } from "@skylarkmill/protocol";
+import { createProcessParts, runRole } from "../node/process-parts.ts";
+import { agentSettings } from "../settings/commands.ts";
+import type { ParsedArguments } from "../types/setting.ts";
+import { withSettings } from "../utils/with-settings.ts";
+
+export function runAgent(args: ParsedArguments): Promise<number> {
+    return withSettings("agent", agentSettings, args, async values => {
+        const process = createProcessParts("agent", values);
+        const { backendUrl: baseUrl, maxConnections } = values;
+        const engineControl = values.backendKind === "model" ? createTritonEngineControl({ baseUrl }) : undefined;
+        const { createAgent } = await import("@skylarkmill/agent");
+        const agent = createAgent({
+            ...process.parts,
+            serverId: toId<ServerId>(values.serverId),
+            serviceId: toId<ServiceId>(values.serviceId),
+            requestListen: values.requestListen,
+            engineControl,
+            backend: createBackendClient({ baseUrl, maxConnections }),
+        });
+        return runRole(process, agent);
+    });
+}
--- /dev/null
+++ b/packages/skylarkmill/src/dev/dev-cluster.ts
@@ -0,0 +1,246 @@
+import { createAgent } from "@skylarkmill/agent";
+import { KEYS, sampleDocument } from "@skylarkmill/config";
+import { encodeStoredRecord } from "@skylarkmill/coordination";
+import {
+    createBackendClient,
+    createEtcdKeyValueStore,
+    createHttpHostList,
+    createMembership,
+    createTritonEngineControl,
+} from "@skylarkmill/platform";
+import {
+    type DataCentre,
+    type EditId,
+    type HostId,
+    type ProcessId,
+    type ServerId,
+    type ServiceId,
+    type TeamId,
+    toId,
+} from "@skylarkmill/protocol";
+import { createRouter, type RouterPorts } from "@skylarkmill/router";
+import {
+    createEngineStandIn,
+    createHostListStandIn,
+    createKeyValueStandIn,
+    createServiceStandIn,
+    createWeightStoreStandIn,
+    type HostListStandIn,
+    type JournalEvent,
+    type KeyValueStandIn,
+    type StandIn,
+    type StandInHost,
+} from "@skylarkmill/stand-ins";
+import type bunyan from "bunyan";
+import { randomBytes } from "node:crypto";
+import type { Address } from "../settings/readers.ts";
+import type { Role, RoleParts } from "../types/roles.ts";
+import { serveJournal } from "./journal-server.ts";
+
+export interface DevClusterOptions {
+    readonly listen: Address;
+    readonly operatorListen: Address;
+    readonly journal: Address | undefined;
+    readonly logger: bunyan;
+}
+
+export interface DevCluster {
+    /** Base URLs of the routers' callers' interfaces. */
+    readonly routerUrls: readonly string[];
+    readonly operatorUrls: readonly string[];
+    readonly modelIds: readonly string[];
+    /** Team that owns a section, with its token. */
+    readonly operator: { readonly team: string; readonly section: string; readonly token: string; };
+    readonly keyValue: KeyValueStandIn;
+    events(): readonly JournalEvent[];
+    describe(): readonly string[];
+    close(): Promise<void>;
+}
+
+const LOCAL: Address = { host: "127.0.0.1", port: 0 };
+const MODEL_SERVICE = "workshop-assistant";
+const PLAIN_SERVICE = "parts-ledger";
+const ENGINE_COUNT = 4;
+const SERVER_COUNT = 3;
+const ROUTER_COUNT = 3;
+const DATA_CENTRES = ["edinburgh", "glasgow", "dundee"];
+const ENGINE_MEMORY_BYTES = 3_000_000_000;
+const POLL_INTERVAL_MS = 500;
+
+/** Composes all roles and stand-ins of the demonstration; closes in reverse order of the start. */
+class DevBuilder {
+    readonly closers: (() => Promise<void>)[] = [];
+    readonly standIns: StandIn[] = [];
+    readonly hosts: StandInHost[] = [];
+    readonly peerKey = randomBytes(24).toString("base64url");
+    readonly tokens = new Map<string, TeamId>();
+    private readonly options: DevClusterOptions;
+
+    constructor(options: DevClusterOptions) {
+        this.options = options;
+    }
+
+    addStandIn<S extends StandIn>(standIn: S): S {
+        this.standIns.push(standIn);
+        this.closers.push(() => standIn.close());
+        return standIn;
+    }
+
+    parts(hostId: string, index: number, keyValue: StandIn, hostList: HostListStandIn): RoleParts {
+        const store = createEtcdKeyValueStore({ endpoints: [keyValue.url] });
+        const list = createHttpHostList({ url: `${hostList.url}/hosts` });
+        const membership = createMembership({ hostList: list, pollIntervalMs: POLL_INTERVAL_MS });
+        membership.start();
+        this.closers.push(async () => {
+            membership.stop();
+            await Promise.all([store.close(), list.close()]);
+        });
+        return {
+            processId: toId<ProcessId>(`${hostId}.${Date.now().toString(36)}`),
+            hostId: toId<HostId>(hostId),
+            dataCentre: toId<DataCentre>(dataCentreOf(index)),
+            peerListen: LOCAL,
+            peerKeys: () => [this.peerKey],
+            store,
+            hostList: membership,
+            logger: this.options.logger.child({ hostId }),
+        };
+    }
+
+    async start<Ports>(role: Role<Ports>): Promise<Ports> {
+        const started = await role.start();
+        if (started.isErr()) throw started.error;
+        this.closers.push(() => role.stop());
+        return started.value;
+    }
+
+    addHost(hostId: string, index: number, fields: Readonly<Record<string, unknown>>): void {
+        this.hosts.push({ hostId, dataCentre: dataCentreOf(index), state: "live", address: LOCAL.host, ...fields });
+    }
+
+    async close(): Promise<void> {
+        for (const close of this.closers.splice(0).reverse()) await close();
+    }
+}
+
+function dataCentreOf(index: number): string {
+    return DATA_CENTRES[index % DATA_CENTRES.length]!;
+}
+
+/** Writes the sample document as an operator's edits would have left it. */
+function seedConfig(keyValue: KeyValueStandIn, tokens: Map<string, TeamId>): DevCluster["operator"] {
+    let operator: DevCluster["operator"] | undefined;
+    for (const [name, section] of sampleDocument("dev")) {
+        const key = KEYS.config(name);
+        const record = {
+            key,
+            version: 1,
+            nonce: randomBytes(8).toString("hex"),
+            editId: toId<EditId>(`seed-${name}`),
+            writtenAtMs: Date.now(),
+            previousEditIds: [],
+            value: section,
+        };
+        keyValue.state.apply([{ kind: "put", key, value: encodeStoredRecord(record), leaseId: undefined }]);
+        const token = `dev-${section.team}`;
+        tokens.set(token, section.team);
+        if (MODEL_SERVICE in section.services) operator = { team: section.team, section: name, token };
+    }
+    if (operator === undefined) throw new Error(`the sample document has no service ${MODEL_SERVICE}`);
+    return operator;
+}
+
+async function startAgents(builder: DevBuilder, keyValue: StandIn, hostList: HostListStandIn): Promise<void> {
+    const weightStore = createWeightStoreStandIn();
+    for (let index = 0; index < ENGINE_COUNT + SERVER_COUNT; index++) {
+        const isEngine = index < ENGINE_COUNT;
+        const name = isEngine ? `engine-${index + 1}` : `ledger-${index - ENGINE_COUNT + 1}`;
+        const standIn = builder.addStandIn(
+            isEngine
+                ? await createEngineStandIn({ listen: LOCAL, name, memorySizeBytes: ENGINE_MEMORY_BYTES, weightStore })
+                : await createServiceStandIn({ listen: LOCAL, name }),
+        );
+        const serviceId = isEngine ? MODEL_SERVICE : PLAIN_SERVICE;
+        const hostId = `host-${name}`;
+        const ports = await builder.start(createAgent({
+            ...builder.parts(hostId, index, keyValue, hostList),
+            serverId: toId<ServerId>(name),
+            serviceId: toId<ServiceId>(serviceId),
+            requestListen: LOCAL,
+            engineControl: isEngine ? createTritonEngineControl({ baseUrl: standIn.url }) : undefined,
+            backend: createBackendClient({ baseUrl: standIn.url, maxConnections: 256 }),
+        }));
+        builder.addHost(hostId, index, { role: "backend", serverId: name, serviceId, ...ports });
+    }
+}
+
+async function startRouters(
+    builder: DevBuilder,
+    options: DevClusterOptions,
+    keyValue: StandIn,
+    hostList: HostListStandIn,
+): Promise<readonly RouterPorts[]> {
+    const routers: RouterPorts[] = [];
+    for (let index = 0; index < ROUTER_COUNT; index++) {
+        const hostId = `host-router-${index + 1}`;
+        const ports = await builder.start(createRouter({
+            ...builder.parts(hostId, index, keyValue, hostList),
+            listen: index === 0 ? options.listen : LOCAL,
+            operatorListen: index === 0 ? options.operatorListen : LOCAL,
+            teamTokens: () => builder.tokens,
+        }));
+        routers.push(ports);
+        builder.addHost(hostId, index, { role: "router", peerPort: ports.peerPort, requestPort: ports.port });
+    }
+    return routers;
+}
+
+function mergeEvents(standIns: readonly StandIn[]): readonly JournalEvent[] {
+    return standIns.flatMap(standIn => standIn.journal.list()).sort((a, b) => a.atMs - b.atMs || a.seq - b.seq);
+}
+
+/**
+ * Starts the Association's sample deployment in this process: 4 engines, 3 ledger servers, an agent beside each,
+ * and 3 routers, on embedded stand-ins of the key-value service and the host list.
+ *
+ * @example
+ * const cluster = await startDevCluster({ listen, operatorListen, journal: undefined, logger });
+ */
+export async function startDevCluster(options: DevClusterOptions): Promise<DevCluster> {
+    const builder = new DevBuilder(options);
+    try {
+        const keyValue = builder.addStandIn(await createKeyValueStandIn({ listen: LOCAL }));
+        const hostList = builder.addStandIn(await createHostListStandIn({ listen: LOCAL }));
+        const operator = seedConfig(keyValue, builder.tokens);
+        await startAgents(builder, keyValue, hostList);
+        const routers = await startRouters(builder, options, keyValue, hostList);
+        hostList.setHosts(builder.hosts);
+        const events = (): readonly JournalEvent[] => mergeEvents(builder.standIns);
+        const journal = options.journal === undefined ? undefined : await serveJournal(options.journal, events);
+        if (journal !== undefined) builder.closers.push(() => journal.close());
+        const urlOf = (host: string, port: number): string => `http://${host}:${port}`;
+        const routerUrls = routers.map(({ port }, i) => urlOf(i === 0 ? options.listen.host : LOCAL.host, port));
+        const operatorUrls = routers.map(({ operatorPort }, i) =>
+            urlOf(i === 0 ? options.operatorListen.host : LOCAL.host, operatorPort)
+        );
+        const models = sampleDocument("dev").get(toId(operator.section))!.services[toId<ServiceId>(MODEL_SERVICE)]!;
+        return {
+            routerUrls,
+            operatorUrls,
+            modelIds: models.kind === "model" ? Object.keys(models.models) : [],
+            operator,
+            keyValue,
+            events,
+            describe: () => [
+                `callers:   ${routerUrls.join("  ")}`,
+                `operators: ${operatorUrls.join("  ")}  (token of team ${operator.team}: ${operator.token})`,
+                ...(journal === undefined ? [] : [`journal:   ${journal.url}/journal`]),
+            ],
+            close: () => builder.close(),
+        };
+    }
+    catch (cause) {
+        await builder.close();
+        throw cause;
+    }
+}
--- /dev/null
+++ b/packages/skylarkmill/src/node/command-registry.ts
@@ -0,0 +1,91 @@
+import { COMMAND_SETTINGS } from "../settings/commands.ts";
+import type { CommandSettings, ParsedArguments } from "../types/setting.ts";
+
+export interface CommandInput {
+    readonly args: ParsedArguments;
+    /** Arguments after the command's words, as given. */
+    readonly argv: readonly string[];
+}
+
+export interface Command {
+    readonly words: string;
+    readonly summary: string;
+    /** Left out for commands that read their arguments themselves. */
+    readonly settings?: CommandSettings;
+    /** Runs the command and resolves with its exit code; loads its modules only then, to save memory. */
+    run(input: CommandInput): Promise<number>;
+}
+
+function withSettings(words: string, summary: string, run: Command["run"]): Command {
+    return { words, summary, settings: COMMAND_SETTINGS[words]!, run };
+}
+
+function operatorCommand(words: string, summary: string): Command {
+    const run: Command["run"] = async ({ argv }) => {
+        const { runOperator } = await import("../commands/operator.ts");
+        return runOperator([...words.split(" "), ...argv]);
+    };
+    return { words, summary, run };
+}
+
+const standIns = () => import("../commands/stand-ins.ts");
+
+/** All commands; longer ones come before those that share their first word. */
+export const COMMANDS: readonly Command[] = [
+    withSettings(
+        "router",
+        "Runs a router.",
+        async input => (await import("../commands/router.ts")).runRouter(input.args),
+    ),
+    withSettings("agent", "Runs an agent.", async input => (await import("../commands/agent.ts")).runAgent(input.args)),
+    withSettings(
+        "dev",
+        "Runs all roles in one process on embedded stand-ins.",
+        async input => (await import("../commands/dev.ts")).runDev(input.args),
+    ),
+    withSettings(
+        "stand-in kv",
+        "Runs a stand-in for the key-value service.",
+        async i => (await standIns()).runKv(i.args),
+    ),
+    withSettings(
+        "stand-in hosts",
+        "Runs a stand-in for the host list.",
+        async i => (await standIns()).runHosts(i.args),
+    ),
+    withSettings(
+        "stand-in engine",
+        "Runs a stand-in for a model engine.",
+        async i => (await standIns()).runEngine(i.args),
+    ),
+    withSettings(
+        "stand-in service",
+        "Runs a stand-in for a plain service.",
+        async i => (await standIns()).runService(i.args),
+    ),
+    withSettings(
+        "stand-in proxy",
+        "Runs a TCP proxy that injects faults.",
+        async i => (await standIns()).runProxy(i.args),
+    ),
+    withSettings(
+        "stand-in load",
+        "Sends requests to routers and prints their outcomes.",
+        async i => (await standIns()).runLoad(i.args),
+    ),
+    operatorCommand("config get", "Prints the configuration in force."),
+    operatorCommand("config apply", "Edits one section of the configuration."),
+    operatorCommand("config status", "Prints which versions are in force in which process."),
+    operatorCommand("audit", "Prints the changes of the configuration."),
+    operatorCommand("status", "Prints the state of the system."),
+    operatorCommand("drain", "Starts or ends the drain of a host."),
+    {
+        words: "settings",
+        summary: "Prints the settings of all commands; --markdown as a page.",
+        run: async ({ argv }) => (await import("../commands/settings.ts")).printSettings(argv),
+    },
+];
+
+export function findCommand(argv: readonly string[]): Command | undefined {
+    return COMMANDS.find(command => command.words.split(" ").every((word, index) => argv[index] === word));
+}
--- /dev/null
+++ b/packages/skylarkmill/src/node/logger.ts
@@ -0,0 +1,62 @@
+import { SkylarkmillError } from "@skylarkmill/protocol";
+import bunyan, { type LogLevel } from "bunyan";
+
+export interface LoggerOptions {
+    readonly role: string;
+    readonly hostId: string;
+    readonly level: LogLevel;
+    /** Secrets in force; they are replaced wherever they would appear in a line. */
+    readonly secrets: () => Iterable<string>;
+    /** @default process.stdout */
+    readonly output?: { write(line: string): unknown; };
+}
+
+const HIDDEN = "[redacted]";
+const SECRET_HEADERS = new Set(["authorization", "cookie", "idempotency-key"]);
+// Shorter texts could be part of ordinary words.
+const MIN_SECRET_LENGTH = 4;
+
+function toHeaderFields(headers: unknown): unknown {
+    if (typeof headers !== "object" || headers === undefined) return undefined;
+    const entries = Object.entries(headers ?? {});
+    return Object.fromEntries(
+        entries.map(([name, value]) => [name, SECRET_HEADERS.has(name.toLowerCase()) ? HIDDEN : value as unknown]),
+    );
+}
+
+function toErrorFields(error: unknown): unknown {
+    if (!(error instanceof Error)) return error;
+    const base = { name: error.name, message: error.message, stack: error.stack };
+    if (!(error instanceof SkylarkmillError)) return base;
+    const cause = error.cause instanceof Error ? { cause: error.cause.message } : {};
+    return { ...base, code: error.code, step: error.step, peer: error.peer, ...cause };
+}
+
+/** Replaces secrets in one log line. */
+function redact(line: string, secrets: Iterable<string>): string {
+    let redacted = line.replace(/Bearer [^\s"\\]+/gi, `Bearer ${HIDDEN}`);
+    for (const secret of secrets) {
+        if (secret.length >= MIN_SECRET_LENGTH) {
+            redacted = redacted.replaceAll(JSON.stringify(secret).slice(1, -1), HIDDEN);
+        }
+    }
+    return redacted;
+}
+
+/**
+ * Creates the logger of a process: one JSON object a line, without tokens or keys.
+ *
+ * @example
+ * const logger = createLogger({ role: "router", hostId: "h1", level: "info", secrets: () => keys });
+ */
+export function createLogger(options: LoggerOptions): bunyan {
+    const output = options.output ?? process.stdout;
+    const stream = { write: (line: string) => output.write(redact(line, options.secrets())) };
+    return bunyan.createLogger({
+        name: "skylarkmill",
+        hostname: options.hostId,
+        role: options.role,
+        streams: [{ level: options.level, type: "stream", stream: stream as unknown as NodeJS.WritableStream }],
+        serializers: { err: toErrorFields, error: toErrorFields, headers: toHeaderFields },
+    });
+}
--- /dev/null
+++ b/packages/skylarkmill/src/node/process-parts.ts
@@ -0,0 +1,105 @@
+import { createEtcdKeyValueStore, createHttpHostList, createMembership } from "@skylarkmill/platform";
+import { type DataCentre, type HostId, type ProcessId, toId } from "@skylarkmill/protocol";
+import type bunyan from "bunyan";
+import { openSecret, type SecretSource } from "../runtime/secret-source.ts";
+import type { processSettings } from "../settings/common.ts";
+import type { Role, RoleParts } from "../types/roles.ts";
+import type { SettingValues } from "../types/setting.ts";
+import { parsePeerKeys } from "../utils/secrets.ts";
+import { createLogger } from "./logger.ts";
+import { runUntilSignal } from "./run-until-signal.ts";
+
+export type ProcessValues = SettingValues<typeof processSettings>;
+
+export interface ProcessParts {
+    readonly parts: RoleParts;
+    readonly logger: bunyan;
+    /** Opens a further secret, whose values are kept out of the log. */
+    openSecret<Value>(secret: NamedSecret<Value>): SecretSource<Value>;
+    close(): Promise<void>;
+}
+
+export interface NamedSecret<Value> {
+    readonly name: string;
+    readonly text: string | undefined;
+    readonly file: string | undefined;
+    readonly parse: (text: string) => Value;
+    readonly texts: (value: Value) => Iterable<string>;
+}
+
+/** Creates what a role needs from its settings; the start time makes the process id unique over restarts. */
+export function createProcessParts(role: "router" | "agent", values: ProcessValues): ProcessParts {
+    const secrets: (() => Iterable<string>)[] = [];
+    const sources: SecretSource<unknown>[] = [];
+    const allSecrets = function*(): Generator<string> {
+        for (const secret of secrets) yield* secret();
+    };
+    const logger = createLogger({ role, hostId: values.hostId, level: values.logLevel, secrets: allSecrets });
+
+    function open<Value>({ name, texts, ...input }: NamedSecret<Value>): SecretSource<Value> {
+        const source = openSecret({
+            ...input,
+            onReload: (outcome, reason) => {
+                if (outcome === "reloaded") logger.info({ step: "secrets.read", secret: name }, "secret read again");
+                else {logger.error(
+                        { step: "secrets.read", secret: name, reason },
+                        "changed secret can't be used; kept the former",
+                    );}
+            },
+        });
+        secrets.push(() => texts(source.current()));
+        sources.push(source);
+        return source;
+    }
+
+    const { peerKeys: text, peerKeysFile: file } = values;
+    const peerKeys = open({ name: "peer-keys", text, file, parse: parsePeerKeys, texts: keys => keys });
+    const store = createEtcdKeyValueStore({ endpoints: values.kvEndpoints, timeoutMs: values.kvTimeoutMs });
+    const hosts = createHttpHostList({ url: values.hostsUrl });
+    const hostList = createMembership({
+        hostList: hosts,
+        pollIntervalMs: values.hostsPollMs,
+        onError: error =>
+            logger.warn({ err: error, step: error.step, peer: error.peer }, "host list could not be read"),
+    });
+    const parts: RoleParts = {
+        processId: toId<ProcessId>(`${values.hostId}.${Date.now().toString(36)}`),
+        hostId: toId<HostId>(values.hostId),
+        dataCentre: toId<DataCentre>(values.dataCentre),
+        peerListen: values.peerListen,
+        peerKeys: peerKeys.current,
+        store,
+        hostList,
+        logger,
+    };
+    return {
+        parts,
+        logger,
+        openSecret: open,
+        close: async () => {
+            hostList.stop();
+            for (const source of sources) source.close();
+            await Promise.all([store.close(), hosts.close()]);
+        },
+    };
+}
+
+/** Starts a role and runs it until a signal; resolves with the exit code. */
+export async function runRole(process: ProcessParts, role: Role<object>): Promise<number> {
+    const { parts, logger } = process;
+    parts.hostList.start();
+    const started = await role.start();
+    if (started.isErr()) {
+        const { error } = started;
+        logger.fatal({ err: error, step: error.step, peer: error.peer }, "start failed");
+        await process.close();
+        return 1;
+    }
+    logger.info({ step: "start", processId: parts.processId, ...started.value }, "listening");
+    return runUntilSignal(async () => {
+        logger.info({ step: "stop" }, "stopping; requests in progress finish first");
+        await role.stop();
+        await process.close();
+        logger.info({ step: "stop" }, "stopped");
+    });
+}
--- /dev/null
+++ b/packages/skylarkmill/src/utils/resolve-settings.ts
@@ -0,0 +1,89 @@
+import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
+import type {
+    CommandSettings,
+    ParsedArguments,
+    Setting,
+    SettingFault,
+    SettingTable,
+    SettingValues,
+} from "../types/setting.ts";
+import { toLabel, toVariable } from "./setting-names.ts";
+
+export type Environment = Readonly<Record<string, string | undefined>>;
+
+type Texts = Readonly<Record<string, string | undefined>>;
+
+function readText(setting: Setting, args: ParsedArguments, environment: Environment): string | undefined {
+    const flag = setting.isSecret === true ? undefined : args.flags[setting.name];
+    if (flag !== undefined) return String(flag);
+    const variable = environment[toVariable(setting)];
+    return variable ?? setting.defaultText;
+}
+
+function toFault(setting: Setting, text: string | undefined): SettingFault {
+    const value = setting.isSecret === true ? "[redacted]" : JSON.stringify(text);
+    const problem = text === undefined ? "not set" : `${value} is not accepted`;
+    return { setting: toLabel(setting), problem, expected: setting.accepted };
+}
+
+function unknownArguments(args: ParsedArguments, table: SettingTable): SettingFault[] {
+    const byName = new Map(Object.values(table).map(setting => [setting.name, setting]));
+    const flags = Object.keys(args.flags).flatMap(name => {
+        const setting = byName.get(name);
+        // The value is left out, since it may be a secret.
+        if (setting === undefined) {
+            return [{ setting: `--${name}`, problem: "unknown", expected: "a flag that --help lists" }];
+        }
+        if (setting.isSecret !== true) return [];
+        const expected = `the variable ${toVariable(setting)}, since other users of a host can read command lines`;
+        return [{ setting: `--${name}`, problem: "not a flag", expected }];
+    });
+    const words = args.input.map(word => ({
+        setting: "argument",
+        problem: `${JSON.stringify(word)} is not accepted`,
+        expected: "no further argument",
+    }));
+    return [...flags, ...words];
+}
+
+function groupFaults(settings: CommandSettings, texts: Texts): SettingFault[] {
+    return (settings.exactlyOneOf ?? []).flatMap(group => {
+        const givenCount = group.filter(name => texts[name] !== undefined).length;
+        if (givenCount === 1) return [];
+        const labels = group.map(name => toLabel(settings.table[name]!));
+        return [{ setting: labels.join(" or "), problem: `${givenCount} are set`, expected: "exactly one of them" }];
+    });
+}
+
+/**
+ * Reads the settings of a command: flag, then variable, then default. Reports all faults at once.
+ *
+ * @example
+ * const values = resolveSettings(routerSettings, { input: [], flags: { "host-id": "h1" } }, process.env);
+ */
+export function resolveSettings<Table extends SettingTable>(
+    settings: CommandSettings<Table>,
+    args: ParsedArguments,
+    environment: Environment,
+): Result<SettingValues<Table>, readonly SettingFault[]> {
+    const entries = Object.entries(settings.table);
+    const texts = Object.fromEntries(entries.map(([key, setting]) => [key, readText(setting, args, environment)]));
+    const schema = z.object(Object.fromEntries(entries.map(([key, setting]) => [key, setting.schema])));
+    const parsed = schema.safeParse(texts);
+    const faultyKeys = new Set((parsed.error?.issues ?? []).map(issue => String(issue.path[0])));
+    const faults = [
+        ...unknownArguments(args, settings.table),
+        ...[...faultyKeys].map(key => toFault(settings.table[key]!, texts[key])),
+        ...groupFaults(settings, texts),
+    ];
+    if (!parsed.success || faults.length > 0) return err(faults);
+    return ok(parsed.data as SettingValues<Table>);
+}
+
+/** Formats faults for the terminal, one a line. */
+export function formatFaults(command: string, faults: readonly SettingFault[]): string {
+    const lines = faults.map(({ setting, problem, expected }) => `  ${setting}: ${problem}; expected ${expected}`);
+    const count = `${faults.length} invalid setting${faults.length === 1 ? "" : "s"}`;
+    return [`skylarkmill ${command}: ${count}`, ...lines].join("\n");
+}
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -2,6 +2,7 @@
 export * from "./node/fault-proxy.ts";
 export * from "./node/host-list-stand-in.ts";
 export * from "./node/key-value-stand-in.ts";
+export * from "./node/load-tool.ts";
 export * from "./node/service-stand-in.ts";
 export { type EngineFaults } from "./runtime/engine-faults.ts";
 export { Journal, type JournalEvent } from "./runtime/journal.ts";
--- /dev/null
+++ b/packages/stand-ins/src/node/load-tool.ts
@@ -0,0 +1,117 @@
+import { randomUUID } from "node:crypto";
+import { Agent, request } from "undici";
+
+export interface LoadOptions {
+    readonly targets: readonly string[];
+    readonly models: readonly string[];
+    readonly requestsPerSecond: number;
+    readonly durationMs: number;
+    readonly timeoutMs: number;
+    readonly maxTokens: number;
+    readonly stream: boolean;
+}
+
+export interface LoadReport {
+    readonly sentCount: number;
+    readonly completeCount: number;
+    /** Answers other than 200 by status and code. */
+    readonly refusals: Readonly<Record<string, number>>;
+    /** Connections that broke before a complete answer. */
+    readonly brokenCount: number;
+    /** Answers that lack the request's own last message. */
+    readonly wrongCount: number;
+    /** Duration of complete answers in milliseconds. */
+    readonly p50Ms: number;
+    readonly p99Ms: number;
+    readonly maxMs: number;
+    /** Answers and refusals that came more than 100 ms after their deadline. */
+    readonly lateCount: number;
+}
+
+type Outcome = {
+    readonly kind: "complete" | "wrong" | "broken" | "refused";
+    readonly detail: string;
+    readonly ms: number;
+};
+
+const GRACE_MS = 100;
+
+async function sendOne(options: LoadOptions, index: number, dispatcher: Agent): Promise<Outcome> {
+    const message = `request ${randomUUID()}`;
+    const startMs = performance.now();
+    const elapsed = (): number => performance.now() - startMs;
+    try {
+        const response = await request(`${options.targets[index % options.targets.length]!}/v1/chat/completions`, {
+            method: "POST",
+            dispatcher,
+            headers: { "content-type": "application/json", "x-request-timeout-ms": String(options.timeoutMs) },
+            body: JSON.stringify({
+                model: options.models[index % options.models.length],
+                messages: [{ role: "user", content: message }],
+                max_tokens: options.maxTokens,
+                stream: options.stream,
+            }),
+        });
+        const text = await response.body.text();
+        if (response.statusCode !== 200) {
+            const code = /"code":\s*"([^"]+)"/.exec(text)?.[1] ?? "none";
+            return { kind: "refused", detail: `${response.statusCode} ${code}`, ms: elapsed() };
+        }
+        const isComplete = text.includes(message) && (!options.stream || text.includes("[DONE]"));
+        return { kind: isComplete ? "complete" : "wrong", detail: "", ms: elapsed() };
+    }
+    catch (cause) {
+        return { kind: "broken", detail: String(cause), ms: elapsed() };
+    }
+}
+
+function percentile(sorted: readonly number[], share: number): number {
+    const value = sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0;
+    return Math.round(value * 10) / 10;
+}
+
+function toReport(outcomes: readonly Outcome[], timeoutMs: number): LoadReport {
+    const count = (kind: Outcome["kind"]): number => outcomes.filter(outcome => outcome.kind === kind).length;
+    const refusals: Record<string, number> = {};
+    for (const { kind, detail } of outcomes) if (kind === "refused") refusals[detail] = (refusals[detail] ?? 0) + 1;
+    const times = outcomes.filter(outcome => outcome.kind === "complete").map(outcome => outcome.ms).sort((a, b) =>
+        a - b
+    );
+    return {
+        sentCount: outcomes.length,
+        completeCount: count("complete"),
+        refusals,
+        brokenCount: count("broken"),
+        wrongCount: count("wrong"),
+        p50Ms: percentile(times, 0.5),
+        p99Ms: percentile(times, 0.99),
+        maxMs: percentile(times, 1),
+        lateCount: outcomes.filter(outcome => outcome.ms > timeoutMs + GRACE_MS).length,
+    };
+}
+
+/**
+ * Sends chat requests at a fixed rate, whether or not earlier ones have been answered.
+ *
+ * @example
+ * const report = await runLoad({ targets: ["http://127.0.0.1:8080"], models: ["diagnosis"], requestsPerSecond: 50,
+ *     durationMs: 10_000, timeoutMs: 5000, maxTokens: 32, stream: false });
+ */
+export async function runLoad(options: LoadOptions): Promise<LoadReport> {
+    const dispatcher = new Agent({ pipelining: 1, headersTimeout: 0, bodyTimeout: 0 });
+    const outcomes: Promise<Outcome>[] = [];
+    const startMs = performance.now();
+    await new Promise<void>(resolve => {
+        const tick = setInterval(() => {
+            const elapsedMs = Math.min(performance.now() - startMs, options.durationMs);
+            const dueCount = Math.floor((elapsedMs / 1000) * options.requestsPerSecond);
+            while (outcomes.length < dueCount) outcomes.push(sendOne(options, outcomes.length, dispatcher));
+            if (elapsedMs < options.durationMs) return;
+            clearInterval(tick);
+            resolve();
+        }, 5);
+    });
+    const report = toReport(await Promise.all(outcomes), options.timeoutMs);
+    await dispatcher.destroy();
+    return report;
+}
