--- a/packages/router/src/runtime/answer-relay.ts
+++ b/packages/router/src/runtime/answer-relay.ts
@@ -59,9 +59,9 @@
 
     /** Ends the answer; returns false when it was not complete. */
     end(): boolean {
-        const { writer, head, spec } = this.options;
+        const { writer, head } = this.options;
         if (this.holding) {
-            writer.sendWhole(head, spec.method === "HEAD" ? undefined : Buffer.concat(this.held));
+            writer.sendWhole(head, this.held.length === 1 ? this.held[0]! : Buffer.concat(this.held));
             return true;
         }
         if (this.tail === undefined || this.tail.isComplete) {
@@ -105,7 +105,7 @@
 
 function mayHold(head: AnswerHead, spec: RequestSpec, maxBufferedBytes: number): boolean {
     if (isEventStream(head)) return false;
-    if (spec.method === "HEAD") return false;
+    if (spec.method === "HEAD" || head.status === 204 || head.status === 304) return false;
     const length = Number(head.headers["content-length"] ?? NaN);
     if (spec.target.modelId !== undefined) return Number.isNaN(length) || length <= maxBufferedBytes;
     return length <= MAX_HELD_PLAIN_BYTES;
--- a/packages/router/src/runtime/attempt.ts
+++ b/packages/router/src/runtime/attempt.ts
@@ -14,14 +14,26 @@
     onLateChunk(): void;
 }
 
+export interface AttemptOptions {
+    readonly attemptId: AttemptId;
+    readonly server: ServerState;
+    readonly sentAtMs: number;
+    readonly expectedMs: number;
+    readonly isWarm: boolean;
+    readonly owner: AttemptOwner;
+}
+
 export class CancelledError extends Error {}
 
 /** One dispatch of a request to one agent; owns the exchange with that agent. */
 export class Attempt implements Dispatcher.DispatchHandler {
     readonly attemptId: AttemptId;
     readonly server: ServerState;
-    readonly isHedge: boolean;
     readonly sentAtMs: number;
+    /** Time to the first byte that this server was expected to take. */
+    readonly expectedMs: number;
+    /** The server was known to have the model loaded, so its time says how fast it is. */
+    readonly isWarm: boolean;
     /** A byte of the request may have left this process. */
     wasSent = false;
     head: AnswerHead | undefined;
@@ -30,12 +42,13 @@
     private ended = false;
     private cancelled = false;
 
-    constructor(attemptId: AttemptId, server: ServerState, isHedge: boolean, sentAtMs: number, owner: AttemptOwner) {
-        this.attemptId = attemptId;
-        this.server = server;
-        this.isHedge = isHedge;
-        this.sentAtMs = sentAtMs;
-        this.owner = owner;
+    constructor(options: AttemptOptions) {
+        this.attemptId = options.attemptId;
+        this.server = options.server;
+        this.sentAtMs = options.sentAtMs;
+        this.expectedMs = options.expectedMs;
+        this.isWarm = options.isWarm;
+        this.owner = options.owner;
     }
 
     start(pool: Pool, spec: RequestSpec, remainingMs: number): void {
--- a/packages/router/src/runtime/request-task.ts
+++ b/packages/router/src/runtime/request-task.ts
@@ -1,5 +1,4 @@
-import type { ConfigView } from "@skylarkmill/config";
-import type { AdmissionDecision, ServerView } from "@skylarkmill/policy";
+import type { ServerView } from "@skylarkmill/policy";
 import { type Execution, HEADERS, type Refusal, type ServerId } from "@skylarkmill/protocol";
 import type { RouterContext } from "../types/context.ts";
 import type { AnswerHead, RequestSpec } from "../types/request.ts";
@@ -12,6 +11,7 @@
 import type { AnswerWriter } from "./answer-writer.ts";
 import { type AttemptEvent, type AttemptState, INITIAL_STATE, nextAttemptState } from "./attempt-chart.ts";
 import { Attempt, type AttemptOwner } from "./attempt.ts";
+import { admit, chooseView, waitOf } from "./choice.ts";
 import { ServerWait } from "./server-wait.ts";
 
 /** Time after the deadline in which an agent's own refusal may still arrive; part of the 100 ms that are allowed. */
@@ -73,54 +73,27 @@
     private choose(): void {
         const now = nowMs();
         const views = this.context.views.forRequest(this.spec, now);
-        const view = this.chooseView(views);
+        const view = chooseView(this.context, this.spec, views, this.tried, now);
         if (view === undefined) return this.onNoServer();
         const server = this.context.directory.get(view.serverId)!;
-        const decision = this.admit(view, now);
+        const decision = admit(this.context, this.spec, view, now);
         if (!decision.admitted) {
             return this.refuse(this.lastRefusal ?? refusals.overloaded(decision.code, decision.retryAfterMs));
         }
         this.send(server, view, "SEND");
     }
 
-    private chooseView(views: readonly ServerView[]): ServerView | undefined {
-        const { spec } = this;
-        const preferred = spec.preferredServerId;
-        if (preferred !== undefined && !this.tried.has(preferred)) {
-            const view = views.find(candidate => candidate.serverId === preferred);
-            if (view !== undefined) return view;
-        }
-        return this.context.policies.chooser.choose({
-            requestId: spec.requestId,
-            serviceId: spec.target.serviceId,
-            modelId: spec.target.modelId,
-            dataCentre: this.context.options.dataCentre,
-            expectedMs: spec.expectedMs,
-            remainingMs: this.remainingMs(),
-            tried: this.tried,
-        }, views);
-    }
-
-    private admit(view: ServerView, now: number): AdmissionDecision {
-        const { policies, counts, config } = this.context;
-        const { serviceId, service } = this.spec.target;
-        return policies.admission.decide({
-            serviceId,
-            nowMs: now,
-            deadlineAtMs: this.spec.deadlineAtMs,
-            expectedMs: this.spec.expectedMs,
-            waitMs: waitOf(view),
-            serviceCount: counts.of(serviceId),
-            totalCount: counts.total,
-            weight: service.weight,
-            totalWeight: totalWeight(config),
-        });
-    }
-
     private send(server: ServerState, view: ServerView, event: "SEND" | "HEDGE"): void {
         const { context, spec } = this;
         const now = nowMs();
-        const attempt = new Attempt(context.newAttemptId(), server, event === "HEDGE", now, this);
+        const attempt = new Attempt({
+            attemptId: context.newAttemptId(),
+            server,
+            sentAtMs: now,
+            expectedMs: spec.expectedMs + waitOf(view),
+            isWarm: view.loaded,
+            owner: this,
+        });
         this.attempts.add(attempt);
         this.tried.add(server.serverId);
         this.step(event);
@@ -131,26 +104,24 @@
     }
 
     private armHedge(attempt: Attempt, view: ServerView): void {
-        const extraMs = waitOf(view);
-        const { expectedMs, highMs } = this.spec;
-        const afterMs = this.context.policies.hedges.hedgeAfterMs(
-            expectedMs + extraMs,
-            highMs + extraMs,
-            view.slowness,
-        );
+        const highMs = this.spec.highMs + waitOf(view);
+        const afterMs = this.context.policies.hedges.hedgeAfterMs(attempt.expectedMs, highMs, view.slowness);
         if (afterMs === undefined || afterMs >= this.remainingMs()) return;
         clearTimeout(this.hedgeTimer);
-        this.hedgeTimer = setTimeout(() => this.hedge(attempt, expectedMs + extraMs), afterMs);
+        this.hedgeTimer = setTimeout(() => this.hedge(attempt), afterMs);
     }
 
-    private hedge(first: Attempt, expectedMs: number): void {
+    private hedge(first: Attempt): void {
         if (this.state !== "sent" || !this.attempts.has(first)) return;
         const now = nowMs();
         const { policies, views, directory } = this.context;
-        policies.stragglers.recordWaiting(first.server.serverId, now - first.sentAtMs, expectedMs, now);
+        if (first.isWarm) {
+            const { serverId } = first.server;
+            policies.stragglers.recordWaiting(serverId, now - first.sentAtMs, first.expectedMs, now);
+        }
         // A server that would have to load the model first can't overtake the first attempt.
         const loaded = views.forRequest(this.spec, now).filter(view => view.loaded && !this.tried.has(view.serverId));
-        const view = this.chooseView(loaded);
+        const view = chooseView(this.context, this.spec, loaded, this.tried, now);
         if (view === undefined || !policies.hedges.tryTake(now)) return;
         this.send(directory.get(view.serverId)!, view, "HEDGE");
     }
@@ -167,6 +138,7 @@
         for (const other of this.attempts) if (other !== attempt) this.cancel(other);
         this.step("HEAD");
         this.recordFirstByte(attempt);
+        this.rememberPrefix(attempt);
         this.relay = new AnswerRelay({
             writer: this.writer,
             spec: this.spec,
@@ -209,6 +181,7 @@
             this.mayHaveRun = true;
             return this.moveOrFail(refusals.backendLost("unknown"), this.spec.idempotent && this.takeRetry());
         }
+        if (isInvalidRequest(error)) return this.refuse(refusals.malformed());
         directory.markUnreachable(attempt.server, nowMs());
         this.tried.delete(attempt.server.serverId);
         this.moveOrFail(refusals.noServer(1000), true);
@@ -354,23 +327,30 @@
     }
 
     private recordFirstByte(attempt: Attempt): void {
+        if (!attempt.isWarm) return;
         const { policies } = this.context;
         const now = nowMs();
         const waitedMs = now - attempt.sentAtMs;
-        policies.stragglers.record(attempt.server.serverId, waitedMs, this.spec.expectedMs, now);
+        policies.stragglers.record(attempt.server.serverId, waitedMs, attempt.expectedMs, now);
         policies.estimator.record(this.spec.group, waitedMs);
     }
-}
 
-/** Time before the chosen server starts the request: its queue and, for a cold model, the load. */
-function waitOf(view: ServerView): number {
-    return (view.backlogMs / view.slotCount) + (view.loaded ? 0 : view.expectedLoadMs);
+    private rememberPrefix(attempt: Attempt): void {
+        const { modelId, adapterId } = this.spec.target;
+        if (modelId === undefined || this.spec.prompt === "") return;
+        this.context.policies.affinity.record(
+            attempt.server.serverId,
+            modelId,
+            adapterId,
+            this.spec.prompt,
+            nowMs(),
+        );
+    }
 }
 
-function totalWeight(config: ConfigView): number {
-    let total = 0;
-    for (const service of config.services().values()) total += service.config.weight;
-    return total;
+/** undici refuses to send it, such as a header value with a control character. */
+function isInvalidRequest(error: Error): boolean {
+    return (error as NodeJS.ErrnoException).code === "UND_ERR_INVALID_ARG";
 }
 
 /** Another server may take what one can't take now; a fault of the request stays one everywhere. */
--- a/packages/router/src/utils/read-body.ts
+++ b/packages/router/src/utils/read-body.ts
@@ -3,6 +3,9 @@
 import type { IncomingMessage } from "node:http";
 import { refusals } from "./refusals.ts";
 
+/** A body up to this many times the limit is read to its end, since many callers read the answer only then. */
+const DISCARDED_FACTOR = 4;
+
 /**
  * Reads a request body of limited length. `undefined` as an error: the caller disconnected.
  *
@@ -14,11 +17,10 @@
     maxBytes: number,
     timeoutMs: number,
 ): Promise<Result<Buffer, Refusal | undefined>> {
-    if (Number(incoming.headers["content-length"] ?? 0) > maxBytes) {
-        return Promise.resolve(err(refusals.bodyTooLarge(maxBytes)));
-    }
+    const tooLarge = err(refusals.bodyTooLarge(maxBytes));
+    if (Number(incoming.headers["content-length"] ?? 0) > maxBytes * DISCARDED_FACTOR) return Promise.resolve(tooLarge);
     return new Promise(resolve => {
-        const chunks: Buffer[] = [];
+        let chunks: Buffer[] = [];
         let sizeBytes = 0;
         const timer = setTimeout(() => settle(err(refusals.bodyTimeout())), timeoutMs);
         const settle = (result: Result<Buffer, Refusal | undefined>) => {
@@ -28,11 +30,16 @@
         };
         incoming.on("data", (chunk: Buffer) => {
             sizeBytes += chunk.length;
-            if (sizeBytes > maxBytes) settle(err(refusals.bodyTooLarge(maxBytes)));
-            else chunks.push(chunk);
+            if (sizeBytes <= maxBytes) chunks.push(chunk);
+            else chunks = [];
+            if (sizeBytes > maxBytes * DISCARDED_FACTOR) settle(tooLarge);
         });
-        incoming.once("end", () => settle(ok(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks))));
+        incoming.once("end", () => settle(sizeBytes > maxBytes ? tooLarge : ok(join(chunks))));
         incoming.once("error", () => settle(err(undefined)));
         incoming.once("close", () => settle(err(undefined)));
     });
 }
+
+function join(chunks: readonly Buffer[]): Buffer {
+    return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
+}
