fix(protocol): send the peers' key in a header of its own

Cause: agents refused every routed request with bad_peer_key; the agent expected the key in authorization, which the router passes on from the caller. Change: header x-skylarkmill-peer-key between router and agent; authorization goes through to the backend server, and a plain service gets the caller's own request id.

--- a/packages/agent/src/node/request-server.ts
+++ b/packages/agent/src/node/request-server.ts
@@ -81,7 +81,7 @@
     const outgoing = context.env.outgoing;
     const { raw } = context.req;
     const header = (name: string): string | undefined => context.req.header(name);
-    if (!acceptsKey(header("authorization"), options.peerKeys())) return refuse(REFUSALS.unauthorized());
+    if (!acceptsKey(header(HEADERS.peerKey), options.peerKeys())) return refuse(REFUSALS.unauthorized());
     const head = parseRequestHead(header, Date.now());
     if (head.isErr()) return refuse(REFUSALS.badHead(head.error));
     if (Number(header("content-length") ?? 0) > options.maxBodyBytes) return refuse(REFUSALS.bodyTooLarge());
--- a/packages/agent/src/runtime/attempt.ts
+++ b/packages/agent/src/runtime/attempt.ts
@@ -85,9 +85,10 @@
     }
 
     private ownHeaders(): Record<string, string> {
-        const requestId = { [HEADERS.requestId]: this.options.head.attemptId };
+        const { isModelService, head } = this.options;
+        if (!isModelService) return { [HEADERS.requestId]: head.requestId };
         // A compressed answer could not be checked.
-        return this.options.isModelService ? { ...requestId, "accept-encoding": "identity" } : requestId;
+        return { [HEADERS.requestId]: head.attemptId, "accept-encoding": "identity" };
     }
 
     private async answerPlain(response: Dispatcher.ResponseData): Promise<AgentAnswer> {
--- a/packages/agent/src/utils/forwarded-headers.ts
+++ b/packages/agent/src/utils/forwarded-headers.ts
@@ -19,7 +19,7 @@
 
 /** The peers' key and the headers between router and agent are not for the backend server. */
 const INTERNAL_HEADERS = new Set<string>([
-    "authorization",
+    HEADERS.peerKey,
     HEADERS.requestId,
     HEADERS.requestTimeoutMs,
     HEADERS.attemptId,
--- a/packages/protocol/src/types/headers.ts
+++ b/packages/protocol/src/types/headers.ts
@@ -4,6 +4,8 @@
     requestTimeoutMs: "x-request-timeout-ms",
     idempotencyKey: "idempotency-key",
     idempotencyReplayed: "idempotency-replayed",
+    /** The peers' key; `authorization` belongs to the caller and the backend server. */
+    peerKey: "x-skylarkmill-peer-key",
     attemptId: "x-skylarkmill-attempt-id",
     /** Milliseconds that remain until the request's deadline. */
     deadlineMs: "x-skylarkmill-deadline-ms",
--- a/packages/router/src/runtime/attempt.ts
+++ b/packages/router/src/runtime/attempt.ts
@@ -51,12 +51,12 @@
         this.owner = options.owner;
     }
 
-    start(pool: Pool, spec: RequestSpec, remainingMs: number): void {
+    start(pool: Pool, spec: RequestSpec, remainingMs: number, peerKey: string): void {
         this.server.outstandingCount += 1;
         pool.dispatch({
             method: spec.method,
             path: spec.path,
-            headers: toAgentHeaders(spec, this.attemptId, remainingMs),
+            headers: toAgentHeaders(spec, this.attemptId, remainingMs, peerKey),
             body: spec.body,
         }, this);
     }
@@ -117,10 +117,12 @@
     }
 }
 
-function toAgentHeaders(spec: RequestSpec, attemptId: AttemptId, remainingMs: number): string[] {
+function toAgentHeaders(spec: RequestSpec, attemptId: AttemptId, remainingMs: number, peerKey: string): string[] {
     const { target } = spec;
     const headers = [
         ...spec.headers,
+        HEADERS.peerKey,
+        peerKey,
         HEADERS.requestId,
         spec.requestId,
         HEADERS.attemptId,
--- a/packages/router/src/runtime/request-task.ts
+++ b/packages/router/src/runtime/request-task.ts
@@ -99,7 +99,8 @@
         this.step(event);
         const reason = event === "HEDGE" ? "hedge" : this.moveCount > 0 ? "moved" : "first";
         context.metrics.attempts.inc({ reason });
-        attempt.start(context.pools.poolOf(server.host), spec, spec.deadlineAtMs - now);
+        const [peerKey = ""] = context.options.peerKeys();
+        attempt.start(context.pools.poolOf(server.host), spec, spec.deadlineAtMs - now, peerKey);
         if (event === "SEND" && spec.idempotent) this.armHedge(attempt, view);
     }
 
--- a/test/agent/fakes/setup.ts
+++ b/test/agent/fakes/setup.ts
@@ -123,7 +123,7 @@
             body: "{}",
             ...init,
             headers: {
-                authorization: `Bearer ${KEY}`,
+                [HEADERS.peerKey]: KEY,
                 "content-type": "application/json",
                 [HEADERS.requestId]: `request-${id}`,
                 [HEADERS.attemptId]: `attempt-${id}`,
--- a/test/agent/serving.test.ts
+++ b/test/agent/serving.test.ts
@@ -89,7 +89,7 @@
             status: 504,
             code: "deadline_exceeded",
         },
-        { name: "wrong key", headers: { ...MODEL, authorization: "Bearer x" }, status: 401, code: "bad_peer_key" },
+        { name: "wrong key", headers: { ...MODEL, [HEADERS.peerKey]: "x" }, status: 401, code: "bad_peer_key" },
     ];
     // Guards against refusals that reach the engine or say something else than "not run".
     it.each(refusals)("refuses a request: $name", async ({ headers, status, code }) => {
