feat(router): probe agents, run the placement duty and serve operators

A router knew only what answers told it, and grants had no planner. It now probes agents within a byte budget, abandons idempotent attempts at agents that stop answering, holds the placement duty when it has the lease, and serves the operators' interface. The peers' key goes to the agent in `authorization`; the caller's own header moves to `x-skylarkmill-caller-authorization` (new name in the protocol's HEADERS).

--- a/packages/protocol/src/types/headers.ts
+++ b/packages/protocol/src/types/headers.ts
@@ -10,6 +10,8 @@
     service: "x-skylarkmill-service",
     model: "x-skylarkmill-model",
     adapter: "x-skylarkmill-adapter",
+    /** The caller's `authorization` header; the header itself carries the peers' key to the agent. */
+    callerAuthorization: "x-skylarkmill-caller-authorization",
     /** `1` on a non-idempotent request. */
     once: "x-skylarkmill-once",
     requestClass: "x-skylarkmill-class",
--- /dev/null
+++ b/packages/router/src/node/control.ts
@@ -0,0 +1,69 @@
+import { createAdaptorServer } from "@hono/node-server";
+import type { ConfigView } from "@skylarkmill/config";
+import { createOperatorApp, createOperatorPeers, createPlacementDuty, type PlacementDuty } from "@skylarkmill/control";
+import type { RecordStore } from "@skylarkmill/coordination";
+import { createPlacementPolicy } from "@skylarkmill/policy";
+import type { ServerId, ServerStatus } from "@skylarkmill/protocol";
+import type { Server } from "node:http";
+import type { DemandTracker } from "../runtime/demand-tracker.ts";
+import type { ServerDirectory } from "../runtime/server-directory.ts";
+import type { ResolvedRouterOptions } from "../types/options.ts";
+import { nowMs } from "../utils/clock.ts";
+
+/** A server whose status is older gets no new grants. */
+const MIN_STATUS_AGE_MS = 15_000;
+/** Bytes of one probe of an agent with some models; with the budget it gives the time of one round over all agents. */
+const ASSUMED_PROBE_BYTES = 600;
+/** Rounds of probes that may be missed. */
+const STATUS_ROUNDS = 3;
+
+export interface ControlOptions {
+    readonly options: ResolvedRouterOptions;
+    readonly records: RecordStore;
+    readonly config: ConfigView;
+    readonly directory: ServerDirectory;
+    readonly demand: DemandTracker;
+}
+
+/** Creates the placement duty; it plans while this router holds the lease. */
+export function createRouterPlacement({ options, records, config, directory, demand }: ControlOptions): PlacementDuty {
+    return createPlacementDuty({
+        processId: options.processId,
+        records,
+        store: options.store,
+        config,
+        membership: options.hostList,
+        policy: createPlacementPolicy(),
+        serverStatuses: () => recentStatuses(directory, options.limits.probeBytesPerSecond),
+        demandPerSecond: modelId => demand.ratePerSecond(modelId, nowMs()),
+        activeTogether: modelId => demand.activeTogether(modelId),
+        logger: options.logger,
+    });
+}
+
+/** Creates the server of the operators' interface; it is not listening yet. */
+export function createOperatorServer({ options, records, config }: ControlOptions): Server {
+    const app = createOperatorApp({
+        records,
+        store: options.store,
+        config,
+        membership: options.hostList,
+        peers: createOperatorPeers({ keys: options.peerKeys }),
+        teamTokens: options.teamTokens,
+        logger: options.logger,
+    });
+    return createAdaptorServer({ fetch: app.fetch, overrideGlobalObjects: false }) as Server;
+}
+
+function recentStatuses(directory: ServerDirectory, bytesPerSecond: number): ReadonlyMap<ServerId, ServerStatus> {
+    const servers = [...directory.all()];
+    const roundMs = servers.length * ASSUMED_PROBE_BYTES * 1000 / bytesPerSecond;
+    const oldestMs = nowMs() - Math.max(MIN_STATUS_AGE_MS, roundMs * STATUS_ROUNDS);
+    return new Map(
+        servers.flatMap(server =>
+            server.status !== undefined && server.statusAtMs >= oldestMs && server.unreachableUntilMs === 0
+                ? [[server.serverId, server.status] as const]
+                : []
+        ),
+    );
+}
--- a/packages/router/src/node/router.ts
+++ b/packages/router/src/node/router.ts
@@ -1,5 +1,6 @@
 import { create } from "@bufbuild/protobuf";
 import { type ConfigView, createConfigView, KEYS } from "@skylarkmill/config";
+import type { PlacementDuty } from "@skylarkmill/control";
 import {
     type ClaimWriter,
     createClaimWriter,
@@ -21,8 +22,10 @@
 import { randomBytes } from "node:crypto";
 import type { Server } from "node:http";
 import { AgentPools } from "../runtime/agent-pools.ts";
+import { DemandTracker } from "../runtime/demand-tracker.ts";
 import { KeyedRequests } from "../runtime/keyed-requests.ts";
 import { Peers } from "../runtime/peers.ts";
+import { Prober } from "../runtime/prober.ts";
 import { RequestCounts } from "../runtime/request-counts.ts";
 import { RequestHandler } from "../runtime/request-handler.ts";
 import { RouterMetrics } from "../runtime/router-metrics.ts";
@@ -38,6 +41,7 @@
     type RouterPorts,
 } from "../types/options.ts";
 import { createCallerServer } from "./caller-server.ts";
+import { type ControlOptions, createOperatorServer, createRouterPlacement } from "./control.ts";
 import { closeServer, listen } from "./listen.ts";
 import { createPeerHandlers } from "./peer-handlers.ts";
 
@@ -65,6 +69,9 @@
     private readonly context: RouterContext;
     private readonly handler: RequestHandler;
     private readonly callerServer: Server;
+    private readonly operatorServer: Server;
+    private readonly placement: PlacementDuty;
+    private readonly prober: Prober;
     private readonly unsubscribes: (() => void)[] = [];
     private peerServer: PeerServer | undefined;
     private lastChangeMs = 0;
@@ -109,6 +116,7 @@
             pools: this.pools,
             metrics: new RouterMetrics(() => counts.total),
             counts,
+            demand: new DemandTracker(),
             newAttemptId: createAttemptIds(),
         };
         this.handler = new RequestHandler(this.context, new KeyedRequests(this.context, this.claims));
@@ -117,6 +125,14 @@
             handler: this.handler,
             isReady: () => this.isReady(),
         });
+        const control: ControlOptions = { ...this.context, records: this.records };
+        this.operatorServer = createOperatorServer(control);
+        this.placement = createRouterPlacement(control);
+        this.prober = new Prober({
+            context: this.context,
+            peers: this.peers,
+            probesAll: () => this.placement.held,
+        });
     }
 
     start(): ResultAsync<RouterPorts, SkylarkmillError> {
@@ -130,8 +146,12 @@
         this.directory.start();
         return this.startPeerServer().andThen(peerPort => {
             this.records.start();
-            return listen(this.callerServer, this.options.listen, "caller.listen")
-                .map(port => ({ port, operatorPort: 0, peerPort }));
+            this.placement.start();
+            this.prober.start();
+            const { listen: callers, operatorListen } = this.options;
+            return listen(this.operatorServer, operatorListen, "operator.listen").andThen(operatorPort =>
+                listen(this.callerServer, callers, "caller.listen").map(port => ({ port, operatorPort, peerPort }))
+            );
         });
     }
 
@@ -139,6 +159,9 @@
         this.handler.stop();
         await this.context.counts.untilIdle();
         await closeServer(this.callerServer);
+        await closeServer(this.operatorServer);
+        this.prober.stop();
+        await this.placement.stop();
         await this.claims.stop();
         for (const unsubscribe of this.unsubscribes) unsubscribe();
         this.directory.stop();
@@ -182,7 +205,7 @@
             draining: this.handler.isStopping,
             versions: [...this.records.versions()],
             lastChangeMs: Math.min(this.lastChangeMs, 0xffff_ffff),
-            duties: [],
+            duties: this.placement.held ? ["placement"] : [],
             problems: [...this.config.problems()],
         });
     }
--- a/packages/router/src/runtime/attempt.ts
+++ b/packages/router/src/runtime/attempt.ts
@@ -20,6 +20,7 @@
     readonly sentAtMs: number;
     readonly expectedMs: number;
     readonly isWarm: boolean;
+    readonly isIdempotent: boolean;
     readonly owner: AttemptOwner;
 }
 
@@ -34,6 +35,7 @@
     readonly expectedMs: number;
     /** The server was known to have the model loaded, so its time says how fast it is. */
     readonly isWarm: boolean;
+    readonly isIdempotent: boolean;
     /** A byte of the request may have left this process. */
     wasSent = false;
     head: AnswerHead | undefined;
@@ -48,15 +50,19 @@
         this.sentAtMs = options.sentAtMs;
         this.expectedMs = options.expectedMs;
         this.isWarm = options.isWarm;
+        this.isIdempotent = options.isIdempotent;
         this.owner = options.owner;
     }
 
-    start(pool: Pool, spec: RequestSpec, remainingMs: number): void {
+    /** Sends the request; `peerKey` proves to the agent that a router sends it. */
+    start(pool: Pool, spec: RequestSpec, remainingMs: number, peerKey: string): void {
         this.server.outstandingCount += 1;
+        this.server.usedAtMs = this.sentAtMs;
+        this.server.waiting.add(this);
         pool.dispatch({
             method: spec.method,
             path: spec.path,
-            headers: toAgentHeaders(spec, this.attemptId, remainingMs),
+            headers: toAgentHeaders(spec, this.attemptId, remainingMs, peerKey),
             body: spec.body,
         }, this);
     }
@@ -69,6 +75,13 @@
         this.finish();
     }
 
+    /** Gives up on a server that has stopped to answer, as if the connection had broken. */
+    abandon(error: Error): void {
+        if (this.ended || this.cancelled) return;
+        this.cancel();
+        this.owner.onLost(this, error);
+    }
+
     pause(): void {
         this.controller?.pause();
     }
@@ -90,6 +103,7 @@
     ): void {
         if (this.cancelled || status < 200) return;
         this.head = { status, headers };
+        this.server.waiting.delete(this);
         this.owner.onHead(this, this.head);
     }
 
@@ -113,14 +127,17 @@
     private finish(): void {
         if (this.ended) return;
         this.ended = true;
+        this.server.waiting.delete(this);
         this.server.outstandingCount -= 1;
     }
 }
 
-function toAgentHeaders(spec: RequestSpec, attemptId: AttemptId, remainingMs: number): string[] {
+function toAgentHeaders(spec: RequestSpec, attemptId: AttemptId, remainingMs: number, peerKey: string): string[] {
     const { target } = spec;
     const headers = [
         ...spec.headers,
+        "authorization",
+        `Bearer ${peerKey}`,
         HEADERS.requestId,
         spec.requestId,
         HEADERS.attemptId,
@@ -129,9 +146,8 @@
         String(Math.max(1, Math.ceil(remainingMs))),
         HEADERS.service,
         target.serviceId,
-        HEADERS.requestClass,
-        spec.requestClass.name,
     ];
+    if (spec.requestClass.name !== "default") headers.push(HEADERS.requestClass, spec.requestClass.name);
     if (target.modelId !== undefined) headers.push(HEADERS.model, target.modelId);
     if (target.adapterId !== undefined) headers.push(HEADERS.adapter, target.adapterId);
     if (!spec.idempotent) headers.push(HEADERS.once, "1");
--- /dev/null
+++ b/packages/router/src/runtime/demand-tracker.ts
@@ -0,0 +1,74 @@
+import type { ModelId } from "@skylarkmill/protocol";
+
+/** Half-life of the request rate. */
+const HALF_LIFE_MS = 30_000;
+/** A model without a request for this long is idle; its next request makes it active. */
+const IDLE_AFTER_MS = 60_000;
+/** Models that become active within this time of each other count as active together. */
+const TOGETHER_MS = 10_000;
+/** Companions remembered per model, and activations compared with. */
+const MAX_COMPANIONS = 8;
+const MAX_ACTIVATIONS = 32;
+
+interface Demand {
+    ratePerSecond: number;
+    atMs: number;
+    /** Models that became active at about the same time, the latest last. */
+    readonly companions: Set<ModelId>;
+}
+
+/** Request rates per model and which models become active together, as this router sees them. */
+export class DemandTracker {
+    private readonly demands = new Map<ModelId, Demand>();
+    private readonly activations: { readonly modelId: ModelId; readonly atMs: number; }[] = [];
+
+    record(modelId: ModelId, nowMs: number): void {
+        const demand = this.demands.get(modelId);
+        if (demand === undefined || nowMs - demand.atMs > IDLE_AFTER_MS) this.activate(modelId, nowMs);
+        const current = this.demands.get(modelId)!;
+        // Each request adds what decays to a total of one over time.
+        current.ratePerSecond = decayed(current, nowMs) + Math.LN2 * 1000 / HALF_LIFE_MS;
+        current.atMs = nowMs;
+    }
+
+    /** Recent requests per second. */
+    ratePerSecond(modelId: ModelId, nowMs: number): number {
+        const demand = this.demands.get(modelId);
+        return demand === undefined ? 0 : decayed(demand, nowMs);
+    }
+
+    activeTogether(modelId: ModelId): readonly ModelId[] {
+        return [...this.demands.get(modelId)?.companions ?? []];
+    }
+
+    private activate(modelId: ModelId, nowMs: number): void {
+        const demand = this.demandOf(modelId, nowMs);
+        for (const other of this.activations) {
+            if (nowMs - other.atMs > TOGETHER_MS || other.modelId === modelId) continue;
+            addCompanion(demand, other.modelId);
+            addCompanion(this.demandOf(other.modelId, nowMs), modelId);
+        }
+        this.activations.push({ modelId, atMs: nowMs });
+        if (this.activations.length > MAX_ACTIVATIONS) this.activations.shift();
+    }
+
+    private demandOf(modelId: ModelId, nowMs: number): Demand {
+        let demand = this.demands.get(modelId);
+        if (demand === undefined) {
+            demand = { ratePerSecond: 0, atMs: nowMs, companions: new Set() };
+            this.demands.set(modelId, demand);
+        }
+        return demand;
+    }
+}
+
+function decayed(demand: Demand, nowMs: number): number {
+    return demand.ratePerSecond * 0.5 ** ((nowMs - demand.atMs) / HALF_LIFE_MS);
+}
+
+function addCompanion(demand: Demand, modelId: ModelId): void {
+    demand.companions.delete(modelId);
+    demand.companions.add(modelId);
+    const [oldest] = demand.companions;
+    if (demand.companions.size > MAX_COMPANIONS && oldest !== undefined) demand.companions.delete(oldest);
+}
--- /dev/null
+++ b/packages/router/src/runtime/prober.ts
@@ -0,0 +1,128 @@
+import { toBinary } from "@bufbuild/protobuf";
+import { type ServerStatus, ServerStatusSchema } from "@skylarkmill/protocol";
+import type { RouterContext } from "../types/context.ts";
+import type { ServerState } from "../types/server.ts";
+import { nowMs } from "../utils/clock.ts";
+import { readServerStatus } from "../utils/server-report.ts";
+import type { Peers } from "./peers.ts";
+
+const TICK_MS = 100;
+/** Bytes of a probe beside the status: frames and compressed headers of both directions. */
+const PROBE_OVERHEAD_BYTES = 150;
+/** Budget that may be saved up, so that a start or a wave of failures is seen quickly. */
+const SAVED_BUDGET_SECONDS = 32;
+const MAX_IN_FLIGHT = 8;
+/** A report of this age needs no probe. */
+const FRESH_MS = 2000;
+/** An attempt that waits for so long without any sign from its agent is a reason to probe. */
+const SILENT_MS = 1000;
+const PROBE_TIMEOUT_MS = 1000;
+/** Probes without an answer after which an agent counts as silent. */
+const SILENT_PROBES = 2;
+/** Servers that were used within this time are probed by a router that does not hold the placement duty. */
+const RECENT_USE_MS = 60_000;
+
+export interface ProberOptions {
+    readonly context: RouterContext;
+    readonly peers: Peers;
+    /** All backend servers are probed; otherwise only those in use. */
+    readonly probesAll: () => boolean;
+}
+
+/** Asks agents for their status, within a budget of bytes: with more agents, each is asked more rarely. */
+export class Prober {
+    private readonly options: ProberOptions;
+    private readonly inFlight = new Set<ServerState>();
+    private readonly probedAtMs = new WeakMap<ServerState, number>();
+    private budgetBytes: number;
+    private timer: NodeJS.Timeout | undefined;
+
+    constructor(options: ProberOptions) {
+        this.options = options;
+        this.budgetBytes = this.bytesPerSecond * SAVED_BUDGET_SECONDS;
+    }
+
+    start(): void {
+        this.timer = setInterval(() => this.tick(), TICK_MS);
+    }
+
+    stop(): void {
+        clearInterval(this.timer);
+    }
+
+    private get bytesPerSecond(): number {
+        return this.options.context.options.limits.probeBytesPerSecond;
+    }
+
+    private tick(): void {
+        const savedBytes = this.bytesPerSecond * SAVED_BUDGET_SECONDS;
+        this.budgetBytes = Math.min(savedBytes, this.budgetBytes + this.bytesPerSecond * TICK_MS / 1000);
+        const now = nowMs();
+        const due = this.dueServers(now);
+        for (const server of due) {
+            if (this.budgetBytes <= 0 || this.inFlight.size >= MAX_IN_FLIGHT) return;
+            // The size is not known before the answer; this part bounds what failing probes cost.
+            this.budgetBytes -= PROBE_OVERHEAD_BYTES;
+            void this.probe(server, now);
+        }
+    }
+
+    /** Servers to probe, the most urgent first: silent ones, then those with the oldest report. */
+    private dueServers(now: number): ServerState[] {
+        const due: { server: ServerState; urgency: number; }[] = [];
+        for (const server of this.options.context.directory.all()) {
+            if (this.inFlight.has(server) || server.host.state === "gone") continue;
+            const sinceProbeMs = now - (this.probedAtMs.get(server) ?? -Infinity);
+            const seenMs = Math.min(sinceProbeMs, now - server.reportedAtMs);
+            const silent = seenMs >= SILENT_MS && this.hasSilentAttempt(server, now);
+            const recovering = server.unreachableUntilMs > 0 && server.unreachableUntilMs <= now;
+            if (!silent && !recovering && (seenMs < FRESH_MS || !this.isWatched(server, now))) continue;
+            due.push({ server, urgency: silent || recovering ? Infinity : seenMs });
+        }
+        return due.sort((a, b) => b.urgency - a.urgency).map(entry => entry.server);
+    }
+
+    private hasSilentAttempt(server: ServerState, now: number): boolean {
+        for (const attempt of server.waiting) if (now - attempt.sentAtMs >= SILENT_MS) return true;
+        return false;
+    }
+
+    private isWatched(server: ServerState, now: number): boolean {
+        if (this.options.probesAll() || server.outstandingCount > 0 || server.agentDraining) return true;
+        if (server.status === undefined) return true;
+        return now - server.usedAtMs < RECENT_USE_MS;
+    }
+
+    private async probe(server: ServerState, now: number): Promise<void> {
+        const { context, peers } = this.options;
+        this.inFlight.add(server);
+        this.probedAtMs.set(server, now);
+        try {
+            const request = { routerId: context.options.processId };
+            const status = await peers.clientOf(server.host).calls.probe(request, { timeoutMs: PROBE_TIMEOUT_MS });
+            this.accept(server, status);
+        }
+        catch (error) {
+            this.reject(server, error);
+        }
+        finally {
+            this.inFlight.delete(server);
+        }
+    }
+
+    private accept(server: ServerState, status: ServerStatus): void {
+        this.budgetBytes -= toBinary(ServerStatusSchema, status).length;
+        server.status = status;
+        server.statusAtMs = nowMs();
+        server.missedProbeCount = 0;
+        this.options.context.directory.applyReport(server, readServerStatus(status), nowMs());
+    }
+
+    /** One missed probe proves nothing, since both processes may be busy. */
+    private reject(server: ServerState, error: unknown): void {
+        const { directory, logger } = this.options.context;
+        server.missedProbeCount += 1;
+        logger.debug({ step: "agent.probe", peer: server.serverId, err: error }, "probe failed");
+        if (server.missedProbeCount >= SILENT_PROBES) directory.markSilent(server, nowMs());
+    }
+}
--- a/packages/router/src/runtime/request-handler.ts
+++ b/packages/router/src/runtime/request-handler.ts
@@ -189,6 +189,7 @@
         const { counts } = this.context;
         const { serviceId } = spec.target;
         counts.enter(serviceId);
+        if (spec.target.modelId !== undefined) this.context.demand.record(spec.target.modelId, spec.startedAtMs);
         const onEnded = (end: RequestEnd) => {
             counts.leave(serviceId);
             if (end.kind === "refused") this.context.metrics.refusals.inc({ execution: end.execution });
--- a/packages/router/src/runtime/request-task.ts
+++ b/packages/router/src/runtime/request-task.ts
@@ -92,6 +92,7 @@
             sentAtMs: now,
             expectedMs: spec.expectedMs + waitOf(view),
             isWarm: view.loaded,
+            isIdempotent: spec.idempotent,
             owner: this,
         });
         this.attempts.add(attempt);
@@ -99,7 +100,8 @@
         this.step(event);
         const reason = event === "HEDGE" ? "hedge" : this.moveCount > 0 ? "moved" : "first";
         context.metrics.attempts.inc({ reason });
-        attempt.start(context.pools.poolOf(server.host), spec, spec.deadlineAtMs - now);
+        const peerKey = context.options.peerKeys()[0] ?? "";
+        attempt.start(context.pools.poolOf(server.host), spec, spec.deadlineAtMs - now, peerKey);
         if (event === "SEND" && spec.idempotent) this.armHedge(attempt, view);
     }
 
@@ -138,7 +140,7 @@
         for (const other of this.attempts) if (other !== attempt) this.cancel(other);
         this.step("HEAD");
         this.recordFirstByte(attempt);
-        this.rememberPrefix(attempt);
+        if (head.status === 200) this.rememberModel(attempt);
         this.relay = new AnswerRelay({
             writer: this.writer,
             spec: this.spec,
@@ -227,7 +229,10 @@
         this.wait ??= new ServerWait(
             this.context.directory,
             this.spec.startedAtMs + this.context.options.limits.serverWaitMs,
-            () => this.state === "choosing" && this.choose(),
+            () => {
+                this.moveCount = 0;
+                if (this.state === "choosing") this.choose();
+            },
             () => this.state === "choosing" && this.refuse(this.lastRefusal ?? refusals.noServer(1000)),
         );
         this.wait.arm();
@@ -335,9 +340,10 @@
         policies.estimator.record(this.spec.group, waitedMs);
     }
 
-    private rememberPrefix(attempt: Attempt): void {
+    private rememberModel(attempt: Attempt): void {
         const { modelId, adapterId } = this.spec.target;
-        if (modelId === undefined || this.spec.prompt === "") return;
+        if (modelId === undefined) return;
+        this.context.directory.noteAnswered(attempt.server, modelId, adapterId);
         this.context.policies.affinity.record(
             attempt.server.serverId,
             modelId,
--- a/packages/router/src/runtime/server-directory.ts
+++ b/packages/router/src/runtime/server-directory.ts
@@ -1,7 +1,7 @@
 import { type DrainRecord, KEYS } from "@skylarkmill/config";
 import type { RecordReader } from "@skylarkmill/coordination";
 import type { HostEntry, Membership } from "@skylarkmill/platform";
-import type { ServerId, ServiceId } from "@skylarkmill/protocol";
+import { type AdapterId, type ModelId, type ServerId, type ServiceId, TimeoutError } from "@skylarkmill/protocol";
 import type { ServerReport, ServerState } from "../types/server.ts";
 
 /** Pauses before an agent that refused connections is chosen again. */
@@ -63,14 +63,32 @@
 
     applyReport(server: ServerState, report: ServerReport, nowMs: number): void {
         server.report = report;
+        if (report.models !== undefined) server.models = new Map(report.models);
         server.reportedAtMs = nowMs;
         server.failureCount = 0;
+        server.missedProbeCount = 0;
         const changed = server.agentDraining !== report.draining || server.unreachableUntilMs > 0;
         server.agentDraining = report.draining;
         server.unreachableUntilMs = 0;
         if (changed) this.notify();
     }
 
+    /** An answer of the model came from this server, so the model is loaded there. */
+    noteAnswered(server: ServerState, modelId: ModelId, adapterId: AdapterId | undefined): void {
+        const known = server.models.get(modelId);
+        const knowsAdapter = adapterId === undefined || known?.adapterIds.includes(adapterId) === true;
+        if (known?.state === "ready" && knowsAdapter) return;
+        const adapterIds = knowsAdapter ? known?.adapterIds ?? [] : [...known?.adapterIds ?? [], adapterId];
+        server.models.set(modelId, { state: "ready", adapterIds });
+    }
+
+    /** The agent does not answer although its port is bound; requests that may run twice go elsewhere. */
+    markSilent(server: ServerState, nowMs: number): void {
+        this.markUnreachable(server, nowMs);
+        const error = new TimeoutError("the agent does not answer", { step: "agent.probe", peer: server.serverId });
+        for (const attempt of [...server.waiting]) if (attempt.isIdempotent) attempt.abandon(error);
+    }
+
     /** The agent said that it drains; it gets no new work until a later report says otherwise. */
     markDraining(server: ServerState): void {
         if (server.agentDraining) return;
@@ -113,7 +131,13 @@
             serviceId,
             host,
             report: undefined,
-            reportedAtMs: 0,
+            models: new Map(),
+            waiting: new Set(),
+            status: undefined,
+            statusAtMs: 0,
+            usedAtMs: -Infinity,
+            missedProbeCount: 0,
+            reportedAtMs: -Infinity,
             outstandingCount: 0,
             agentDraining: false,
             operatorDraining: false,
--- a/packages/router/src/runtime/server-views.ts
+++ b/packages/router/src/runtime/server-views.ts
@@ -91,7 +91,7 @@
         const { modelId, model, adapterId } = spec.target;
         const { affinity } = this.options.policies;
         const { report } = server;
-        const loadedModel = modelId === undefined ? undefined : report?.models.get(modelId);
+        const loadedModel = modelId === undefined ? undefined : server.models.get(modelId);
         return {
             serverId: server.serverId,
             dataCentre: server.host.dataCentre,
@@ -114,5 +114,5 @@
 }
 
 function isLoaded(server: ServerState, modelId: string): boolean {
-    return server.report?.models.get(modelId)?.state === "ready";
+    return server.models.get(modelId)?.state === "ready";
 }
--- a/packages/router/src/types/context.ts
+++ b/packages/router/src/types/context.ts
@@ -2,6 +2,7 @@
 import type { AttemptId } from "@skylarkmill/protocol";
 import type Logger from "bunyan";
 import type { AgentPools } from "../runtime/agent-pools.ts";
+import type { DemandTracker } from "../runtime/demand-tracker.ts";
 import type { RequestCounts } from "../runtime/request-counts.ts";
 import type { RouterMetrics } from "../runtime/router-metrics.ts";
 import type { ServerDirectory } from "../runtime/server-directory.ts";
@@ -20,5 +21,6 @@
     readonly pools: AgentPools;
     readonly metrics: RouterMetrics;
     readonly counts: RequestCounts;
+    readonly demand: DemandTracker;
     readonly newAttemptId: () => AttemptId;
 }
--- a/packages/router/src/types/server.ts
+++ b/packages/router/src/types/server.ts
@@ -1,5 +1,5 @@
 import type { HostEntry } from "@skylarkmill/platform";
-import type { ServerId, ServiceId } from "@skylarkmill/protocol";
+import type { ServerId, ServerStatus, ServiceId } from "@skylarkmill/protocol";
 
 /** The part of an agent's ServerStatus that a router uses; JSON form of the message. */
 export interface ServerReport {
@@ -9,7 +9,8 @@
     readonly backlogMs: number;
     readonly slowness: number;
     readonly draining: boolean;
-    readonly models: ReadonlyMap<string, ModelReport>;
+    /** `undefined`: the report did not list the models. */
+    readonly models: ReadonlyMap<string, ModelReport> | undefined;
 }
 
 export interface ModelReport {
@@ -17,13 +18,32 @@
     readonly adapterIds: readonly string[];
 }
 
+/** An attempt that waits for the head of its answer. */
+export interface WaitingAttempt {
+    /** The request may be sent to another server although this one may run it. */
+    readonly isIdempotent: boolean;
+    readonly sentAtMs: number;
+    abandon(error: Error): void;
+}
+
 /** One backend server as this router knows it. */
 export interface ServerState {
     readonly serverId: ServerId;
     readonly serviceId: ServiceId;
     host: HostEntry;
     report: ServerReport | undefined;
+    /** Models as last listed, or as seen from their answers. */
+    models: Map<string, ModelReport>;
     reportedAtMs: number;
+    /** Attempts without the head of an answer. */
+    readonly waiting: Set<WaitingAttempt>;
+    /** Newest full status; the placement reads it. */
+    status: ServerStatus | undefined;
+    statusAtMs: number;
+    /** Time of the last attempt there. */
+    usedAtMs: number;
+    /** Probes without an answer in a row. */
+    missedProbeCount: number;
     /** Attempts of this router in progress there. */
     outstandingCount: number;
     /** The agent said that it drains, in a refusal or in its status. */
--- a/packages/router/src/utils/forwarded-headers.ts
+++ b/packages/router/src/utils/forwarded-headers.ts
@@ -26,6 +26,7 @@
 
 /**
  * Picks the caller's end-to-end headers from Node's raw header list (name and value in turn).
+ * `authorization` gets another name, since the agent expects the peers' key there.
  *
  * @example
  * pickRequestHeaders(["Accept", "text/plain", "Connection", "close"], "close"); // ["accept", "text/plain"]
@@ -36,7 +37,7 @@
     for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
         const name = rawHeaders[i]!.toLowerCase();
         if (HOP_BY_HOP.has(name) || SET_BY_ROUTER.has(name) || named.includes(name)) continue;
-        picked.push(name, rawHeaders[i + 1]!);
+        picked.push(name === "authorization" ? HEADERS.callerAuthorization : name, rawHeaders[i + 1]!);
     }
     return picked;
 }
--- a/packages/router/src/utils/server-report.ts
+++ b/packages/router/src/utils/server-report.ts
@@ -10,10 +10,6 @@
 type RawStatus = Partial<Omit<ServerStatus, "models">> & { readonly models?: readonly RawModel[]; };
 
 function toReport(status: RawStatus): ServerReport {
-    const models = new Map<string, ModelReport>();
-    for (const model of status.models ?? []) {
-        models.set(model.modelId ?? "", { state: model.state ?? "absent", adapterIds: model.adapterIds ?? [] });
-    }
     return {
         queuedCount: status.queuedCount ?? 0,
         runningCount: status.runningCount ?? 0,
@@ -21,10 +17,19 @@
         backlogMs: status.backlogMs ?? 0,
         slowness: (status.slownessPermille ?? 1000) / 1000,
         draining: status.draining ?? false,
-        models,
+        models: status.models === undefined ? undefined : toModels(status.models),
     };
 }
 
+function toModels(models: readonly RawModel[]): ReadonlyMap<string, ModelReport> {
+    return new Map(
+        models.map(model => [
+            model.modelId ?? "",
+            { state: model.state ?? "absent", adapterIds: model.adapterIds ?? [] },
+        ]),
+    );
+}
+
 /** Converts the message of a probe's answer. */
 export function readServerStatus(status: ServerStatus): ServerReport {
     return toReport(status);
--- a/test/router/support/harness.ts
+++ b/test/router/support/harness.ts
@@ -95,6 +95,7 @@
                 stream: { write: (line: string) => this.logged.push(line) } as unknown as NodeJS.WritableStream,
             }),
             ...options,
+            limits: { probeBytesPerSecond: 0, ...options.limits },
         });
         const ports = (await this.router.start())._unsafeUnwrap();
         this.url = `http://127.0.0.1:${ports.port}`;
