--- /dev/null
+++ b/bench/idle-hours.ts
@@ -0,0 +1,106 @@
+import { createRandom, type RandomSource } from "@skylarkmill/policy";
+import { type BenchMeasure, type BenchOptions, type BenchRow, percentile, rounded, sum } from "./bench-measure.ts";
+import type { Deployment } from "./deployments.ts";
+import type { Outcome } from "./shared/bench-router.ts";
+import { Fleet, type PolicySet } from "./shared/fleet.ts";
+import { type BenchRequest, type ModelSpec, RequestGenerator } from "./shared/workload.ts";
+
+const HOURS = 3;
+const HOUR_MS = 3_600_000;
+/** Share of the models that become active or idle each hour; half of these changes are activations. */
+const CHANGES_PER_HOUR = 0.57;
+const ACTIVE_MS = 600_000;
+const REQUESTS_PER_SECOND = 1 / 8;
+/** Models that become active together. */
+const GROUP_SIZE = 3;
+const BURST_MS = 300;
+
+const KEEP_WARM: PolicySet = { residency: { name: "keep-warm" } };
+
+/** Activations of groups of models, each with a first request at every router and then a slow stream. */
+function generateDay(fleet: Fleet, random: RandomSource): BenchRequest[] {
+    const { deployment } = fleet;
+    const generator = new RequestGenerator(deployment, random);
+    const perSecond = deployment.modelCount * CHANGES_PER_HOUR / 2 / GROUP_SIZE / 3_600;
+    const starts = generator.arrivals(0, HOURS * HOUR_MS - ACTIVE_MS, perSecond, () => perSecond);
+    return starts.flatMap(startMs => {
+        const first = random.index(fleet.models.length);
+        const group = Array.from(
+            { length: GROUP_SIZE },
+            (_, index) => fleet.models[(first + index * 7) % fleet.models.length] as ModelSpec,
+        );
+        return group.flatMap(model => generateActivePhase(fleet, generator, random, model, startMs));
+    });
+}
+
+function generateActivePhase(
+    fleet: Fleet,
+    generator: RequestGenerator,
+    random: RandomSource,
+    model: ModelSpec,
+    startMs: number,
+): BenchRequest[] {
+    const classes = fleet.deployment.short.map(requestClass => ({ ...requestClass, timeoutMs: 60_000 }));
+    const pick = () => classes[random.index(classes.length)] as typeof classes[number];
+    const first = Array.from(
+        { length: fleet.deployment.routerCount },
+        (_, router) => generator.create(startMs + BURST_MS * random.fraction(), model.modelId, pick(), router),
+    );
+    const endMs = startMs + ACTIVE_MS * (0.5 + random.fraction());
+    const later = generator.arrivals(startMs + BURST_MS, endMs, REQUESTS_PER_SECOND, () => REQUESTS_PER_SECOND);
+    return [...first, ...later.map(atMs => generator.create(atMs, model.modelId, pick()))];
+}
+
+function runDay(deployment: Deployment, seed: number, policies: PolicySet) {
+    const fleet = new Fleet(deployment, { seed, policies, reportIntervalMs: 5_000 });
+    for (const model of fleet.models) fleet.preload(model.modelId, 1);
+    fleet.submit(generateDay(fleet, createRandom(seed * 7_919)));
+    const outcomes = fleet.run(HOURS * HOUR_MS);
+    const idleByteMs = sum(fleet.servers.map(server => server.idleByteMs));
+    return { fleet, outcomes, idleHours: idleByteMs / deployment.engineMemoryBytes / HOUR_MS };
+}
+
+function coldWaitsMs(outcomes: readonly Outcome[]): { waitsMs: number[]; modelIds: string[]; } {
+    const cold = outcomes.filter(outcome => outcome.waitedForLoad);
+    return {
+        waitsMs: cold.map(outcome =>
+            (outcome.kind === "answer" ? outcome.startedAtMs ?? Infinity : Infinity) - outcome.request.arrivedAtMs
+        ),
+        modelIds: cold.map(outcome => outcome.request.modelId),
+    };
+}
+
+export const idleHours: BenchMeasure = {
+    name: "idle accelerator hours (h)",
+    async run(deployment: Deployment, options: BenchOptions): Promise<BenchRow> {
+        const runs = options.seeds.map(seed => ({
+            ours: runDay(deployment, seed, {}),
+            baseline: runDay(deployment, seed, KEEP_WARM),
+        }));
+        const ours = sum(runs.map(run => run.ours.idleHours));
+        const baseline = sum(runs.map(run => run.baseline.idleHours));
+        const cold = runs.map(run => coldWaitsMs(run.ours.outcomes));
+        const coldP99Ms = percentile(cold.flatMap(run => run.waitsMs), 0.99);
+        const aloneMs = cold.flatMap((run, index) =>
+            run.modelIds.map(modelId =>
+                runs[index]?.ours.fleet.nearestLoad(modelId as ModelSpec["modelId"]).loadMs ?? 0
+            )
+        );
+        const aloneP99Ms = percentile(aloneMs, 0.99);
+        const requestCount = sum(runs.map(run => run.ours.outcomes.length));
+        const baselineCold = sum(runs.map(run => coldWaitsMs(run.baseline.outcomes).waitsMs.length));
+        options.detail(
+            `cold start p99 ${rounded(coldP99Ms)} ms, load alone p99 ${rounded(aloneP99Ms)} ms; requests `
+                + `${requestCount}, cold: ours ${aloneMs.length}, keep warm ${baselineCold}`,
+        );
+        return {
+            measure: idleHours.name,
+            deployment: deployment.name,
+            baseline: rounded(baseline),
+            ours: rounded(ours),
+            ratio: rounded(ours / baseline),
+            target: "<= 0.35, cold start p99 <= 1.3 x load alone",
+            verdict: ours <= 0.35 * baseline && coldP99Ms <= 1.3 * aloneP99Ms ? "pass" : "fail",
+        };
+    },
+};
--- /dev/null
+++ b/bench/peak-load.ts
@@ -0,0 +1,109 @@
+import { createRandom, type RandomSource } from "@skylarkmill/policy";
+import { type BenchMeasure, type BenchOptions, type BenchRow, rounded, sum } from "./bench-measure.ts";
+import type { Deployment, RequestClass } from "./deployments.ts";
+import type { Outcome } from "./shared/bench-router.ts";
+import { Fleet, type PolicySet } from "./shared/fleet.ts";
+import { type BenchRequest, type ModelSpec, RequestGenerator } from "./shared/workload.ts";
+
+const PEAK_AT_MS = 20_000;
+const RISE_MS = 3_000;
+const END_MS = 45_000;
+const FACTOR = 10;
+/** Demand before the peak as a share of the capacity. */
+const BASE_SHARE = 0.25;
+/** Share of long requests in the peak, which consists mostly of bookings and lookups. */
+const LONG_SHARE = 0.05;
+const DURATION_SPREAD = Math.exp(0.4 ** 2 / 2);
+
+const BASELINE: PolicySet = {
+    chooser: { name: "random" },
+    queue: { name: "fifo" },
+    admission: { name: "bounded-queue" },
+    detector: { name: "none" },
+    hedge: { name: "none" },
+    scaling: { name: "fixed", replicas: 3 },
+};
+
+function generatePeak(fleet: Fleet, random: RandomSource): BenchRequest[] {
+    const { deployment } = fleet;
+    const generator = new RequestGenerator(deployment, random);
+    const hot = fleet.models.slice(0, deployment.hotModelCount);
+    const weights = hot.map((_, index) => (index + 1) ** -0.6);
+    const pickClass = (): RequestClass =>
+        random.fraction() < LONG_SHARE
+            ? deployment.long
+            : deployment.short[random.index(deployment.short.length)] as RequestClass;
+    const meanMs = meanDurationMs(deployment);
+    const basePerSecond = BASE_SHARE * deployment.engineCount * deployment.slotCount / meanMs * 1_000;
+    const rate = (atMs: number) =>
+        basePerSecond * (1 + (FACTOR - 1) * Math.min(1, Math.max(0, (atMs - PEAK_AT_MS) / RISE_MS)));
+    return generator.arrivals(0, END_MS, basePerSecond * FACTOR, rate).map(atMs =>
+        generator.create(atMs, pickWeighted(hot, weights, random).modelId, pickClass())
+    );
+}
+
+function meanDurationMs(deployment: Deployment): number {
+    const shortMs = sum(deployment.short.map(other => other.medianMs)) / deployment.short.length;
+    return (shortMs * (1 - LONG_SHARE) + deployment.long.medianMs * LONG_SHARE) * DURATION_SPREAD;
+}
+
+function pickWeighted(models: readonly ModelSpec[], weights: readonly number[], random: RandomSource): ModelSpec {
+    let rest = random.fraction() * sum(weights);
+    const index = weights.findIndex(weight => (rest -= weight) < 0);
+    return models[index < 0 ? 0 : index] as ModelSpec;
+}
+
+/** Slot time spent on answers that arrived before their deadline, as a share of all slot time after the rise. */
+function usefulShare(deployment: Deployment, outcomes: readonly Outcome[]): number {
+    const fromMs = PEAK_AT_MS + RISE_MS;
+    const useful = outcomes.filter(other => other.kind === "answer" && other.endedAtMs <= other.request.deadlineAtMs);
+    const usefulMs = useful.map(other => {
+        const startMs = other.startedAtMs ?? other.endedAtMs;
+        return Math.max(0, Math.min(END_MS, startMs + other.request.workMs) - Math.max(fromMs, startMs));
+    });
+    return sum(usefulMs) / ((END_MS - fromMs) * deployment.engineCount * deployment.slotCount);
+}
+
+function runPeak(deployment: Deployment, seed: number, policies: PolicySet) {
+    const replicas = (index: number, generated: number) => index < deployment.hotModelCount ? 3 : generated;
+    const fleet = new Fleet(deployment, { seed, policies, replicas });
+    for (const model of fleet.models.slice(0, deployment.hotModelCount)) fleet.preload(model.modelId, 1);
+    const requests = generatePeak(fleet, createRandom(seed * 7_919));
+    fleet.submit(requests);
+    const outcomes = fleet.run(END_MS + 120_000);
+    return { requests, outcomes, useful: usefulShare(deployment, outcomes) };
+}
+
+type Run = ReturnType<typeof runPeak>;
+
+const dropped = (run: Run): number => run.requests.length - run.outcomes.length;
+const late = (run: Run): number =>
+    run.outcomes.filter(outcome => outcome.endedAtMs >= outcome.request.deadlineAtMs).length;
+
+export const peakLoad: BenchMeasure = {
+    name: "peak load x10 in 3 s, goodput / capacity",
+    async run(deployment: Deployment, options: BenchOptions): Promise<BenchRow> {
+        const ours = options.seeds.map(seed => runPeak(deployment, seed, {}));
+        const baseline = options.seeds.map(seed => runPeak(deployment, seed, BASELINE));
+        const mean = (runs: readonly Run[]) => sum(runs.map(run => run.useful)) / runs.length;
+        const lateCount = sum(ours.map(late));
+        const droppedCount = sum(ours.map(dropped));
+        const refused = ours.flatMap(run => run.outcomes.filter(outcome => outcome.kind === "refusal"));
+        const atOnce = refused.filter(outcome => outcome.endedAtMs - outcome.request.arrivedAtMs < 100);
+        options.detail(
+            `ours per seed ${ours.map(run => rounded(run.useful)).join(" ")}; requests `
+                + `${sum(ours.map(run => run.requests.length))}, refused ${refused.length}, within 100 ms `
+                + `${atOnce.length}, late ${lateCount}, dropped ${droppedCount}; baseline late `
+                + `${sum(baseline.map(late))}`,
+        );
+        return {
+            measure: peakLoad.name,
+            deployment: deployment.name,
+            baseline: rounded(mean(baseline)),
+            ours: rounded(mean(ours)),
+            ratio: rounded(mean(ours)),
+            target: ">= 0.95, rest refused before deadline, 0 dropped",
+            verdict: mean(ours) >= 0.95 && lateCount === 0 && droppedCount === 0 ? "pass" : "fail",
+        };
+    },
+};
--- /dev/null
+++ b/bench/run.ts
@@ -0,0 +1,59 @@
+import { writeFileSync } from "node:fs";
+import { parseArgs } from "node:util";
+import type { BenchMeasure, BenchRow } from "./bench-measure.ts";
+import { coldStart } from "./cold-start.ts";
+import { deployments } from "./deployments.ts";
+import { idleHours } from "./idle-hours.ts";
+import { peakLoad } from "./peak-load.ts";
+import { shortBehindLong } from "./short-behind-long.ts";
+import { stragglers } from "./stragglers.ts";
+
+/** Further measures are added to this list. */
+const measures: readonly BenchMeasure[] = [coldStart, idleHours, peakLoad, shortBehindLong, stragglers];
+
+const SEEDS = [11, 23, 37, 41, 59, 67];
+
+const { values: flags } = parseArgs({
+    options: {
+        json: { type: "string" },
+        only: { type: "string" },
+        detail: { type: "boolean", default: false },
+        seeds: { type: "string" },
+    },
+});
+
+function printTable(rows: readonly BenchRow[]): void {
+    const header = ["measure", "deployment", "baseline", "ours", "ratio", "target", "verdict"];
+    const lines = [
+        header,
+        ...rows.map(row => [
+            row.measure,
+            row.deployment,
+            String(row.baseline),
+            String(row.ours),
+            String(row.ratio),
+            row.target,
+            row.verdict,
+        ]),
+    ];
+    const widths = header.map((_, column) => Math.max(...lines.map(line => line[column]?.length ?? 0)));
+    for (const line of lines) {
+        console.log(line.map((cell, column) => cell.padEnd(widths[column] ?? 0)).join("  ").trimEnd());
+    }
+}
+
+const seeds = flags.seeds?.split(",").map(Number) ?? SEEDS;
+console.log(`seeds: ${seeds.join(", ")}`);
+
+const rows: BenchRow[] = [];
+for (const measure of measures.filter(other => other.name.includes(flags.only ?? ""))) {
+    for (const deployment of deployments) {
+        const detail = (line: string) => {
+            if (flags.detail) console.log(`${measure.name}, ${deployment.name}: ${line}`);
+        };
+        rows.push(await measure.run(deployment, { seeds, detail }));
+    }
+}
+
+printTable(rows);
+if (flags.json !== undefined) writeFileSync(flags.json, `${JSON.stringify(rows, undefined, 4)}\n`);
--- /dev/null
+++ b/bench/shared/backend-server.ts
@@ -0,0 +1,314 @@
+import type {
+    AdmissionPolicy,
+    QueueEntry,
+    QueueOrder,
+    ResidencyPolicy,
+    ResidentModel,
+    RunningWork,
+} from "@skylarkmill/policy";
+import type { DataCentre, ModelId, ServerId, ServiceId } from "@skylarkmill/protocol";
+import type { EventQueue, ScheduledEvent } from "./event-queue.ts";
+import type { ModelSpec } from "./workload.ts";
+
+export type AttemptEnd = "answer" | "refused";
+
+/** One attempt of a request at one server. */
+export interface Attempt extends QueueEntry {
+    readonly modelId: ModelId;
+    readonly serviceId: ServiceId;
+    readonly workMs: number;
+    startedAtMs: number | undefined;
+    waitedForLoad: boolean;
+    firstToken: () => void;
+    end: (result: AttemptEnd) => void;
+}
+
+/** Share of the duration until the first token. */
+const FIRST_TOKEN_SHARE = 0.2;
+
+/** What a server reports of itself. */
+export interface ServerReport {
+    readonly atMs: number;
+    readonly reportedCount: number;
+    readonly backlogMs: number;
+    readonly loaded: ReadonlySet<ModelId>;
+    readonly loading: ReadonlySet<ModelId>;
+}
+
+export interface BackendServerSettings {
+    readonly serverId: ServerId;
+    readonly dataCentre: DataCentre;
+    readonly slotCount: number;
+    readonly memoryBytes: number;
+    readonly specs: ReadonlyMap<ModelId, ModelSpec>;
+    readonly queue: QueueOrder<Attempt>;
+    readonly admission: AdmissionPolicy;
+    readonly residency: ResidencyPolicy;
+    readonly load: (serverId: ServerId, modelId: ModelId, done: () => void) => void;
+    readonly loadMs: (serverId: ServerId, modelId: ModelId) => number;
+    readonly changed: (server: BackendServer) => void;
+}
+
+interface Loaded {
+    readonly spec: ModelSpec;
+    ready: boolean;
+    loadedAtMs: number;
+    lastUsedAtMs: number;
+    inUseCount: number;
+    idleSinceMs: number | undefined;
+}
+
+interface Running {
+    /** The first token or the end. */
+    nextEvent: ScheduledEvent;
+    firstTokenSent: boolean;
+    remainingMs: number;
+    sinceMs: number;
+}
+
+/** Stand-in for an engine with its agent: slots, memory and loads; the policies decide. */
+export class BackendServer {
+    readonly serverId: ServerId;
+    readonly dataCentre: DataCentre;
+    /** Sum over idle loaded models of memory times time, in byte milliseconds. */
+    idleByteMs = 0;
+    private slowness = 1;
+    private freeBytes: number;
+    private readonly models = new Map<ModelId, Loaded>();
+    private readonly running = new Map<Attempt, Running>();
+    private readonly arrivals = new Map<ModelId, number[]>();
+
+    constructor(private readonly events: EventQueue, private readonly settings: BackendServerSettings) {
+        this.serverId = settings.serverId;
+        this.dataCentre = settings.dataCentre;
+        this.freeBytes = settings.memoryBytes;
+    }
+
+    get slotCount(): number {
+        return this.settings.slotCount;
+    }
+
+    submit(attempt: Attempt): void {
+        const { queue, admission } = this.settings;
+        const arrivals = this.arrivals.get(attempt.modelId) ?? [];
+        this.arrivals.set(attempt.modelId, [...arrivals.slice(-15), this.events.nowMs]);
+        const decision = admission.decide({
+            serviceId: attempt.serviceId,
+            nowMs: this.events.nowMs,
+            deadlineAtMs: attempt.deadlineAtMs,
+            expectedMs: attempt.expectedMs,
+            waitMs: this.waitMs(attempt),
+            serviceCount: queue.size,
+            totalCount: queue.size,
+            weight: 1,
+            totalWeight: 1,
+        });
+        if (!decision.admitted) return attempt.end("refused");
+        queue.push(attempt);
+        this.ensureLoaded(attempt.modelId);
+        this.startReady();
+    }
+
+    cancel(attempt: Attempt): void {
+        const running = this.running.get(attempt);
+        if (running === undefined) {
+            this.settings.queue.remove(attempt.requestId);
+            return;
+        }
+        this.events.cancel(running.nextEvent);
+        this.stop(attempt);
+    }
+
+    /** Starts a load unless the model is there already; returns false when memory is in use. */
+    ensureLoaded(modelId: ModelId): boolean {
+        if (this.models.has(modelId)) return true;
+        const spec = this.settings.specs.get(modelId) as ModelSpec;
+        const evicted = this.settings.residency.evictions(
+            this.resident(),
+            this.freeBytes,
+            spec.memoryBytes,
+            this.events.nowMs,
+        );
+        if (evicted === undefined) return false;
+        for (const other of evicted) this.unload(other);
+        this.insert(spec, false);
+        this.settings.load(this.serverId, modelId, () => this.becomeReady(modelId));
+        this.settings.changed(this);
+        return true;
+    }
+
+    /** Puts a model into memory before the run. */
+    preload(modelId: ModelId): void {
+        const spec = this.settings.specs.get(modelId) as ModelSpec;
+        if (this.models.has(modelId) || spec.memoryBytes > this.freeBytes) return;
+        this.insert(spec, true);
+    }
+
+    unloadIdle(): void {
+        const idle = this.settings.residency.idleModels(this.resident(), this.events.nowMs);
+        for (const modelId of idle) this.unload(modelId);
+        if (idle.length > 0) this.settings.changed(this);
+    }
+
+    /** Changes the speed of all running and later work; 1 is normal, 10 is ten times slower. */
+    setSlowness(slowness: number): void {
+        for (const [attempt, running] of this.running) {
+            running.remainingMs -= (this.events.nowMs - running.sinceMs) / this.slowness;
+            running.sinceMs = this.events.nowMs;
+            this.events.cancel(running.nextEvent);
+            running.nextEvent = this.events.schedule(running.remainingMs * slowness, () => this.advance(attempt));
+        }
+        this.slowness = slowness;
+    }
+
+    report(): ServerReport {
+        const queued = this.settings.queue.entries();
+        const ready = (isReady: boolean) =>
+            new Set([...this.models.values()].filter(model => model.ready === isReady).map(m => m.spec.modelId));
+        return {
+            atMs: this.events.nowMs,
+            reportedCount: queued.length + this.running.size,
+            backlogMs: expectedMs(queued) + expectedMs([...this.running.keys()]),
+            loaded: ready(true),
+            loading: ready(false),
+        };
+    }
+
+    /** Expected duration of the queued requests per model. */
+    queuedMs(): ReadonlyMap<ModelId, number> {
+        const queued = new Map<ModelId, number>();
+        for (const { modelId, expectedMs } of this.settings.queue.entries()) {
+            queued.set(modelId, (queued.get(modelId) ?? 0) + expectedMs);
+        }
+        return queued;
+    }
+
+    holds(modelId: ModelId): boolean {
+        return this.models.has(modelId);
+    }
+
+    settleIdle(): void {
+        for (const model of this.models.values()) this.countIdle(model);
+    }
+
+    private waitMs(attempt: Attempt): number {
+        const model = this.models.get(attempt.modelId);
+        const loadMs = model?.ready === true ? 0 : this.settings.loadMs(this.serverId, attempt.modelId);
+        const runningMs = expectedMs([...this.running.keys()]);
+        return loadMs + (this.settings.queue.waitMs?.(attempt, this.runningWork(), runningMs) ?? 0);
+    }
+
+    private runningWork(): RunningWork {
+        const runningLongCount =
+            [...this.running.keys()].filter(other => this.settings.queue.isLong(other.expectedMs)).length;
+        return { slotCount: this.slotCount, runningCount: this.running.size, runningLongCount };
+    }
+
+    private startReady(): void {
+        const { queue } = this.settings;
+        for (;;) {
+            const attempt = queue.next(this.events.nowMs, this.runningWork(), entry => this.isReady(entry));
+            if (attempt === undefined) return;
+            this.start(attempt);
+        }
+    }
+
+    private isReady(attempt: Attempt): boolean {
+        if (this.models.get(attempt.modelId)?.ready === true) return true;
+        attempt.waitedForLoad = true;
+        return false;
+    }
+
+    private start(attempt: Attempt): void {
+        const model = this.models.get(attempt.modelId) as Loaded;
+        this.countIdle(model);
+        model.inUseCount += 1;
+        model.idleSinceMs = undefined;
+        attempt.startedAtMs = this.events.nowMs;
+        const remainingMs = attempt.workMs * FIRST_TOKEN_SHARE;
+        const nextEvent = this.events.schedule(remainingMs * this.slowness, () => this.advance(attempt));
+        const sinceMs = this.events.nowMs;
+        this.running.set(attempt, { nextEvent, firstTokenSent: false, remainingMs, sinceMs });
+    }
+
+    private advance(attempt: Attempt): void {
+        const running = this.running.get(attempt) as Running;
+        if (!running.firstTokenSent) {
+            running.firstTokenSent = true;
+            running.sinceMs = this.events.nowMs;
+            running.remainingMs = attempt.workMs * (1 - FIRST_TOKEN_SHARE);
+            running.nextEvent = this.events.schedule(
+                running.remainingMs * this.slowness,
+                () => this.advance(attempt),
+            );
+            return attempt.firstToken();
+        }
+        this.stop(attempt);
+        attempt.end("answer");
+    }
+
+    private stop(attempt: Attempt): void {
+        this.running.delete(attempt);
+        const model = this.models.get(attempt.modelId) as Loaded;
+        model.inUseCount -= 1;
+        model.lastUsedAtMs = this.events.nowMs;
+        if (model.inUseCount === 0) model.idleSinceMs = this.events.nowMs;
+        for (const entry of this.settings.queue.entries()) {
+            if (!this.models.has(entry.modelId)) this.ensureLoaded(entry.modelId);
+        }
+        this.startReady();
+    }
+
+    private becomeReady(modelId: ModelId): void {
+        const model = this.models.get(modelId) as Loaded;
+        model.ready = true;
+        model.loadedAtMs = this.events.nowMs;
+        model.idleSinceMs = this.events.nowMs;
+        this.settings.changed(this);
+        this.startReady();
+    }
+
+    private insert(spec: ModelSpec, ready: boolean): void {
+        const nowMs = this.events.nowMs;
+        this.freeBytes -= spec.memoryBytes;
+        this.models.set(spec.modelId, {
+            spec,
+            ready,
+            loadedAtMs: nowMs,
+            lastUsedAtMs: nowMs,
+            inUseCount: 0,
+            idleSinceMs: ready ? nowMs : undefined,
+        });
+    }
+
+    private unload(modelId: ModelId): void {
+        const model = this.models.get(modelId) as Loaded;
+        if (model.inUseCount > 0 || !model.ready) throw new Error(`${modelId} is in use and can't be unloaded`);
+        this.countIdle(model);
+        this.models.delete(modelId);
+        this.freeBytes += model.spec.memoryBytes;
+    }
+
+    private countIdle(model: Loaded): void {
+        if (model.idleSinceMs === undefined) return;
+        this.idleByteMs += model.spec.memoryBytes * (this.events.nowMs - model.idleSinceMs);
+        model.idleSinceMs = this.events.nowMs;
+    }
+
+    private resident(): ResidentModel[] {
+        const waiting = new Set(this.settings.queue.entries().map(entry => entry.modelId));
+        return [...this.models.values()].map(model => ({
+            modelId: model.spec.modelId,
+            memoryBytes: model.spec.memoryBytes,
+            inUseCount: model.inUseCount + (model.ready && !waiting.has(model.spec.modelId) ? 0 : 1),
+            lastUsedAtMs: model.lastUsedAtMs,
+            loadedAtMs: model.loadedAtMs,
+            reloadMs: this.settings.loadMs(this.serverId, model.spec.modelId),
+            arrivalsAtMs: this.arrivals.get(model.spec.modelId) ?? [],
+        }));
+    }
+}
+
+function expectedMs(attempts: readonly Attempt[]): number {
+    return attempts.reduce((total, attempt) => total + attempt.expectedMs, 0);
+}
--- /dev/null
+++ b/bench/shared/weight-store.ts
@@ -0,0 +1,32 @@
+import type { EventQueue } from "./event-queue.ts";
+
+/** Stand-in for the weight store with its permits: a few loads at full speed, the others wait in order. */
+export class WeightStore {
+    private inFlightCount = 0;
+    private readonly waiting: (() => void)[] = [];
+
+    constructor(
+        private readonly events: EventQueue,
+        private readonly maxInFlight: number,
+    ) {}
+
+    /** Runs `done` after the load, which takes `loadMs` once it has started. */
+    load(loadMs: number, done: () => void): void {
+        this.waiting.push(() => {
+            this.events.schedule(loadMs, () => {
+                this.inFlightCount -= 1;
+                done();
+                this.startNext();
+            });
+        });
+        this.startNext();
+    }
+
+    private startNext(): void {
+        if (this.inFlightCount >= this.maxInFlight) return;
+        const start = this.waiting.shift();
+        if (start === undefined) return;
+        this.inFlightCount += 1;
+        start();
+    }
+}
--- /dev/null
+++ b/bench/shared/workload.ts
@@ -0,0 +1,78 @@
+import type { RandomSource } from "@skylarkmill/policy";
+import { type DataCentre, type ModelId, type RequestId, toId } from "@skylarkmill/protocol";
+import type { Deployment, RequestClass } from "../deployments.ts";
+
+export interface ModelSpec {
+    readonly modelId: ModelId;
+    readonly memoryBytes: number;
+    readonly maxReplicas: number;
+    /** Load from the weight store at full speed. */
+    readonly remoteLoadMs: number;
+}
+
+export interface BenchRequest {
+    readonly requestId: RequestId;
+    readonly modelId: ModelId;
+    readonly requestClass: RequestClass;
+    /** Duration on a normal server. */
+    readonly workMs: number;
+    readonly arrivedAtMs: number;
+    readonly deadlineAtMs: number;
+    readonly routerIndex: number;
+}
+
+/** Names the data centre of the server or router with an index. */
+export function dataCentreOf(deployment: Deployment, index: number): DataCentre {
+    return toId<DataCentre>(`dc-${index % deployment.dataCentreCount}`);
+}
+
+/** Models with memory, replica numbers from 1 to 4 and load times in proportion to their memory. */
+export function generateModels(deployment: Deployment, random: RandomSource): ModelSpec[] {
+    const [minBytes, maxBytes] = deployment.modelMemoryBytes;
+    const fullSpeedMs = deployment.loadsInFlight / deployment.loadsPerSecond * 1_000;
+    return Array.from({ length: deployment.modelCount }, (_, index) => {
+        const memoryBytes = minBytes + (maxBytes - minBytes) * random.fraction();
+        return {
+            modelId: toId<ModelId>(`model-${String(index).padStart(2, "0")}`),
+            memoryBytes,
+            maxReplicas: 1 + random.index(4),
+            remoteLoadMs: fullSpeedMs * memoryBytes / ((minBytes + maxBytes) / 2),
+        };
+    });
+}
+
+/** Creates requests with log-normal durations and numbered ids. */
+export class RequestGenerator {
+    private count = 0;
+
+    constructor(private readonly deployment: Deployment, private readonly random: RandomSource) {}
+
+    create(atMs: number, modelId: ModelId, requestClass: RequestClass, routerIndex?: number): BenchRequest {
+        this.count += 1;
+        const arrivedAtMs = atMs + this.deployment.clientMs;
+        return {
+            requestId: toId<RequestId>(`request-${this.count}`),
+            modelId,
+            requestClass,
+            workMs: requestClass.medianMs * Math.exp(0.4 * this.normal()),
+            arrivedAtMs,
+            deadlineAtMs: arrivedAtMs + requestClass.timeoutMs,
+            routerIndex: routerIndex ?? this.random.index(this.deployment.routerCount),
+        };
+    }
+
+    /** Arrival times of a Poisson process whose rate is at most `maxPerSecond`. */
+    arrivals(fromMs: number, untilMs: number, maxPerSecond: number, rate: (atMs: number) => number): number[] {
+        const times: number[] = [];
+        for (let atMs = fromMs;;) {
+            atMs += -Math.log(1 - this.random.fraction()) / maxPerSecond * 1_000;
+            if (atMs >= untilMs) return times;
+            if (this.random.fraction() * maxPerSecond < rate(atMs)) times.push(atMs);
+        }
+    }
+
+    private normal(): number {
+        const radius = Math.sqrt(-2 * Math.log(1 - this.random.fraction()));
+        return radius * Math.cos(2 * Math.PI * this.random.fraction());
+    }
+}
--- /dev/null
+++ b/bench/short-behind-long.ts
@@ -0,0 +1,82 @@
+import { createRandom, type RandomSource } from "@skylarkmill/policy";
+import { type BenchMeasure, type BenchOptions, type BenchRow, percentile, rounded } from "./bench-measure.ts";
+import type { Deployment, RequestClass } from "./deployments.ts";
+import type { Outcome } from "./shared/bench-router.ts";
+import { Fleet, type PolicySet } from "./shared/fleet.ts";
+import { type BenchRequest, type ModelSpec, RequestGenerator } from "./shared/workload.ts";
+
+const END_MS = 120_000;
+/** Figures of the first seconds are left out: the queues still fill. */
+const WARM_UP_MS = 20_000;
+const LONG_SHARE = 0.2;
+/** Slot time asked for, as a share of all slot time. */
+const UTILISATION = 0.75;
+const DURATION_SPREAD = Math.exp(0.4 ** 2 / 2);
+
+const BASELINE: PolicySet = {
+    chooser: { name: "least-reported" },
+    queue: { name: "fifo" },
+    detector: { name: "none" },
+    hedge: { name: "none" },
+};
+
+function generateMix(fleet: Fleet, random: RandomSource): BenchRequest[] {
+    const { deployment } = fleet;
+    const generator = new RequestGenerator(deployment, random);
+    const hot = fleet.models.slice(0, deployment.hotModelCount);
+    const short = deployment.short[0] as RequestClass;
+    const meanMs = (short.medianMs * (1 - LONG_SHARE) + deployment.long.medianMs * LONG_SHARE) * DURATION_SPREAD;
+    const perSecond = UTILISATION * deployment.engineCount * deployment.slotCount / meanMs * 1_000;
+    return generator.arrivals(0, END_MS, perSecond, () => perSecond).map(atMs => {
+        const model = hot[random.index(hot.length)] as ModelSpec;
+        return generator.create(atMs, model.modelId, random.fraction() < LONG_SHARE ? deployment.long : short);
+    });
+}
+
+function runMix(deployment: Deployment, seed: number, policies: PolicySet, withLong: boolean): Outcome[] {
+    const replicas = (index: number, generated: number) => index < deployment.hotModelCount ? 3 : generated;
+    const fleet = new Fleet(deployment, { seed, policies, replicas });
+    for (const model of fleet.models.slice(0, deployment.hotModelCount)) fleet.preload(model.modelId, 3);
+    const requests = generateMix(fleet, createRandom(seed * 7_919));
+    fleet.submit(requests.filter(request => withLong || request.requestClass !== deployment.long));
+    return fleet.run(END_MS + 120_000).filter(outcome => outcome.request.arrivedAtMs >= WARM_UP_MS);
+}
+
+/** A refused request counts with its whole timeout. */
+function latenciesMs(runs: readonly Outcome[][], long: boolean, deployment: Deployment): number[] {
+    return runs.flat()
+        .filter(outcome => (outcome.request.requestClass === deployment.long) === long)
+        .map(outcome =>
+            outcome.kind === "answer"
+                ? outcome.endedAtMs - outcome.request.arrivedAtMs
+                : outcome.request.requestClass.timeoutMs
+        );
+}
+
+export const shortBehindLong: BenchMeasure = {
+    name: "short p99 behind long requests (ms)",
+    async run(deployment: Deployment, options: BenchOptions): Promise<BenchRow> {
+        const run = (policies: PolicySet, withLong: boolean) =>
+            options.seeds.map(seed => runMix(deployment, seed, policies, withLong));
+        const mixed = run({}, true);
+        const ours = percentile(latenciesMs(mixed, false, deployment), 0.99);
+        const alone = percentile(latenciesMs(run({}, false), false, deployment), 0.99);
+        const fifo = run(BASELINE, true);
+        const baseline = percentile(latenciesMs(fifo, false, deployment), 0.99);
+        const long = latenciesMs(mixed, true, deployment);
+        options.detail(
+            `short alone p99 ${rounded(alone)} ms; long p99 ours ${rounded(percentile(long, 0.99))} ms, baseline `
+                + `${rounded(percentile(latenciesMs(fifo, true, deployment), 0.99))} ms; refused `
+                + `${mixed.flat().filter(outcome => outcome.kind === "refusal").length}`,
+        );
+        return {
+            measure: shortBehindLong.name,
+            deployment: deployment.name,
+            baseline: rounded(baseline),
+            ours: rounded(ours),
+            ratio: rounded(ours / alone),
+            target: "<= 1.5 x short alone",
+            verdict: ours <= 1.5 * alone ? "pass" : "fail",
+        };
+    },
+};
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -18,6 +18,7 @@
 export * from "./server-choice/baseline-choosers.ts";
 export * from "./server-choice/create-server-chooser.ts";
 export * from "./server-choice/expected-completion-chooser.ts";
+export { expectedWaitMs } from "./server-choice/expected-wait.ts";
 export * from "./stragglers/create-straggler-detector.ts";
 export * from "./stragglers/straggler-detectors.ts";
 export * from "./types/policies.ts";
--- a/packages/policy/src/queue-order/deadline-order.ts
+++ b/packages/policy/src/queue-order/deadline-order.ts
@@ -61,6 +61,26 @@
         return Math.max(1, slotCount - Math.ceil(slotCount * this.options.shortSlotShare));
     }
 
+    /**
+     * Work of the same length class that goes first, spread over the slots that this class can use.
+     *
+     * @param runningMs sum of the expected durations of the running requests
+     */
+    waitMs(entry: QueueEntry, running: RunningWork, runningMs: number): number {
+        const long = this.isLong(entry.expectedMs);
+        const maxLongCount = this.maxLongCount(running.slotCount);
+        const full = running.runningCount >= running.slotCount;
+        if (!full && (!long || running.runningLongCount < maxLongCount)) return 0;
+        const rankMs = this.rankMs(entry);
+        let aheadMs = runningMs / (running.slotCount + 1);
+        for (const other of this.waiting) {
+            if (other.rankMs > rankMs) break;
+            if (this.isLong(other.entry.expectedMs) === long) aheadMs += other.entry.expectedMs;
+        }
+        const longCount = Math.min(maxLongCount, running.runningLongCount);
+        return aheadMs / Math.max(1, long ? maxLongCount : running.slotCount - longCount);
+    }
+
     private rankMs(entry: QueueEntry): number {
         const { lengthWeight, deadlineWeight, priorityMs, maxDelayMs } = this.options;
         const slackMs = Math.max(0, entry.deadlineAtMs - entry.enqueuedAtMs - entry.expectedMs);
--- a/packages/policy/src/queue-order/fifo-order.ts
+++ b/packages/policy/src/queue-order/fifo-order.ts
@@ -38,4 +38,12 @@
     isLong(expectedMs: number): boolean {
         return expectedMs >= this.longMs;
     }
+
+    /** @param runningMs sum of the expected durations of the running requests */
+    waitMs(_entry: QueueEntry, running: RunningWork, runningMs: number): number {
+        if (running.runningCount < running.slotCount) return 0;
+        let queuedMs = 0;
+        for (const entry of this.waiting.values()) queuedMs += entry.expectedMs;
+        return (queuedMs + runningMs / (running.slotCount + 1)) / running.slotCount;
+    }
 }
--- a/packages/policy/src/server-choice/expected-completion-chooser.ts
+++ b/packages/policy/src/server-choice/expected-completion-chooser.ts
@@ -2,6 +2,7 @@
 import { createRandom, type RandomSource } from "../utils/random.ts";
 import { eligibleServers } from "./baseline-choosers.ts";
 import type { ResolvedServerChooser } from "./create-server-chooser.ts";
+import { expectedCount, expectedWaitMs } from "./expected-wait.ts";
 
 /**
  * Sends a request to the server where it is expected to finish first.
@@ -28,13 +29,9 @@
     /** Expected time until the request is done at the server, in milliseconds. */
     costMs(request: ChoiceRequest, server: ServerView): number {
         const { staleReportMs, crossDataCentreMs, adapterLoadMs, prefixGain, busyShare } = this.options;
-        const freshness = Math.exp(-server.reportAgeMs / staleReportMs);
-        const unseenCount = Math.max(0, server.reportedCount - server.outstandingCount) * freshness;
-        const count = server.outstandingCount + unseenCount;
         const serviceMs = request.expectedMs * (1 - prefixGain * server.prefixMatch);
-        const queuedMs = Math.max(0, count + 1 - server.slotCount) / server.slotCount * request.expectedMs;
-        const waitMs = Math.max(queuedMs, server.backlogMs * freshness);
-        const busyMs = busyShare * serviceMs * count / server.slotCount;
+        const waitMs = expectedWaitMs(server, request.expectedMs, staleReportMs);
+        const busyMs = busyShare * serviceMs * expectedCount(server, staleReportMs) / server.slotCount;
         return (server.loaded ? 0 : server.expectedLoadMs)
             + (server.adapterLoaded ? 0 : adapterLoadMs)
             + (server.dataCentre === request.dataCentre ? 0 : crossDataCentreMs)
--- a/packages/policy/src/stragglers/straggler-detectors.ts
+++ b/packages/policy/src/stragglers/straggler-detectors.ts
@@ -44,6 +44,9 @@
     atMs: number;
 }
 
+/** The median over all servers changes slowly and costs a sort, so it is not taken for every request. */
+const TYPICAL_INTERVAL_MS = 50;
+
 /**
  * Compares what this process observed with what it expected, per server.
  *
@@ -52,6 +55,8 @@
  */
 export class ObservedDetector implements StragglerDetector {
     private readonly observations = new Map<ServerId, Observation>();
+    private typical = 1;
+    private typicalAtMs = -Infinity;
 
     constructor(private readonly options: ResolvedStragglerDetector) {}
 
@@ -90,9 +95,12 @@
     /** Median over all servers: when most are slow, the expectation is wrong and none is a straggler. */
     private typicalRatio(nowMs: number): number {
         if (this.observations.size < 3) return 1;
+        if (Math.abs(nowMs - this.typicalAtMs) < TYPICAL_INTERVAL_MS) return this.typical;
         const ratios = [...this.observations.values()].map(observation => this.decayed(observation, nowMs));
         ratios.sort((a, b) => a - b);
-        return ratios[(ratios.length - 1) >>> 1] ?? 1;
+        this.typical = ratios[(ratios.length - 1) >>> 1] ?? 1;
+        this.typicalAtMs = nowMs;
+        return this.typical;
     }
 
     private keep(serverId: ServerId, ratio: number, nowMs: number): void {
--- a/packages/policy/src/types/policies.ts
+++ b/packages/policy/src/types/policies.ts
@@ -14,6 +14,7 @@
     readonly outstandingCount: number;
     /** Requests queued and running there, as last reported. */
     readonly reportedCount: number;
+    /** Sum of the expected durations of the requests queued and running there, as last reported. */
     readonly backlogMs: number;
     readonly slotCount: number;
     /** Age of the report. */
@@ -69,6 +70,8 @@
     remove(requestId: RequestId): Entry | undefined;
     entries(): readonly Entry[];
     isLong(expectedMs: number): boolean;
+    /** Expected time until the entry would start if it was pushed now, for admission. */
+    waitMs?(entry: QueueEntry, running: RunningWork, runningMs: number): number;
 }
 
 export interface AdmissionRequest {
