fix(stand-ins): number streamed events from 0, as agents expect

Cause: the engine stand-in numbered events from 1 and the agent's check expects 0, so each streamed answer ended as incomplete.

--- a/packages/router/src/utils/forwarded-headers.ts
+++ b/packages/router/src/utils/forwarded-headers.ts
@@ -26,7 +26,6 @@
 
 /**
  * Picks the caller's end-to-end headers from Node's raw header list (name and value in turn).
- * `authorization` gets another name, since the agent expects the peers' key there.
  *
  * @example
  * pickRequestHeaders(["Accept", "text/plain", "Connection", "close"], "close"); // ["accept", "text/plain"]
--- a/packages/stand-ins/src/node/engine-stand-in.ts
+++ b/packages/stand-ins/src/node/engine-stand-in.ts
@@ -102,8 +102,8 @@
 
     async complete(context: StandInContext, schema: typeof chatSchema | typeof completionSchema): Promise<Response> {
         const requestId = context.req.header("x-request-id") ?? randomUUID();
-        const lastSequence = Number(context.req.header("last-event-id"));
-        if (lastSequence > 0) return this.resume(context, requestId, lastSequence);
+        const lastSequence = Number(context.req.header("last-event-id") ?? NaN);
+        if (lastSequence >= 0) return this.resume(context, requestId, lastSequence);
         const body = await readJson(context, schema);
         if ("response" in body) return body.response;
         const model = this.repository.findReady(body.value.model);
@@ -157,7 +157,7 @@
         this.watchReader(context, stream, abort);
         void this.runner
             .run(request, model, fields, abort.signal, count => {
-                if (count > 0 && !stream.isAttachedOnce) stream.attach(context.env.outgoing, 0);
+                if (count > 0 && !stream.isAttachedOnce) stream.attach(context.env.outgoing, -1);
                 stream.produce(count);
             })
             .then(finished => this.finishStream(stream, finished));
--- a/packages/stand-ins/src/runtime/engine-stream.ts
+++ b/packages/stand-ins/src/runtime/engine-stream.ts
@@ -25,13 +25,13 @@
         return this.producedCount >= eventCount(this.request);
     }
 
-    /** Sends all events after `lastSequence` to a reader, those produced already at once. */
+    /** Sends all events after `lastSequence` to a reader, those produced already at once; -1 sends every event. */
     attach(outgoing: ServerResponse, lastSequence: number): void {
         clearTimeout(this.graceTimer);
         this.reader?.destroy();
         this.reader = outgoing;
         this.isAttachedOnce = true;
-        this.sentCount = lastSequence;
+        this.sentCount = lastSequence + 1;
         outgoing.writeHead(200, { "content-type": "text/event-stream", "cache-control": "no-store" });
         outgoing.flushHeaders();
         this.flush();
@@ -58,7 +58,8 @@
     private flush(): void {
         while (this.reader !== undefined && this.sentCount < this.producedCount) {
             this.sentCount++;
-            if (!this.sendFaulty(this.reader, this.sentCount)) this.reader.write(this.event(this.sentCount));
+            const sequence = this.sentCount - 1;
+            if (!this.sendFaulty(this.reader, sequence)) this.reader.write(this.event(sequence));
         }
         if (this.reader !== undefined && this.sentCount >= eventCount(this.request)) this.reader.end();
     }
@@ -69,7 +70,7 @@
 
     /** Applies at most one fault per event, from the second on; returns whether the event has been dealt with. */
     private sendFaulty(reader: ServerResponse, sequence: number): boolean {
-        if (sequence < 2 || sequence >= eventCount(this.request)) return false;
+        if (sequence < 1 || sequence >= eventCount(this.request) - 1) return false;
         if (takeFault(this.faults, "crossed")) {
             const foreign = {
                 ...this.request,
