--- a/test/control/placement.test.ts
+++ b/test/control/placement.test.ts
@@ -166,6 +166,17 @@
         expect(await setup.duty.runRound()).toMatchObject({ writtenCount: 1, deferredCount: 0 });
     });
 
+    // Guards against a resumed holder that undoes what a newer configuration decided.
+    it("leaves a record alone that a newer configuration decided", async () => {
+        const setup = await setUp();
+        const decided = { replicas: 0, section: "main", sectionVersion: 9 };
+        const value = { modelId: "m", grants: [], decided };
+        const change = { key: KEYS.grants("m"), expectedVersion: 0, value, editId: toId<never>("newer") };
+        (await setup.records.write(change))._unsafeUnwrap();
+        expect((await setup.duty.runRound()).writtenCount).toBe(0);
+        expect(setup.grants()).toEqual([]);
+    });
+
     // Guards against control decisions without a trace, and against a trail that grows without bound.
     it("audits each decision and keeps a bounded number of entries", async () => {
         const setup = await setUp();
