--- a/packages/control/src/runtime/config-editor.ts
+++ b/packages/control/src/runtime/config-editor.ts
@@ -138,8 +138,9 @@
             return accepted(edit.section, edit.editId, version, true, changes);
         }
         if (written.error instanceof ConflictError) return this.stale(edit);
-        if (written.error instanceof OutcomeUnknownError) return this.resolveLostAnswer(edit);
-        return this.notWritten(edit, written.error);
+        const answer = await this.resolveFailedWrite(edit);
+        if (written.error instanceof OutcomeUnknownError || answer.status !== 503) return answer;
+        return { ...answer, body: { ...answer.body, thisAttempt: "not_written" } };
     }
 
     private createEntry(edit: SectionEdit, versionBefore: number, changes: readonly string[]): AuditEntry {
@@ -154,7 +155,7 @@
         };
     }
 
-    private async resolveLostAnswer(edit: SectionEdit): Promise<OperatorAnswer> {
+    private async resolveFailedWrite(edit: SectionEdit): Promise<OperatorAnswer> {
         const answer = await this.outcome(edit.section, edit.editId, edit.team);
         const { outcome } = answer.body as { outcome?: string; };
         if (outcome !== "not_accepted") return answer;
