--- a/packages/stand-ins/src/node/host-list-stand-in.ts
+++ b/packages/stand-ins/src/node/host-list-stand-in.ts
@@ -12,6 +12,8 @@
 
 const hostSchema = z.looseObject({ hostId: z.string(), state: z.enum(["live", "leaving", "gone"]) });
 
+const viewSchema = z.record(z.string(), z.record(z.string(), z.unknown()));
+
 export type StandInHost = z.output<typeof hostSchema>;
 
 export interface HostListStandIn extends StandIn {
@@ -22,7 +24,8 @@
 /**
  * Starts a stand-in for the platform's host list: `GET /hosts` answers `{"hosts": [...]}`.
  * Tests control it over `PUT /control/hosts`, `PUT /control/hosts/<hostId>` (`{"state"}`, or `DELETE`),
- * `PUT /control/lag` (`{"lagMs"}`) and `PUT /control/outage` (`{"mode": "none" | "refuse" | "hang"}`).
+ * `PUT /control/lag` (`{"lagMs"}`), `PUT /control/views/<viewer>` (fields that `GET /hosts?viewer=<viewer>` overlays
+ * on a host, such as the port of a fault proxy) and `PUT /control/outage` (`{"mode": "none" | "refuse" | "hang"}`).
  *
  * @example
  * const hosts = await createHostListStandIn({ listen: { host: "127.0.0.1", port: 0 }, lagMs: 500 });
@@ -31,6 +34,7 @@
     const journal = new Journal("hosts");
     const app = createStandInApp(journal);
     const timers = new Set<NodeJS.Timeout>();
+    const views = new Map<string, z.output<typeof viewSchema>>();
     let lagMs = options.lagMs ?? 0;
     let outage = "none";
     let current = options.hosts ?? [];
@@ -54,7 +58,14 @@
     app.get("/hosts", context => {
         if (outage === "refuse") return dropConnection(context);
         if (outage === "hang") return hangForever(context);
-        return context.json({ hosts: visible });
+        const view = views.get(context.req.query("viewer") ?? "") ?? {};
+        return context.json({ hosts: visible.map(host => ({ ...host, ...view[host.hostId] })) });
+    });
+    app.put("/control/views/:viewer", async context => {
+        const request = await readJson(context, viewSchema);
+        if ("response" in request) return request.response;
+        views.set(context.req.param("viewer"), request.value);
+        return context.json({});
     });
     app.put("/control/hosts", async context => {
         const request = await readJson(context, z.object({ hosts: z.array(hostSchema) }));
--- /dev/null
+++ b/test/support/eventually.ts
@@ -0,0 +1,22 @@
+import { setTimeout as sleep } from "node:timers/promises";
+
+/** Asks again until a value is there; fails with the last reason. */
+export async function eventually<T>(
+    what: string,
+    ask: () => Promise<T | undefined> | T | undefined,
+    timeoutMs = 15_000,
+): Promise<T> {
+    const endMs = performance.now() + timeoutMs;
+    let reason = "";
+    while (performance.now() < endMs) {
+        try {
+            const value = await ask();
+            if (value !== undefined) return value;
+        }
+        catch (cause) {
+            reason = `; last error: ${cause instanceof Error ? cause.message : String(cause)}`;
+        }
+        await sleep(20);
+    }
+    throw new Error(`${what} did not happen within ${timeoutMs} ms${reason}`);
+}
--- /dev/null
+++ b/test/support/spawned-process.ts
@@ -0,0 +1,119 @@
+import { type ChildProcess, spawn } from "node:child_process";
+import { existsSync } from "node:fs";
+import { join } from "node:path";
+import { createInterface } from "node:readline";
+
+const bundle = join(import.meta.dirname, "../../dist/skylarkmill.cjs");
+const MAX_LINES = 5000;
+
+export interface ProcessSpec {
+    readonly name: string;
+    readonly args: readonly string[];
+    readonly env?: Readonly<Record<string, string>>;
+}
+
+const running = new Set<ChildProcess>();
+process.once("exit", () => {
+    for (const child of running) child.kill("SIGKILL");
+});
+
+/** A real process of the built bundle; keeps its last output lines. */
+export class SpawnedProcess {
+    readonly spec: ProcessSpec;
+    readonly lines: string[] = [];
+    private readonly waiting = new Set<() => void>();
+    private child: ChildProcess | undefined;
+    exitCode: number | undefined;
+
+    constructor(spec: ProcessSpec) {
+        this.spec = spec;
+    }
+
+    get pid(): number | undefined {
+        return this.child?.pid;
+    }
+
+    get isRunning(): boolean {
+        return this.child !== undefined;
+    }
+
+    /** Starts the process, again after it has ended. */
+    start(): void {
+        if (!existsSync(bundle)) throw new Error("dist/skylarkmill.cjs is missing; run `npm run build`");
+        if (this.child !== undefined) throw new Error(`${this.spec.name} is running`);
+        this.exitCode = undefined;
+        const { PATH = "" } = process.env;
+        const child = spawn(process.execPath, [bundle, ...this.spec.args], {
+            env: { PATH, ...this.spec.env },
+            stdio: ["ignore", "pipe", "pipe"],
+        });
+        this.child = child;
+        running.add(child);
+        for (const stream of [child.stdout, child.stderr]) {
+            createInterface({ input: stream }).on("line", line => this.add(line));
+        }
+        child.once("exit", (code, signal) => {
+            running.delete(child);
+            this.child = undefined;
+            this.exitCode = code ?? -1;
+            this.add(`exited with ${code ?? signal}`);
+        });
+    }
+
+    /** Sends a signal to this process alone. */
+    signal(signal: NodeJS.Signals): void {
+        this.child?.kill(signal);
+    }
+
+    /** Ends the process and resolves once it has exited. */
+    async end(signal: NodeJS.Signals = "SIGKILL"): Promise<void> {
+        if (this.child === undefined) return;
+        this.child.kill(signal);
+        await this.until(() => this.child === undefined, 20_000, "its exit");
+    }
+
+    /** Resolves with the first output line, from `fromLine` on, that matches. */
+    async waitForLine(pattern: RegExp, timeoutMs = 15_000, fromLine = 0): Promise<string> {
+        const find = (): string | undefined => this.lines.slice(fromLine).find(line => pattern.test(line));
+        await this.until(
+            () => {
+                if (find() === undefined && this.child === undefined) throw new Error(this.describe("ended"));
+                return find() !== undefined;
+            },
+            timeoutMs,
+            String(pattern),
+        );
+        return find()!;
+    }
+
+    private add(line: string): void {
+        this.lines.push(line);
+        if (this.lines.length > MAX_LINES) this.lines.shift();
+        for (const wake of this.waiting) wake();
+    }
+
+    private until(condition: () => boolean, timeoutMs: number, what: string): Promise<void> {
+        return new Promise((resolve, reject) => {
+            const timer = setTimeout(() => settle(() => reject(new Error(this.describe(`no ${what}`)))), timeoutMs);
+            const settle = (finish: () => void): void => {
+                clearTimeout(timer);
+                this.waiting.delete(check);
+                finish();
+            };
+            const check = (): void => {
+                try {
+                    if (condition()) settle(resolve);
+                }
+                catch (cause) {
+                    settle(() => reject(cause));
+                }
+            };
+            this.waiting.add(check);
+            check();
+        });
+    }
+
+    private describe(problem: string): string {
+        return `${this.spec.name}: ${problem}; last lines:\n${this.lines.slice(-15).join("\n")}`;
+    }
+}
