--- a/test/support/spawned-process.ts
+++ b/test/support/spawned-process.ts
@@ -105,7 +105,8 @@
                     if (condition()) settle(resolve);
                 }
                 catch (cause) {
-                    settle(() => reject(cause));
+                    const error = cause instanceof Error ? cause : new Error(String(cause));
+                    settle(() => reject(error));
                 }
             };
             this.waiting.add(check);
