--- a/packages/skylarkmill/src/node/logger.ts
+++ b/packages/skylarkmill/src/node/logger.ts
@@ -12,7 +12,7 @@
 }
 
 const HIDDEN = "[redacted]";
-const SECRET_HEADERS = new Set(["authorization", "cookie", "idempotency-key"]);
+const SECRET_HEADERS = new Set(["authorization", "cookie", "idempotency-key", "x-skylarkmill-peer-key"]);
 // Shorter texts could be part of ordinary words.
 const MIN_SECRET_LENGTH = 4;
 
