feat(skylarkmill): check secrets with the other settings and test the bundle as processes

A secret file that could not be read ended the process with a stack trace; it is now one of the reported faults. Events of the engine stand-in are numbered from 0, as the agent expects; from 1 each stream counted as incomplete.

--- a/packages/skylarkmill/src/node/process-parts.ts
+++ b/packages/skylarkmill/src/node/process-parts.ts
@@ -92,7 +92,6 @@
     if (started.isErr()) {
         const { error } = started;
         logger.fatal({ err: error, step: error.step, peer: error.peer }, "start failed");
-        await process.close();
         return 1;
     }
     logger.info({ step: "start", processId: parts.processId, ...started.value }, "listening");
--- a/packages/skylarkmill/src/settings/commands.ts
+++ b/packages/skylarkmill/src/settings/commands.ts
@@ -1,11 +1,12 @@
 import { z } from "zod";
 import type { CommandSettings, SettingTable } from "../types/setting.ts";
+import { parseTeamTokens } from "../utils/secrets.ts";
 import {
     addressSetting,
     countSetting,
     idSetting,
     logLevel,
-    PEER_KEY_GROUP,
+    peerKeySecret,
     processSettings,
     secretFileSetting,
     secretSetting,
@@ -35,7 +36,7 @@
             "File with one <team>=<token> a line; read again when it changes.",
         ),
     },
-    exactlyOneOf: [PEER_KEY_GROUP, ["teamTokens", "teamTokensFile"]],
+    secrets: [peerKeySecret, { variable: "teamTokens", file: "teamTokensFile", parse: parseTeamTokens }],
 });
 
 export const agentSettings = command({
@@ -54,7 +55,7 @@
         },
         maxConnections: countSetting("max-connections", "Connections to the backend server.", 1, 10_000, "256"),
     },
-    exactlyOneOf: [PEER_KEY_GROUP],
+    secrets: [peerKeySecret],
 });
 
 export const devSettings = command({
--- a/packages/skylarkmill/src/settings/common.ts
+++ b/packages/skylarkmill/src/settings/common.ts
@@ -1,5 +1,6 @@
 import { z } from "zod";
-import type { Setting, SettingTable } from "../types/setting.ts";
+import type { SecretSetting, Setting, SettingTable } from "../types/setting.ts";
+import { parsePeerKeys } from "../utils/secrets.ts";
 import { address, httpUrl, httpUrls, id, integer } from "./readers.ts";
 
 const ID_ACCEPTED = "1 to 128 of A-Z, a-z, 0-9, '.', '_', '-', starting with a letter or digit";
@@ -87,4 +88,4 @@
     logLevel,
 } satisfies SettingTable;
 
-export const PEER_KEY_GROUP = ["peerKeys", "peerKeysFile"] as const;
+export const peerKeySecret: SecretSetting = { variable: "peerKeys", file: "peerKeysFile", parse: parsePeerKeys };
--- a/packages/skylarkmill/src/types/setting.ts
+++ b/packages/skylarkmill/src/types/setting.ts
@@ -25,8 +25,16 @@
 /** The settings of one command. */
 export interface CommandSettings<Table extends SettingTable = SettingTable> {
     readonly table: Table;
-    /** Groups of which exactly one setting must be given. */
-    readonly exactlyOneOf?: readonly (readonly string[])[];
+    /** Secrets that come from a variable or a file, one of which must be given. */
+    readonly secrets?: readonly SecretSetting[];
+}
+
+export interface SecretSetting {
+    /** Keys of the variable's and of the file's setting in the table. */
+    readonly variable: string;
+    readonly file: string;
+    /** Throws a `RangeError`, which names no part of the secret, when the text can't be used. */
+    readonly parse: (text: string) => unknown;
 }
 
 export interface SettingFault {
--- a/packages/skylarkmill/src/utils/resolve-settings.ts
+++ b/packages/skylarkmill/src/utils/resolve-settings.ts
@@ -1,8 +1,10 @@
 import { err, ok, type Result } from "neverthrow";
+import { readFileSync } from "node:fs";
 import { z } from "zod";
 import type {
     CommandSettings,
     ParsedArguments,
+    SecretSetting,
     Setting,
     SettingFault,
     SettingTable,
@@ -47,13 +49,25 @@
     return [...flags, ...words];
 }
 
-function groupFaults(settings: CommandSettings, texts: Texts): SettingFault[] {
-    return (settings.exactlyOneOf ?? []).flatMap(group => {
-        const givenCount = group.filter(name => texts[name] !== undefined).length;
-        if (givenCount === 1) return [];
-        const labels = group.map(name => toLabel(settings.table[name]!));
-        return [{ setting: labels.join(" or "), problem: `${givenCount} are set`, expected: "exactly one of them" }];
-    });
+function secretFault(secret: SecretSetting, table: SettingTable, texts: Texts): SettingFault | undefined {
+    const variable = table[secret.variable]!;
+    const file = table[secret.file]!;
+    const text = texts[secret.variable];
+    const path = texts[secret.file];
+    if ((text === undefined) === (path === undefined)) {
+        const problem = text === undefined ? "neither is set" : "both are set";
+        return { setting: `${toLabel(variable)} or ${toLabel(file)}`, problem, expected: "exactly one of them" };
+    }
+    try {
+        secret.parse(text ?? readFileSync(path!, "utf8"));
+        return undefined;
+    }
+    catch (cause) {
+        const reason = cause instanceof Error ? cause.message : String(cause);
+        const setting = text === undefined ? file : variable;
+        const shown = text === undefined ? JSON.stringify(path) : "[redacted]";
+        return { setting: toLabel(setting), problem: `${shown} can't be used: ${reason}`, expected: variable.accepted };
+    }
 }
 
 /**
@@ -75,7 +89,7 @@
     const faults = [
         ...unknownArguments(args, settings.table),
         ...[...faultyKeys].map(key => toFault(settings.table[key]!, texts[key])),
-        ...groupFaults(settings, texts),
+        ...(settings.secrets ?? []).flatMap(secret => secretFault(secret, settings.table, texts) ?? []),
     ];
     if (!parsed.success || faults.length > 0) return err(faults);
     return ok(parsed.data as SettingValues<Table>);
--- a/packages/stand-ins/src/node/engine-stand-in.ts
+++ b/packages/stand-ins/src/node/engine-stand-in.ts
@@ -102,8 +102,8 @@
 
     async complete(context: StandInContext, schema: typeof chatSchema | typeof completionSchema): Promise<Response> {
         const requestId = context.req.header("x-request-id") ?? randomUUID();
-        const lastSequence = Number(context.req.header("last-event-id"));
-        if (lastSequence > 0) return this.resume(context, requestId, lastSequence);
+        const lastEventId = context.req.header("last-event-id");
+        if (lastEventId !== undefined) return this.resume(context, requestId, Number(lastEventId));
         const body = await readJson(context, schema);
         if ("response" in body) return body.response;
         const model = this.repository.findReady(body.value.model);
@@ -184,12 +184,12 @@
 
     private resume(context: StandInContext, requestId: string, lastSequence: number): Response {
         const stream = this.streams.get(requestId);
-        if (stream === undefined) {
+        if (stream === undefined || !Number.isInteger(lastSequence)) {
             return context.json({ error: { message: `no stream ${requestId}`, code: "stream_not_found" } }, 404);
         }
         this.journal.add("stream_resumed", { requestId, lastSequence });
         if (stream.abort !== undefined) this.watchReader(context, stream, stream.abort);
-        stream.attach(context.env.outgoing, lastSequence);
+        stream.attach(context.env.outgoing, lastSequence + 1);
         return RESPONSE_ALREADY_SENT;
     }
 }
--- a/packages/stand-ins/src/runtime/engine-stream.ts
+++ b/packages/stand-ins/src/runtime/engine-stream.ts
@@ -25,13 +25,13 @@
         return this.producedCount >= eventCount(this.request);
     }
 
-    /** Sends all events after `lastSequence` to a reader, those produced already at once. */
-    attach(outgoing: ServerResponse, lastSequence: number): void {
+    /** Sends all events from `nextSequence` on to a reader, those produced already at once. */
+    attach(outgoing: ServerResponse, nextSequence: number): void {
         clearTimeout(this.graceTimer);
         this.reader?.destroy();
         this.reader = outgoing;
         this.isAttachedOnce = true;
-        this.sentCount = lastSequence;
+        this.sentCount = nextSequence;
         outgoing.writeHead(200, { "content-type": "text/event-stream", "cache-control": "no-store" });
         outgoing.flushHeaders();
         this.flush();
@@ -57,8 +57,8 @@
 
     private flush(): void {
         while (this.reader !== undefined && this.sentCount < this.producedCount) {
-            this.sentCount++;
-            if (!this.sendFaulty(this.reader, this.sentCount)) this.reader.write(this.event(this.sentCount));
+            const sequence = this.sentCount++;
+            if (!this.sendFaulty(this.reader, sequence)) this.reader.write(this.event(sequence));
         }
         if (this.reader !== undefined && this.sentCount >= eventCount(this.request)) this.reader.end();
     }
@@ -69,7 +69,7 @@
 
     /** Applies at most one fault per event, from the second on; returns whether the event has been dealt with. */
     private sendFaulty(reader: ServerResponse, sequence: number): boolean {
-        if (sequence < 2 || sequence >= eventCount(this.request)) return false;
+        if (sequence === 0 || sequence >= eventCount(this.request) - 1) return false;
         if (takeFault(this.faults, "crossed")) {
             const foreign = {
                 ...this.request,
--- a/packages/stand-ins/src/utils/engine-answer.ts
+++ b/packages/stand-ins/src/utils/engine-answer.ts
@@ -101,16 +101,16 @@
     return request.tokenCount + 2;
 }
 
-/** Text of one server-sent event; sequence numbers start at 1. */
+/** Text of one server-sent event; sequence numbers start at 0. */
 export function streamEvent(request: EngineRequest, sequence: number, createdS: number): string {
-    if (sequence === eventCount(request)) return `id: ${sequence}\ndata: [DONE]\n\n`;
+    if (sequence === eventCount(request) - 1) return `id: ${sequence}\ndata: [DONE]\n\n`;
     const chunk = {
         id: answerId(request.kind, request.requestId),
         object: request.kind === "chat" ? "chat.completion.chunk" : "text_completion",
         created: createdS,
         model: request.model,
-        choices: [streamChoice(request, sequence - 1)],
-        ...(sequence === eventCount(request) - 1 ? { usage: usage(request) } : {}),
+        choices: [streamChoice(request, sequence)],
+        ...(sequence === eventCount(request) - 2 ? { usage: usage(request) } : {}),
     };
     return `id: ${sequence}\ndata: ${JSON.stringify(chunk)}\n\n`;
 }
--- /dev/null
+++ b/test/cli/cluster.test.ts
@@ -0,0 +1,82 @@
+import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import { type Cluster, startCluster } from "../support/cluster.ts";
+
+const sections = {
+    workshops: {
+        team: "workshops",
+        services: {
+            "workshop-assistant": {
+                kind: "model",
+                models: {
+                    diagnosis: {
+                        memoryBytes: 1_000_000_000,
+                        maxReplicas: 1,
+                        expectedLoadMs: 500,
+                        adapters: ["tandem"],
+                    },
+                },
+            },
+        },
+    },
+    ledger: {
+        team: "ledger",
+        services: { "parts-ledger": { kind: "plain", nonIdempotent: [{ method: "POST", path: "/orders" }] } },
+    },
+};
+
+const linkToLedger = { from: "agent-2", to: "ledger-1" };
+let cluster: Cluster;
+
+beforeAll(async () => {
+    cluster = await startCluster({ sections, engineCount: 1, ledgerCount: 1, links: [linkToLedger] });
+}, 60_000);
+
+afterAll(() => cluster.close());
+
+// Guards against a bundle that starts its roles and serves no request through them.
+describe("the bundle as separate processes", () => {
+    it("serves a cold model through a real load", async () => {
+        await cluster.waitForGrants(["diagnosis"]);
+        const answer = await cluster.chat({ model: "diagnosis", message: "loose chain" });
+        expect(answer).toMatchObject({ status: 200 });
+        expect(answer.text).toContain("loose chain");
+        const loads = (await cluster.journal("engine-1")).filter(event => event.kind === "load_finished");
+        expect(loads).toHaveLength(1);
+    });
+
+    it("runs a keyed order once through two routers", async () => {
+        const first = await cluster.order("key-1", "router-1");
+        const second = await cluster.order("key-1", "router-2");
+        expect([first.status, second.text]).toEqual([201, first.text]);
+        expect(second.headers["idempotency-replayed"]).toBe("true");
+        const runs = (await cluster.journal("ledger-1")).filter(event => event.kind === "execution_started");
+        expect(runs).toHaveLength(1);
+    });
+
+    it("reads an edit back at both routers", async () => {
+        const { version, section } = await cluster.readSection<typeof sections.workshops>("workshops");
+        section.services["workshop-assistant"].models.diagnosis.maxReplicas = 2;
+        expect((await cluster.editSection("workshops", version, section)).status).toBe(200);
+        const readBack = async () => (await cluster.readSection("workshops", "router-2")).version;
+        await expect.poll(readBack, { timeout: 5000 }).toBe(version + 1);
+    });
+
+    // Guards against 'not_run' for an order that ran, or a proxy without effect.
+    it("refuses an order while its agent can't reach the ledger, and runs none", async () => {
+        const countRuns = async () =>
+            (await cluster.journal("ledger-1")).filter(event => event.kind === "execution_started").length;
+        const before = await countRuns();
+        await cluster.fault(linkToLedger, { mode: "cut" });
+        const answer = await cluster.order(undefined);
+        await cluster.fault(linkToLedger, { mode: "pass" });
+        expect(answer.status).toBeGreaterThanOrEqual(500);
+        expect(await countRuns()).toBe(before);
+    });
+
+    // Guards against a process that has to be killed.
+    it("ends with exit code 0 on SIGTERM", async () => {
+        const router = cluster.process("router-2");
+        await router.end("SIGTERM");
+        expect(router.exitCode).toBe(0);
+    });
+});
--- /dev/null
+++ b/test/cli/settings.test.ts
@@ -0,0 +1,118 @@
+import { spawnSync } from "node:child_process";
+import { readFileSync } from "node:fs";
+import { join } from "node:path";
+import { describe, expect, it } from "vitest";
+
+const rootDir = join(import.meta.dirname, "../..");
+
+function run(args: readonly string[], env: Readonly<Record<string, string>> = {}) {
+    const { PATH = "" } = process.env;
+    return spawnSync(process.execPath, ["dist/skylarkmill.cjs", ...args], {
+        cwd: rootDir,
+        env: { PATH, ...env },
+        encoding: "utf8",
+        timeout: 20_000,
+    });
+}
+
+const router = [
+    "router",
+    "--host-id=h1",
+    "--data-centre=edinburgh",
+    "--kv-endpoints=http://127.0.0.1:1",
+    "--hosts-url=http://127.0.0.1:1/hosts",
+    "--peer-listen=127.0.0.1:0",
+];
+const secrets = { SKYLARKMILL_PEER_KEYS: "key-of-peers", SKYLARKMILL_TEAM_TOKENS: "workshops=token-of-team" };
+
+interface SettingsCase {
+    readonly name: string;
+    readonly args: readonly string[];
+    readonly env: Readonly<Record<string, string>>;
+    readonly shows: readonly RegExp[];
+}
+
+// Guards against settings that are wrong and ignored, and against faults reported one at a time.
+describe("invalid settings", () => {
+    const cases: readonly SettingsCase[] = [
+        {
+            name: "several faults at once",
+            args: [...router, "--listen=nowhere", "--hosts-poll-ms=0"],
+            env: { ...secrets, SKYLARKMILL_KV_TIMEOUT_MS: "soon" },
+            shows: [
+                /--listen \(SKYLARKMILL_LISTEN\): "nowhere" .* IP:PORT/,
+                /--hosts-poll-ms .*"0".* from 50 to 60000/,
+                /KV_TIMEOUT_MS\): "soon"/,
+            ],
+        },
+        {
+            name: "missing settings",
+            args: ["agent"],
+            env: {},
+            shows: [/--host-id .*not set/, /--server-id .*not set/, /PEER_KEYS or .*neither is set/],
+        },
+        {
+            name: "an unknown flag and a further word",
+            args: [...router, "--lisen=1", "now"],
+            env: secrets,
+            shows: [/--lisen: unknown/, /argument: "now"/],
+        },
+        {
+            name: "a flag without a value",
+            args: [...router, "--listen"],
+            env: secrets,
+            shows: [/--listen .*"" is not accepted/],
+        },
+        {
+            name: "a secret as a flag",
+            args: [...router, "--peer-keys=key-of-peers"],
+            env: secrets,
+            shows: [/--peer-keys: not a flag; expected the variable/],
+        },
+        {
+            name: "a secret given twice",
+            args: [...router, "--peer-keys-file=x"],
+            env: secrets,
+            shows: [/both are set/],
+        },
+        {
+            name: "a file that is missing",
+            args: [...router, "--peer-keys-file=missing"],
+            env: { SKYLARKMILL_TEAM_TOKENS: "a=b" },
+            shows: [/"missing" can't be used/],
+        },
+        {
+            name: "tokens without a team",
+            args: router,
+            env: { ...secrets, SKYLARKMILL_TEAM_TOKENS: "token-of-team" },
+            shows: [/SKYLARKMILL_TEAM_TOKENS: \[redacted\] can't be used: entry 1/],
+        },
+    ];
+    it.each(cases)("reports $name with exit code 2", ({ args, env, shows }) => {
+        const { status, stderr } = run(args, env);
+        expect(status).toBe(2);
+        for (const pattern of shows) expect(stderr).toMatch(pattern);
+        expect(stderr).not.toMatch(/key-of-peers|token-of-team/);
+    });
+
+    it("reports an unknown command with the list of commands", () => {
+        const { status, stderr } = run(["rooter"]);
+        expect(status).toBe(2);
+        expect(stderr).toMatch(/unknown command "rooter"[\s\S]*stand-in proxy/);
+    });
+});
+
+// Guards against a role that starts to work although it can't bind its port.
+it("ends with exit code 1 and a log line when a port is taken", () => {
+    const { status, stdout } = run([...router, "--listen=192.0.2.1:1"], secrets);
+    expect(status).toBe(1);
+    const lines = stdout.trim().split("\n").map(line => JSON.parse(line) as Record<string, unknown>);
+    expect(lines).toContainEqual(expect.objectContaining({ msg: "start failed", peer: "192.0.2.1:1" }));
+});
+
+// Guards against a page of settings that differs from the program.
+it("has docs/settings.md up to date", () => {
+    const { status, stdout } = run(["settings", "--markdown"]);
+    expect(status).toBe(0);
+    expect(stdout).toBe(readFileSync(join(rootDir, "docs/settings.md"), "utf8"));
+});
