--- a/packages/agent/src/node/agent.ts
+++ b/packages/agent/src/node/agent.ts
@@ -1,35 +1,33 @@
-import { type DrainRecord, KEYS } from "@skylarkmill/config";
+import { KEYS } from "@skylarkmill/config";
 import {
     createPeerServer,
     createPermitClient,
     createRecordStore,
     type PeerServer,
     type PermitClient,
+    type PermitLimit,
     type RecordStore,
 } from "@skylarkmill/coordination";
-import { type SkylarkmillError, UnavailableError } from "@skylarkmill/protocol";
+import { ConflictError, type SkylarkmillError, UnavailableError } from "@skylarkmill/protocol";
 import { err, errAsync, ok, okAsync, type Result, ResultAsync } from "neverthrow";
-import { Attempt, refusalAnswer } from "../runtime/attempt.ts";
 import { BackendTask } from "../runtime/backend-task.ts";
 import { Drain } from "../runtime/drain.ts";
 import { OnceMemory } from "../runtime/once-memory.ts";
 import { ReplicaSet } from "../runtime/replica-set.ts";
 import { StartUp } from "../runtime/start-up.ts";
 import { WaitingRoom } from "../runtime/waiting-room.ts";
-import type { AgentAnswer } from "../types/answer.ts";
 import type { Agent, AgentPorts, ResolvedAgentOptions } from "../types/options.ts";
-import type { Decision } from "../types/request.ts";
 import { createCatalog, type FollowedCatalog } from "../utils/catalog.ts";
-import { toBackendHeaders } from "../utils/forwarded-headers.ts";
-import { REFUSALS } from "../utils/refusals.ts";
 import { loadHeader, serverStatus, type StatusSources } from "../utils/server-status.ts";
 import { EngineOrders } from "./engine-orders.ts";
-import { raiseFence } from "./fence.ts";
+import { Fencing } from "./fencing.ts";
 import { GrantRemover } from "./grant-remover.ts";
+import { followHostSignals } from "./host-signals.ts";
 import { AgentMetrics } from "./metrics.ts";
 import { PeerDirectory } from "./peer-directory.ts";
 import { createPeerHandlers } from "./peer-handlers.ts";
-import { type RequestServer, type RoutedRequest, startRequestServer } from "./request-server.ts";
+import { RequestHandler } from "./request-handler.ts";
+import { type RequestServer, startRequestServer } from "./request-server.ts";
 
 const RECORD_PREFIXES = [KEYS.configPrefix, KEYS.grantsPrefix, KEYS.drainsPrefix];
 
@@ -39,9 +37,9 @@
     private readonly peers: PeerDirectory;
     private readonly records: RecordStore;
     private readonly catalog: FollowedCatalog;
-    private readonly permits: PermitClient;
-    private readonly orders: EngineOrders | undefined;
+    private readonly fencing: Fencing;
     private readonly grants: GrantRemover;
+    private readonly orders: EngineOrders | undefined;
     private readonly replicas: ReplicaSet | undefined;
     private readonly task: BackendTask;
     private readonly drain: Drain;
@@ -50,22 +48,17 @@
     private readonly statusSources: StatusSources;
     private peerServer: PeerServer | undefined;
     private requestServer: RequestServer | undefined;
-    private fencingToken = 0;
-    private unsubscribe: (() => void)[] = [];
+    private lastChangeMs = 0;
+    private ends: (() => void)[] = [];
     private loops: Promise<void>[] = [];
-    private indexTimer: NodeJS.Timeout | undefined;
 
     constructor(private readonly options: ResolvedAgentOptions) {
         this.peers = new PeerDirectory(options);
         this.records = options.records ?? this.createRecords();
-        this.catalog = createCatalog(
-            this.records,
-            options.serverId,
-            options.serviceId,
-            () => this.task.mailbox.post({ kind: "records" }),
-        );
-        this.permits = options.permits ?? this.createPermits();
-        this.grants = new GrantRemover({ ...options.limits, records: this.records, ...options });
+        const onChange = (): void => void this.task.mailbox.post({ kind: "records" });
+        this.catalog = createCatalog(this.records, options.serverId, options.serviceId, onChange);
+        this.fencing = new Fencing(options.store, options.serverId);
+        this.grants = new GrantRemover({ ...options.limits, ...options, records: this.records });
         this.orders = this.createOrders();
         this.replicas = this.orders === undefined ? undefined : this.createReplicas(this.orders);
         this.drain = new Drain(draining => this.task.mailbox.post({ kind: "drain", draining }));
@@ -89,8 +82,7 @@
         await this.task.whenSettled();
         this.drain.finish();
         this.abort.abort();
-        clearInterval(this.indexTimer);
-        for (const end of this.unsubscribe) end();
+        for (const end of this.ends) end();
         this.catalog.close();
         this.orders?.stop();
         this.grants.stop();
@@ -108,20 +100,10 @@
     }
 
     private async bind(): Promise<Result<AgentPorts, SkylarkmillError>> {
-        const { limits, requestListen, peerKeys } = this.options;
-        const deadline = AbortSignal.timeout(limits.bindTimeoutMs);
+        const deadline = AbortSignal.timeout(this.options.limits.bindTimeoutMs);
         await this.startUp.runUntil("readIndex", AbortSignal.any([deadline, this.abort.signal]));
         if (this.peerServer === undefined) return err(this.bindError());
-        const requestServer = await startRequestServer({
-            listen: requestListen,
-            peerKeys,
-            maxBodyBytes: limits.maxBodyBytes,
-            handle: request => this.handle(request),
-            loadHeader: () => loadHeader(this.statusSources),
-            isReady: () => this.isReady,
-            metrics: () => this.metrics.collect(),
-            onRefused: refusal => this.metrics.refused(refusal),
-        });
+        const requestServer = await this.startRequestServer();
         if (requestServer.isErr()) {
             await this.peerServer.close();
             return err(requestServer.error);
@@ -132,85 +114,65 @@
     }
 
     private bindError(): SkylarkmillError {
-        const { host, port } = this.options.peerListen;
-        return new UnavailableError(`The peer port ${host}:${port} stayed taken.`, {
-            step: "peer.listen",
-            peer: `${host}:${port}`,
+        const peer = `${this.options.peerListen.host}:${this.options.peerListen.port}`;
+        return new UnavailableError(`The peer port ${peer} stayed taken.`, { step: "peer.listen", peer });
+    }
+
+    private startRequestServer(): ResultAsync<RequestServer, SkylarkmillError> {
+        const { limits, requestListen, peerKeys } = this.options;
+        const handler = new RequestHandler({
+            ...this.options,
+            task: this.task,
+            metrics: this.metrics,
+            isModelService: this.replicas !== undefined,
+        });
+        return startRequestServer({
+            listen: requestListen,
+            peerKeys,
+            maxBodyBytes: limits.maxBodyBytes,
+            handle: request => handler.handle(request),
+            loadHeader: () => loadHeader(this.statusSources),
+            isReady: () => this.isReady,
+            metrics: () => this.metrics.collect(),
+            onRefused: refusal => this.metrics.refused(refusal),
         });
     }
 
     private runTasks(): void {
-        const { limits, hostList } = this.options;
-        this.records.start();
-        this.unsubscribe = [
-            hostList.subscribe(() => this.readHostState()),
-            this.records.subscribe(KEYS.drain(this.options.hostId), () => this.readDrainRecord()),
+        const { records, drain, options } = this;
+        records.start();
+        const tick = (): void => void this.task.mailbox.post({ kind: "tick" });
+        const timer = setInterval(tick, options.limits.indexIntervalMs);
+        this.ends = [
+            followHostSignals({ ...options, records, drain }),
+            records.subscribe(KEYS.configPrefix, record => {
+                this.lastChangeMs = Math.max(0, Date.now() - record.writtenAtMs);
+            }),
+            () => clearInterval(timer),
         ];
-        this.readHostState();
-        this.readDrainRecord();
-        this.indexTimer = setInterval(() => this.task.mailbox.post({ kind: "tick" }), limits.indexIntervalMs);
         this.loops = [this.task.run(), this.finishStartUp()];
     }
 
     private async finishStartUp(): Promise<void> {
         await this.startUp.runUntil("acceptingLoads", this.abort.signal);
         if (this.abort.signal.aborted) return;
-        this.options.logger.info({ step: "start-up", fencingToken: this.fencingToken }, "agent accepts loads");
-        this.task.mailbox.post({ kind: "accept-loads" });
-    }
-
-    private readHostState(): void {
-        const { hostList, hostId } = this.options;
-        const own = hostList.hosts().find(host => host.hostId === hostId);
-        this.drain.set("host-list", own !== undefined && own.state !== "live");
+        this.options.logger.info({ step: "start-up", fencingToken: this.fencing.token }, "agent accepts loads");
+        this.task.mailbox.post({ kind: "allow-orders", allowed: true });
     }
 
-    private readDrainRecord(): void {
-        const record = this.records.get<DrainRecord>(KEYS.drain(this.options.hostId));
-        if (record === undefined) return;
-        // The operator's end of the drain also ends one that a router announced by call.
-        if (record.value === undefined) this.drain.set("peer", false);
-        this.drain.set("record", record.value !== undefined);
-    }
-
-    private async handle(request: RoutedRequest): Promise<AgentAnswer> {
-        const { head, signal } = request;
-        if (head.serviceId !== this.options.serviceId) return refusalAnswer(REFUSALS.wrongService());
-        const decision = await this.submit(request);
-        if (decision.kind === "refuse") return refusalAnswer(decision.refusal);
-        const { backend, limits } = this.options;
-        const attempt = new Attempt({
-            backend,
-            head,
-            method: request.method,
-            path: request.path,
-            headers: toBackendHeaders(request.headers.entries()),
-            body: request.body,
-            isModelService: this.replicas !== undefined,
-            maxAnswerBytes: limits.maxAnswerBytes,
-            maxResumeCount: limits.maxResumeCount,
-            counters: this.metrics.answers,
-            signal,
-            onFinished: outcome => {
-                this.metrics.finished(outcome);
-                this.task.mailbox.post({ kind: "finished", attemptId: head.attemptId, outcome });
-            },
-        });
-        return attempt.run();
+    /** Grants may have moved while the process was paused, so its records are compared again before further loads. */
+    private onPaused(): void {
+        this.options.logger.warn({ step: "pause" }, "the process was paused; loads wait for an exchange of records");
+        this.peers.forgetExchange();
+        if (this.startUp.notePause()) this.loops.push(this.finishStartUp());
     }
 
-    private submit({ head, signal }: RoutedRequest): Promise<Decision> {
-        return new Promise(resolve => {
-            const cancel = (): void => {
-                this.task.mailbox.post({ kind: "cancel", attemptId: head.attemptId });
-            };
-            const decide = (decision: Decision): void => {
-                signal.removeEventListener("abort", cancel);
-                resolve(decision);
-            };
-            const posted = this.task.mailbox.post({ kind: "arrive", head, decide });
-            if (!posted) decide({ kind: "refuse", refusal: REFUSALS.draining() });
-            else signal.addEventListener("abort", cancel, { once: true });
+    /** An engine that refuses the token has seen a higher one: from another agent, or before the service was restored. */
+    private onOrderRefused(): void {
+        void this.fencing.raiseAfterRefusal().mapErr(error => {
+            const { step, peer } = error;
+            if (error instanceof ConflictError || error instanceof UnavailableError) return;
+            this.options.logger.error({ step, peer, err: error }, "the engine refuses this agent's orders");
         });
     }
 
@@ -230,34 +192,28 @@
     private createPermits(): PermitClient {
         return createPermitClient({
             processId: this.options.processId,
-            limits: () => {
-                const limits = this.catalog.limits();
-                return [
-                    {
-                        kind: "model_load",
-                        ratePerSecond: limits.loadsPerSecond,
-                        maxInFlight: limits.maxConcurrentLoads,
-                    },
-                    {
-                        kind: "adapter_load",
-                        ratePerSecond: undefined,
-                        maxInFlight: limits.maxConcurrentAdapterLoads,
-                    },
-                ];
-            },
+            limits: () => this.permitLimits(),
             broker: kind => this.peers.broker(kind),
             shareCount: () => Math.max(1, this.peers.backendCount()),
         });
     }
 
+    private permitLimits(): readonly PermitLimit[] {
+        const { loadsPerSecond, maxConcurrentLoads, maxConcurrentAdapterLoads } = this.catalog.limits();
+        return [
+            { kind: "model_load", ratePerSecond: loadsPerSecond, maxInFlight: maxConcurrentLoads },
+            { kind: "adapter_load", ratePerSecond: undefined, maxInFlight: maxConcurrentAdapterLoads },
+        ];
+    }
+
     private createOrders(): EngineOrders | undefined {
         const { engineControl, limits } = this.options;
         if (engineControl === undefined) return undefined;
         return new EngineOrders({
             control: engineControl,
-            permits: this.permits,
-            fencingToken: () => this.fencingToken,
-            mayLoad: modelId => this.replicas?.blockedLoad(modelId) === undefined,
+            permits: this.options.permits ?? this.createPermits(),
+            fencing: this.fencing,
+            isStillWanted: (modelId, kind, urgency) => this.replicas?.isStillWanted(modelId, kind, urgency) ?? false,
             orderTimeoutMs: limits.orderTimeoutMs,
             onOrder: (orderId, result) => this.task.mailbox.post({ kind: "order", orderId, result }),
             onIndex: read => this.task.mailbox.post({ kind: "index", read }),
@@ -273,6 +229,7 @@
             limits,
             logger,
             removeGrant: modelId => this.grants.remove(modelId),
+            onOrderRefused: () => this.onOrderRefused(),
         });
     }
 
@@ -287,7 +244,7 @@
     }
 
     private createTask(): BackendTask {
-        const { policies, limits, logger } = this.options;
+        const { policies, limits } = this.options;
         return new BackendTask({
             ...policies,
             catalog: this.catalog,
@@ -295,26 +252,20 @@
             createWaitingRoom: onDeadline => new WaitingRoom(policies.createQueueOrder(), onDeadline),
             once: new OnceMemory({ maxCount: limits.onceMaxCount, maxAgeMs: limits.onceMaxAgeMs }),
             limits,
-            logger,
             onRefused: refusal => this.metrics.refused(refusal),
+            onPaused: () => this.onPaused(),
         });
     }
 
     private createStartUp(): StartUp {
-        const { limits, logger, store, serverId } = this.options;
         return new StartUp({
-            ...limits,
-            logger,
+            ...this.options.limits,
+            logger: this.options.logger,
             steps: {
                 bindPeerPort: () => this.bindPeerPort(),
                 readIndex: () => this.readIndex(),
                 readGrants: () => this.records.refresh(),
-                raiseFence: () =>
-                    this.replicas === undefined
-                        ? okAsync(undefined)
-                        : raiseFence(store, serverId, this.fencingToken + 1).map(token => {
-                            this.fencingToken = token;
-                        }),
+                raiseFence: () => (this.replicas === undefined ? okAsync(undefined) : this.fencing.raise()),
                 exchangeRecords: () => this.exchangeRecords(),
             },
         });
@@ -329,30 +280,26 @@
             status: () => serverStatus(this.statusSources, true),
             isReady: () => this.isReady,
             problems: () => this.problems(),
-            lastChangeMs: () => 0,
+            lastChangeMs: () => this.lastChangeMs,
             inProgressCount: () => this.task.queuedCount + this.task.runningCount,
         });
-        return createPeerServer({ host: peerListen.host, port: peerListen.port, keys: peerKeys, handlers }).map(
-            server => {
-                this.peerServer = server;
-            },
-        );
+        return createPeerServer({ ...peerListen, keys: peerKeys, handlers }).map(server => {
+            this.peerServer = server;
+        });
     }
 
     private readIndex(): ResultAsync<void, SkylarkmillError> {
         if (this.replicas === undefined || this.replicas.hasInventory) return okAsync(undefined);
         this.task.mailbox.post({ kind: "tick" });
-        return errAsync(
-            new UnavailableError("The engine's index has not been read yet.", { step: "engine.index", peer: "engine" }),
-        );
+        const context = { step: "engine.index", peer: "engine" };
+        return errAsync(new UnavailableError("The engine's index has not been read yet.", context));
     }
 
     private exchangeRecords(): ResultAsync<void, SkylarkmillError> {
-        const listRead = this.options.hostList.ageMs() !== Infinity;
-        if (listRead && (this.peers.hasExchangedWithRouter || this.peers.liveRouters().length === 0)) {
-            return okAsync(undefined);
-        }
-        const missing = listRead ? "No router has exchanged records yet." : "The host list has not been read yet.";
+        const wasRead = this.options.hostList.ageMs() !== Infinity;
+        const hasExchanged = this.peers.hasExchangedWithRouter || this.peers.liveRouters().length === 0;
+        if (wasRead && hasExchanged) return okAsync(undefined);
+        const missing = wasRead ? "No router has exchanged records yet." : "The host list has not been read yet.";
         return errAsync(new UnavailableError(missing, { step: "records.exchange", peer: "routers" }));
     }
 
--- a/packages/agent/src/node/engine-orders.ts
+++ b/packages/agent/src/node/engine-orders.ts
@@ -1,21 +1,29 @@
-import type { PermitClient, PermitKind } from "@skylarkmill/coordination";
-import { URGENCY } from "@skylarkmill/coordination";
+import { type PermitClient, type PermitKind, URGENCY } from "@skylarkmill/coordination";
 import type { EngineControl, EngineError } from "@skylarkmill/platform";
 import type { AdapterId, ModelId } from "@skylarkmill/protocol";
 import { err, ok, type ResultAsync } from "neverthrow";
 import type { EnginePort, IndexRead, OrderResult } from "../types/engine-port.ts";
+import type { Fencing } from "./fencing.ts";
 
 export interface EngineOrdersOptions {
     readonly control: EngineControl;
     readonly permits: PermitClient;
-    readonly fencingToken: () => number;
+    readonly fencing: Fencing;
     /** Checked again after the wait for a permit. */
-    readonly mayLoad: (modelId: ModelId) => boolean;
+    readonly isStillWanted: (modelId: ModelId, kind: "load" | "adapter", urgency: number) => boolean;
     readonly orderTimeoutMs: number;
     readonly onOrder: (orderId: number, result: OrderResult) => void;
     readonly onIndex: (read: IndexRead) => void;
 }
 
+interface PermittedOrder {
+    readonly orderId: number;
+    readonly kind: PermitKind;
+    readonly urgency: number;
+    readonly isWanted: () => boolean;
+    readonly send: (fencingToken: number, signal: AbortSignal) => ResultAsync<void, EngineError>;
+}
+
 /** Sends orders under permits; at most one read of the index is in progress. */
 export class EngineOrders implements EnginePort {
     private readonly abort = new AbortController();
@@ -30,33 +38,39 @@
     }
 
     load(orderId: number, modelId: ModelId, version: string, memoryBytes: number, urgency: number): void {
-        const order = { modelId, version, memoryBytes };
-        void this.underPermit(
+        const { control, isStillWanted } = this.options;
+        void this.underPermit({
             orderId,
-            "model_load",
+            kind: "model_load",
             urgency,
-            modelId,
-            signal => this.options.control.load({ ...order, fencingToken: this.options.fencingToken() }, signal),
-        );
+            isWanted: () => isStillWanted(modelId, "load", urgency),
+            send: (fencingToken, signal) => control.load({ modelId, version, memoryBytes, fencingToken }, signal),
+        });
     }
 
     loadAdapter(orderId: number, modelId: ModelId, adapterId: AdapterId): void {
-        void this.underPermit(
+        const { control, isStillWanted } = this.options;
+        const urgency = URGENCY.waitingRequest;
+        void this.underPermit({
             orderId,
-            "adapter_load",
-            URGENCY.waitingRequest,
-            modelId,
-            signal =>
-                this.options.control.loadAdapter(
-                    { modelId, adapterId, fencingToken: this.options.fencingToken() },
-                    signal,
-                ),
-        );
+            kind: "adapter_load",
+            urgency,
+            isWanted: () => isStillWanted(modelId, "adapter", urgency),
+            send: (fencingToken, signal) => control.loadAdapter({ modelId, adapterId, fencingToken }, signal),
+        });
     }
 
     unload(orderId: number, modelId: ModelId): void {
-        const order = { modelId, fencingToken: this.options.fencingToken() };
-        void this.report(orderId, this.options.control.unload(order, this.signal()));
+        const { control, fencing } = this.options;
+        void this.report(orderId, control.unload({ modelId, fencingToken: fencing.token }, this.signal()));
+    }
+
+    fence(orderId: number, modelId: ModelId): void {
+        this.unload(orderId, modelId);
+    }
+
+    raiseToken(): void {
+        this.options.fencing.raiseLocally();
     }
 
     readIndex(stamp: number): void {
@@ -74,20 +88,15 @@
         });
     }
 
-    private async underPermit(
-        orderId: number,
-        kind: PermitKind,
-        urgency: number,
-        modelId: ModelId,
-        send: (signal: AbortSignal) => ResultAsync<void, EngineError>,
-    ): Promise<void> {
-        const permit = await this.options.permits.acquire(kind, { urgency, signal: this.abort.signal });
+    private async underPermit(order: PermittedOrder): Promise<void> {
+        const { permits, onOrder, fencing } = this.options;
+        const permit = await permits.acquire(order.kind, { urgency: order.urgency, signal: this.abort.signal });
         try {
-            if (permit === undefined || this.abort.signal.aborted || !this.options.mayLoad(modelId)) {
-                this.options.onOrder(orderId, err({ kind: "not_sent" }));
+            if (permit === undefined || this.abort.signal.aborted || !order.isWanted()) {
+                onOrder(order.orderId, err({ kind: "not_sent" }));
                 return;
             }
-            await this.report(orderId, send(this.signal()));
+            await this.report(order.orderId, order.send(fencing.token, this.signal()));
         }
         finally {
             permit?.release();
--- a/packages/agent/src/node/peer-directory.ts
+++ b/packages/agent/src/node/peer-directory.ts
@@ -27,6 +27,11 @@
         return this.exchanged;
     }
 
+    /** Requires a new exchange with a router. */
+    forgetExchange(): void {
+        this.exchanged = false;
+    }
+
     liveRouters(): readonly HostEntry[] {
         return this.live().filter(host => host.role === "router");
     }
--- a/packages/agent/src/runtime/attempt.ts
+++ b/packages/agent/src/runtime/attempt.ts
@@ -7,6 +7,7 @@
 import { REFUSALS } from "../utils/refusals.ts";
 import { checkAnswer, readWhole } from "./checked-answer.ts";
 import { checkedStream } from "./checked-stream.ts";
+import type { StreamNumbering } from "./stream-checker.ts";
 
 /** Answers that never have a body (RFC 9110, 6.4.1). */
 const BODYLESS_STATUSES = new Set([204, 205, 304]);
@@ -19,13 +20,15 @@
     /** Headers for the backend server, without those of the connection. */
     readonly headers: Readonly<Record<string, string>>;
     readonly body: Uint8Array | undefined;
-    /** The answers of model services are checked. */
-    readonly isModelService: boolean;
+    /** Present for model services, whose answers are checked. */
+    readonly numbering: StreamNumbering | undefined;
     readonly maxAnswerBytes: number;
     readonly maxResumeCount: number;
     readonly counters: AnswerCounters;
     /** Aborted when the router goes away. */
     readonly signal: AbortSignal;
+    /** The engine answered that it does not have the model, so the request did not run. */
+    readonly onModelMissing: () => void;
     /** Called exactly once, when nothing of the request runs here any more. */
     readonly onFinished: (outcome: RunOutcome) => void;
 }
@@ -57,7 +60,9 @@
             return this.fail(REFUSALS.backendFailed("The backend server's connection broke."));
         }
         this.firstByteMs = Date.now() - this.startedAtMs;
-        return this.options.isModelService ? this.answerChecked(sent.value, request) : this.answerPlain(sent.value);
+        const { numbering } = this.options;
+        if (numbering === undefined) return this.answerPlain(sent.value);
+        return this.answerChecked(sent.value, request, numbering);
     }
 
     private readonly onRouterGone = (): void => {
@@ -85,9 +90,10 @@
     }
 
     private ownHeaders(): Record<string, string> {
-        const requestId = { [HEADERS.requestId]: this.options.head.attemptId };
+        const { head, numbering } = this.options;
+        if (numbering === undefined) return { [HEADERS.requestId]: head.requestId };
         // A compressed answer could not be checked.
-        return this.options.isModelService ? { ...requestId, "accept-encoding": "identity" } : requestId;
+        return { [HEADERS.requestId]: head.attemptId, "accept-encoding": "identity" };
     }
 
     private async answerPlain(response: Dispatcher.ResponseData): Promise<AgentAnswer> {
@@ -112,7 +118,17 @@
         }
     }
 
-    private async answerChecked(response: Dispatcher.ResponseData, request: BackendRequest): Promise<AgentAnswer> {
+    private async answerChecked(
+        response: Dispatcher.ResponseData,
+        request: BackendRequest,
+        numbering: StreamNumbering,
+    ): Promise<AgentAnswer> {
+        if (response.statusCode === 404) {
+            response.body.destroy();
+            this.options.onModelMissing();
+            this.finish("not_run");
+            return refusalAnswer(REFUSALS.modelNotLoaded());
+        }
         if (response.statusCode >= 500) {
             response.body.destroy();
             return this.fail(REFUSALS.backendFailed(`The engine answered with status ${response.statusCode}.`));
@@ -120,18 +136,23 @@
         const contentType = String(response.headers["content-type"] ?? "");
         const headers = toAnswerHeaders(response.headers);
         if (contentType.startsWith("text/event-stream")) {
-            return { status: response.statusCode, headers, body: this.relayChecked(response.body, request) };
+            return { status: response.statusCode, headers, body: this.relayChecked(response.body, request, numbering) };
         }
         return this.answerWhole(response, headers);
     }
 
-    private async *relayChecked(body: AsyncIterable<Uint8Array>, request: BackendRequest): AsyncGenerator<Uint8Array> {
+    private async *relayChecked(
+        body: AsyncIterable<Uint8Array>,
+        request: BackendRequest,
+        numbering: StreamNumbering,
+    ): AsyncGenerator<Uint8Array> {
         const { backend, head, maxResumeCount, counters } = this.options;
         try {
             yield* checkedStream(body, {
                 backend,
                 request,
                 attemptId: head.attemptId,
+                numbering,
                 mayResume: !head.once,
                 maxResumeCount,
                 counters,
--- a/packages/agent/src/runtime/backend-task.ts
+++ b/packages/agent/src/runtime/backend-task.ts
@@ -2,7 +2,6 @@
 import type { AdmissionPolicy, DurationEstimator } from "@skylarkmill/policy";
 import type { AttemptId, Refusal, RequestId } from "@skylarkmill/protocol";
 import { toId } from "@skylarkmill/protocol";
-import type Logger from "bunyan";
 import type { IndexRead, OrderResult } from "../types/engine-port.ts";
 import type { AgentLimits } from "../types/options.ts";
 import type { Decision, RequestHead, RunOutcome, WaitingRequest } from "../types/request.ts";
@@ -15,6 +14,7 @@
 
 const DEFAULT_MAX_IN_FLIGHT = 16;
 const SLOWNESS_WEIGHT = 0.2;
+const MAX_SLOWNESS = 100;
 
 export type BackendMessage =
     | { readonly kind: "arrive"; readonly head: RequestHead; readonly decide: (decision: Decision) => void; }
@@ -24,7 +24,9 @@
     | { readonly kind: "order"; readonly orderId: number; readonly result: OrderResult; }
     | { readonly kind: "index"; readonly read: IndexRead; }
     | { readonly kind: "records"; }
-    | { readonly kind: "accept-loads"; }
+    | { readonly kind: "allow-orders"; readonly allowed: boolean; }
+    /** The engine answered that it lacks a model that the agent counts as loaded. */
+    | { readonly kind: "model-missing"; }
     | { readonly kind: "drain"; readonly draining: boolean; }
     | { readonly kind: "settle"; readonly resolve: () => void; }
     | { readonly kind: "tick"; };
@@ -38,8 +40,9 @@
     readonly admission: AdmissionPolicy;
     readonly durations: DurationEstimator;
     readonly limits: AgentLimits;
-    readonly logger: Logger;
     readonly onRefused: (refusal: Refusal) => void;
+    /** The process was paused; orders are withheld until `allow-orders`. */
+    readonly onPaused: () => void;
 }
 
 interface Running {
@@ -53,6 +56,7 @@
     private readonly waiting: WaitingRoom;
     private readonly running = new Map<RequestId, Running>();
     private draining = false;
+    private handledAtMs = Infinity;
     private slownessValue = 1;
     private settleWaiters: (() => void)[] = [];
 
@@ -103,6 +107,7 @@
 
     /** Handles one message and starts what has become possible. */
     handle(message: BackendMessage, nowMs: number): void {
+        this.checkPause(nowMs);
         this.apply(message, nowMs);
         this.options.replicas?.reconcile(this.waiting.demand, nowMs);
         this.refuseBlocked();
@@ -110,6 +115,16 @@
         if (this.running.size === 0) this.settleWaiters.splice(0).forEach(resolve => resolve());
     }
 
+    /** Ticks arrive regularly, so a long gap means that the process did not run. */
+    private checkPause(nowMs: number): void {
+        const gapMs = nowMs - this.handledAtMs;
+        this.handledAtMs = nowMs;
+        const { replicas, limits, onPaused } = this.options;
+        if (gapMs < limits.pauseMs || replicas === undefined || !replicas.rules.allowsOrders) return;
+        replicas.rules.allowOrders(false);
+        onPaused();
+    }
+
     private apply(message: BackendMessage, nowMs: number): void {
         const { replicas } = this.options;
         switch (message.kind) {
@@ -127,15 +142,17 @@
                 return replicas?.applyIndex(message.read, nowMs);
             case "records":
                 return;
-            case "accept-loads":
-                return replicas?.allowOrders();
+            case "model-missing":
+                return replicas?.readIndex();
+            case "allow-orders":
+                return replicas?.rules.allowOrders(message.allowed);
             case "drain":
                 return this.setDraining(message.draining);
             case "settle":
                 this.settleWaiters.push(message.resolve);
                 return;
             case "tick":
-                replicas?.unloadIdle(this.waiting.demand, nowMs);
+                replicas?.reviewResidency(this.waiting.demand, nowMs);
                 return replicas?.readIndex();
         }
     }
@@ -222,7 +239,9 @@
         const entry = this.waiting.remove(requestId);
         if (entry === undefined) return;
         this.forgetOnce(entry);
-        this.refuse(entry, REFUSALS.deadline("not_run", "while the request waited"));
+        const { modelId, adapterId } = entry.head;
+        const cause = modelId === undefined ? undefined : this.options.replicas?.waitCause(modelId, adapterId);
+        this.refuse(entry, REFUSALS.deadline("not_run", cause ?? "while the request waited for a slot"));
     }
 
     private finish(requestId: RequestId, outcome: RunOutcome, nowMs: number): void {
@@ -232,16 +251,21 @@
         const { entry } = running;
         if (entry.head.modelId !== undefined) this.options.replicas?.endUse(entry.head.modelId, nowMs);
         if (outcome.result === "not_run") this.forgetOnce(entry);
-        if (outcome.result === "answered") {
-            this.options.durations.record(entry.group, outcome.durationMs);
-            const ratio = outcome.durationMs / Math.max(1, entry.expectedMs);
-            this.slownessValue += SLOWNESS_WEIGHT * (Math.min(ratio, 100) - this.slownessValue);
-        }
+        if (outcome.result === "answered") this.options.durations.record(entry.group, outcome.durationMs);
+        if (outcome.firstByteMs !== undefined) this.recordFirstByte(entry, outcome.firstByteMs);
+    }
+
+    private recordFirstByte(entry: WaitingRequest, firstByteMs: number): void {
+        const group = `${entry.group}/first-byte`;
+        const expectedMs = Math.max(1, this.options.durations.expectedMs(group, firstByteMs));
+        const ratio = Math.min(MAX_SLOWNESS, Math.max(1, firstByteMs) / expectedMs);
+        this.slownessValue += SLOWNESS_WEIGHT * (ratio - this.slownessValue);
+        this.options.durations.record(group, firstByteMs);
     }
 
     private setDraining(draining: boolean): void {
         this.draining = draining;
-        this.options.replicas?.setDraining(draining);
+        this.options.replicas?.rules.setDraining(draining);
         if (!draining) return;
         for (const entry of this.waiting.removeWhere(() => true)) {
             this.forgetOnce(entry);
--- a/packages/agent/src/runtime/checked-stream.ts
+++ b/packages/agent/src/runtime/checked-stream.ts
@@ -2,7 +2,7 @@
 import type { AttemptId } from "@skylarkmill/protocol";
 import type { AnswerCounters } from "../types/answer.ts";
 import { type SseEvent, SseParser } from "./sse-parser.ts";
-import { StreamChecker } from "./stream-checker.ts";
+import { StreamChecker, type StreamNumbering } from "./stream-checker.ts";
 
 const MAX_EVENT_BYTES = 1024 * 1024;
 
@@ -10,6 +10,7 @@
     readonly backend: BackendClient;
     readonly request: BackendRequest;
     readonly attemptId: AttemptId;
+    readonly numbering: StreamNumbering;
     /** False for non-idempotent requests: an engine that can't resume would run a repeated request again. */
     readonly mayResume: boolean;
     readonly maxResumeCount: number;
@@ -26,7 +27,7 @@
  * by `Last-Event-ID`; when that fails the last event carries an error and `[DONE]` is not sent.
  */
 export async function* checkedStream(first: Body, options: CheckedStreamOptions): AsyncGenerator<Uint8Array> {
-    const checker = new StreamChecker(options.attemptId);
+    const checker = new StreamChecker(options.attemptId, options.numbering);
     let body: Body | undefined = first;
     for (let resumeCount = 0; body !== undefined; resumeCount += 1) {
         const end: SegmentEnd = yield* relaySegment(body, checker, options);
--- a/packages/agent/src/runtime/index-facts.ts
+++ b/packages/agent/src/runtime/index-facts.ts
@@ -8,8 +8,11 @@
     /** Stamp at which the read of the index began. */
     readonly stamp: number;
     readonly settleMs: number;
+    readonly checksFencing: boolean;
     /** The model left memory, or never reached it; `failed` after a load that did not succeed. */
     readonly onGone: (replica: Replica, failed: boolean) => void;
+    /** A load order may still arrive: sends the engine a higher token. */
+    readonly onFence: (replica: Replica) => void;
 }
 
 /** Whether a model in this state occupies memory. */
@@ -31,12 +34,7 @@
     // An unload that the engine has not begun is repeated by the replica set.
     if (replica.state === "unloading") return;
     replica.takeFacts(found);
-    if (!replica.send("FOUND_READY")) return;
-    replica.orderId = undefined;
-    replica.mayArriveLate = false;
-    replica.failureCount = 0;
-    replica.loadedAtMs = nowMs;
-    replica.lastUsedAtMs = Math.max(replica.lastUsedAtMs, nowMs);
+    replica.becomeReady(nowMs);
 }
 
 /** Takes over that the index does not show a model which the agent counts as present. */
@@ -48,9 +46,17 @@
     }
     // The order is on its way or waits for a permit.
     if (replica.orderId !== undefined) return;
-    if (replica.mayArriveLate) {
-        replica.absentSinceMs ??= context.nowMs;
-        if (context.nowMs - replica.absentSinceMs < context.settleMs) return;
-    }
-    context.onGone(replica, true);
+    if (!replica.mayArriveLate) context.onGone(replica, true);
+    else if (context.checksFencing) fenceOff(replica, context);
+    else if (isSettled(replica, context)) context.onGone(replica, true);
+}
+
+function fenceOff(replica: Replica, context: IndexContext): void {
+    if (context.nowMs >= replica.retryAtMs) context.onFence(replica);
+}
+
+/** Without fencing, a late order is taken for lost once the model has been absent for long. */
+function isSettled(replica: Replica, context: IndexContext): boolean {
+    replica.absentSinceMs ??= context.nowMs;
+    return context.nowMs - replica.absentSinceMs >= context.settleMs;
 }
--- a/packages/agent/src/runtime/replica-set.ts
+++ b/packages/agent/src/runtime/replica-set.ts
@@ -1,17 +1,26 @@
 import { URGENCY } from "@skylarkmill/coordination";
-import type { EngineModel } from "@skylarkmill/platform";
-import type { DurationEstimator, ResidencyPolicy, ResidentModel } from "@skylarkmill/policy";
-import { type AdapterId, type ModelId, OutcomeUnknownError, ProtocolError, type Refusal } from "@skylarkmill/protocol";
+import type { EngineIndex, EngineModel } from "@skylarkmill/platform";
+import type { DurationEstimator, ResidencyPolicy } from "@skylarkmill/policy";
+import {
+    type AdapterId,
+    type ModelId,
+    OutcomeUnknownError,
+    ProtocolError,
+    type Refusal,
+    RefusedError,
+} from "@skylarkmill/protocol";
 import type Logger from "bunyan";
 import type { Demand, ModelDemand } from "../types/demand.ts";
 import type { EnginePort, IndexRead, OrderFailure, OrderResult } from "../types/engine-port.ts";
 import type { AgentLimits } from "../types/options.ts";
 import { backoffMs } from "../utils/backoff.ts";
 import type { Catalog } from "../utils/catalog.ts";
-import { REFUSALS } from "../utils/refusals.ts";
 import { applyAbsent, applyPresent, type IndexContext, occupiesMemory } from "./index-facts.ts";
+import { LoadRules } from "./load-rules.ts";
 import { MemoryLedger } from "./memory-ledger.ts";
-import { Replica, type ReplicaState, type UnloadCause } from "./replica.ts";
+import { type Order, OrderBook } from "./order-book.ts";
+import { Replica, type ReplicaFacts, type UnloadCause } from "./replica.ts";
+import { Residency } from "./residency.ts";
 
 export interface ReplicaSetOptions {
     readonly catalog: Catalog;
@@ -22,73 +31,55 @@
     readonly logger: Logger;
     /** Removes this server's revoking grant of a model that left memory; repeated calls are ignored. */
     readonly removeGrant: (modelId: ModelId) => void;
+    /** The engine refused an order, perhaps for its fencing token. */
+    readonly onOrderRefused: () => void;
 }
 
-export interface LoadedModelFacts {
-    readonly modelId: ModelId;
-    readonly modelVersion: string;
-    readonly state: ReplicaState;
-    readonly adapterIds: AdapterId[];
-    readonly locality: string;
-}
-
-interface Order {
-    readonly replica: Replica;
-    readonly kind: "load" | "unload" | "adapter";
-    readonly adapterId?: AdapterId;
-}
+/** Reads of the index that fail in a row until the engine counts as out of reach. */
+const UNREACHABLE_READS = 2;
 
 /** The replicas at one engine with their memory; only the backend task calls it. */
 export class ReplicaSet {
     readonly ledger = new MemoryLedger();
+    readonly rules: LoadRules;
     private readonly replicas = new Map<ModelId, Replica>();
-    private readonly orders = new Map<number, Order>();
-    private lastOrderId = 0;
-    private stamp = 0;
+    private readonly residency: Residency;
+    private readonly orders = new OrderBook();
     private slots = 0;
     private inventoried = false;
-    private mayOrder = false;
-    private draining = false;
-
-    constructor(private readonly options: ReplicaSetOptions) {}
+    private failedReadCount = 0;
+    private demand: Demand = new Map();
+
+    constructor(private readonly options: ReplicaSetOptions) {
+        const { catalog, durations } = options;
+        this.rules = new LoadRules(catalog, this.ledger);
+        this.residency = new Residency({
+            catalog,
+            durations,
+            ledger: this.ledger,
+            policy: options.residency,
+            replicas: this.replicas,
+        });
+    }
 
     get slotCount(): number {
         return this.slots;
     }
 
-    get acceptsLoads(): boolean {
-        return this.mayOrder && !this.draining;
-    }
-
     /** The index has been read. */
     get hasInventory(): boolean {
         return this.inventoried;
     }
 
-    /** Called at the end of the start-up; no order goes out before. */
-    allowOrders(): void {
-        this.mayOrder = true;
-    }
-
-    setDraining(draining: boolean): void {
-        this.draining = draining;
+    get loadedCount(): number {
+        return [...this.replicas.values()].filter(replica => replica.state !== "absent").length;
     }
 
     /** Models in memory, and those whose checkpoint lies on this host's disk or in its memory. */
-    models(): LoadedModelFacts[] {
+    models(): ReplicaFacts[] {
         return [...this.replicas.values()]
             .filter(replica => replica.state !== "absent" || replica.locality !== "remote")
-            .map(replica => ({
-                modelId: replica.modelId,
-                modelVersion: replica.version,
-                state: replica.state,
-                adapterIds: [...replica.adapters],
-                locality: replica.locality,
-            }));
-    }
-
-    get loadedCount(): number {
-        return [...this.replicas.values()].filter(replica => replica.state !== "absent").length;
+            .map(replica => replica.facts());
     }
 
     /** Whether a request for the model, and its adapter, can be sent to the engine now. */
@@ -101,33 +92,33 @@
     /** Why waiting for the model is pointless here, or undefined. */
     blockedBy(modelId: ModelId): Refusal | undefined {
         const state = this.replicas.get(modelId)?.state;
-        const mayLoad = state === "ready" || state === "loading";
-        return mayLoad ? this.blockedUse(modelId) : this.blockedLoad(modelId);
+        const isLoaded = state === "ready" || state === "loading";
+        return isLoaded ? this.rules.blockedUse(modelId) : this.rules.blockedLoad(modelId);
     }
 
-    /** Why no load of the model may start, or undefined. */
-    blockedLoad(modelId: ModelId): Refusal | undefined {
-        const blocked = this.blockedUse(modelId);
-        if (blocked !== undefined) return blocked;
-        const { catalog } = this.options;
-        const position = catalog.ownGrant(modelId)?.position ?? 0;
-        if (position >= (catalog.model(modelId)?.maxReplicas ?? 0)) return REFUSALS.noGrant();
-        return this.acceptsLoads ? undefined : REFUSALS.notReady();
+    /** Whether an order that waited for a permit should still be sent. */
+    isStillWanted(modelId: ModelId, kind: "load" | "adapter", urgency: number): boolean {
+        if (kind === "adapter") return this.replicas.get(modelId)?.state === "ready";
+        const isWanted = urgency === URGENCY.prefetch || this.demand.has(modelId);
+        return isWanted && this.rules.blockedLoad(modelId) === undefined;
     }
 
-    private blockedUse(modelId: ModelId): Refusal | undefined {
-        const { catalog } = this.options;
-        if (catalog.service() === undefined) return REFUSALS.notReady();
-        if (catalog.model(modelId) === undefined) return REFUSALS.modelNotFound();
-        const own = catalog.ownGrant(modelId);
-        return own === undefined || own.grant.revoking ? REFUSALS.noGrant() : undefined;
+    /** What a request for the model waits for, for refusals. */
+    waitCause(modelId: ModelId, adapterId: AdapterId | undefined): string {
+        const replica = this.replicas.get(modelId);
+        if (this.isReady(modelId, adapterId)) return "while the request waited for a slot";
+        if (replica?.state === "ready") return "while the adapter was loading";
+        if ((replica?.failureCount ?? 0) > 0) return "while a failed load was repeated";
+        return replica?.state === "loading"
+            ? "while the model was loading"
+            : "while the model waited for memory";
     }
 
     /** Expected time until the model is loaded; 0 when it is. */
     expectedLoadMs(modelId: ModelId, nowMs: number): number {
         const replica = this.replicas.get(modelId);
         if (replica?.state === "ready") return 0;
-        const fullMs = this.loadMs(modelId);
+        const fullMs = this.residency.loadMs(modelId);
         if (replica?.state !== "loading") return fullMs;
         return Math.max(0, fullMs - (nowMs - replica.loadStartedAtMs));
     }
@@ -148,34 +139,39 @@
 
     /** Asks for the index; the answer comes to `applyIndex`. */
     readIndex(): void {
-        this.stamp += 1;
-        this.options.engine.readIndex(this.stamp);
+        this.options.engine.readIndex(this.orders.nextStamp());
     }
 
     applyIndex(read: IndexRead, nowMs: number): void {
-        if (read.result.isErr()) {
+        if (read.result.isOk()) {
+            this.failedReadCount = 0;
+            this.applyIndexFacts(read.result.value, read.stamp, nowMs);
+        }
+        else {
             const { error } = read.result;
-            this.options.logger.warn(
-                { step: error.step, peer: error.peer, err: error },
-                "engine index is not available",
-            );
-            return;
+            this.failedReadCount += 1;
+            this.options.logger.warn({ step: error.step, peer: error.peer, err: error }, "engine index not available");
         }
-        const index = read.result.value;
+        this.rules.setEngineReachable(this.failedReadCount < UNREACHABLE_READS);
+    }
+
+    private applyIndexFacts(index: EngineIndex, stamp: number, nowMs: number): void {
         this.ledger.setSize(index.memorySizeBytes);
         this.slots = index.slotCount;
         this.inventoried = true;
         const context: IndexContext = {
             ledger: this.ledger,
             nowMs,
-            stamp: read.stamp,
+            stamp,
             settleMs: this.options.limits.settleMs,
+            checksFencing: this.checksFencing(),
             onGone: (replica, failed) => this.markGone(replica, failed, nowMs),
+            onFence: replica => this.orderFence(replica),
         };
         const present = new Map<ModelId, EngineModel>();
         for (const found of index.models) {
             if (occupiesMemory(found)) present.set(found.modelId, found);
-            else if (this.replicas.has(found.modelId)) this.get(found.modelId).locality = found.locality;
+            else this.noteLocality(found);
         }
         for (const found of present.values()) applyPresent(this.get(found.modelId), found, context);
         for (const replica of this.replicas.values()) {
@@ -184,40 +180,46 @@
     }
 
     applyOrderResult(orderId: number, result: OrderResult, nowMs: number): void {
-        const order = this.orders.get(orderId);
-        this.orders.delete(orderId);
+        const order = this.orders.end(orderId);
         if (order === undefined) return;
-        const { replica } = order;
-        if (order.kind === "adapter") this.applyAdapterResult(order, orderId, result, nowMs);
-        else if (replica.orderId !== orderId) return;
-        else if (order.kind === "load") this.applyLoadResult(replica, result, nowMs);
-        else this.applyUnloadResult(replica, result, nowMs);
+        if (result.isErr()) this.noteFailure(order, result.error);
+        if (order.kind === "adapter") return this.applyAdapterResult(order, orderId, result, nowMs);
+        // The index or a later order has settled this one.
+        if (order.replica.orderId !== orderId) return;
+        this.orders.touch(order.replica);
+        order.replica.orderId = undefined;
+        if (order.kind === "load") this.applyLoadResult(order.replica, result, nowMs);
+        else if (order.kind === "unload") this.applyUnloadResult(order.replica, result, nowMs);
+        else this.applyFenceResult(order.replica, result, nowMs);
     }
 
     /** Starts the loads and unloads that records, demand and memory call for. */
     reconcile(demand: Demand, nowMs: number): void {
-        if (!this.mayOrder || !this.inventoried) return;
-        for (const replica of this.replicas.values()) this.reconcileReplica(replica, demand, nowMs);
+        this.demand = demand;
+        if (!this.rules.allowsOrders || !this.inventoried) return;
+        for (const replica of this.replicas.values()) this.reconcileReplica(replica, nowMs);
         this.removeGrants();
         let claimedBytes = 0;
-        for (const [modelId, wanted] of demand) {
-            claimedBytes += this.serveDemand(modelId, wanted, claimedBytes, demand, nowMs);
-        }
+        for (const [modelId, wanted] of demand) claimedBytes += this.serve(modelId, wanted, claimedBytes, nowMs);
     }
 
-    /** Unloads models whose stay costs more than a likely reload. */
-    unloadIdle(demand: Demand, nowMs: number): void {
-        if (!this.mayOrder) return;
-        const resident = this.residentModels(demand);
-        for (const modelId of this.options.residency.idleModels(resident, nowMs)) {
-            if (!demand.has(modelId)) this.drain(this.get(modelId), "idle");
+    /** Unloads models whose stay costs more than a likely reload, and loads those that are likely needed soon. */
+    reviewResidency(demand: Demand, nowMs: number): void {
+        if (!this.rules.acceptsLoads || !this.inventoried) return;
+        for (const modelId of this.residency.idleModels(demand, nowMs)) this.drain(this.get(modelId), "idle");
+        if (demand.size > 0) return;
+        const mayLoad = (modelId: ModelId): boolean => this.rules.blockedLoad(modelId) === undefined;
+        for (const modelId of this.residency.prefetches(mayLoad, nowMs)) {
+            this.tryLoad(this.get(modelId), 0, URGENCY.prefetch, nowMs);
         }
     }
 
-    private reconcileReplica(replica: Replica, demand: Demand, nowMs: number): void {
-        const cause = this.unloadCause(replica);
-        if (cause !== undefined) this.drain(replica, cause);
-        if (replica.state === "draining" && replica.unloadCause === "idle" && demand.has(replica.modelId)) {
+    private reconcileReplica(replica: Replica, nowMs: number): void {
+        if (replica.state === "ready" || replica.state === "draining") {
+            const cause = this.rules.unloadCause(replica);
+            if (cause !== undefined) this.drain(replica, cause);
+        }
+        if (replica.state === "draining" && replica.unloadCause === "idle" && this.demand.has(replica.modelId)) {
             replica.unloadCause = undefined;
             replica.send("KEEP");
         }
@@ -226,22 +228,10 @@
             replica.retryAtMs = 0;
         }
         if (replica.state === "unloading" && replica.orderId === undefined && nowMs >= replica.retryAtMs) {
-            this.orderUnload(replica);
+            this.options.engine.unload(this.beginOrder(replica, "unload"), replica.modelId);
         }
     }
 
-    private unloadCause(replica: Replica): UnloadCause | undefined {
-        if (replica.state !== "ready" && replica.state !== "draining") return undefined;
-        const { catalog } = this.options;
-        const own = catalog.ownGrant(replica.modelId);
-        if (own === undefined || own.grant.revoking) return "no_grant";
-        const service = catalog.service();
-        if (service === undefined) return undefined;
-        const model = catalog.model(replica.modelId);
-        if (model === undefined) return "not_offered";
-        return model.version === replica.version ? undefined : "version";
-    }
-
     private drain(replica: Replica, cause: UnloadCause): void {
         if (replica.state !== "ready" && replica.state !== "draining") return;
         replica.unloadCause = cause;
@@ -251,76 +241,41 @@
     }
 
     /** Returns the bytes that a waiting load claims, so that later models don't overtake it. */
-    private serveDemand(
-        modelId: ModelId,
-        wanted: ModelDemand,
-        claimedBytes: number,
-        demand: Demand,
-        nowMs: number,
-    ): number {
+    private serve(modelId: ModelId, wanted: ModelDemand, claimedBytes: number, nowMs: number): number {
         const replica = this.get(modelId);
         if (replica.state === "ready") this.loadAdapters(replica, wanted, nowMs);
         if (replica.state !== "absent" || nowMs < replica.retryAtMs) return 0;
         if (this.blockedBy(modelId) !== undefined) return 0;
-        const model = this.options.catalog.model(modelId);
-        if (model === undefined) return 0;
-        const fits = model.memoryBytes <= this.ledger.freeBytes - claimedBytes;
-        if (fits && this.ledger.tryReserve(modelId, model.memoryBytes)) {
-            this.orderLoad(replica, model.version, model.memoryBytes, URGENCY.waitingRequest, nowMs);
-            return 0;
-        }
-        this.evictFor(model.memoryBytes, claimedBytes, demand, nowMs);
-        return model.memoryBytes;
-    }
-
-    private evictFor(neededBytes: number, claimedBytes: number, demand: Demand, nowMs: number): void {
-        let freeBytes = this.ledger.freeBytes - claimedBytes;
-        for (const replica of this.replicas.values()) {
-            if (replica.state === "draining" || replica.state === "unloading") {
-                freeBytes += this.ledger.reservedFor(replica.modelId);
-            }
-        }
-        if (freeBytes >= neededBytes) return;
-        const chosen = this.options.residency.evictions(this.residentModels(demand), freeBytes, neededBytes, nowMs);
-        for (const modelId of chosen ?? []) {
-            const replica = this.get(modelId);
-            this.drain(replica, "eviction");
-            this.reconcileReplica(replica, demand, nowMs);
+        if (this.tryLoad(replica, claimedBytes, URGENCY.waitingRequest, nowMs)) return 0;
+        for (const evicted of this.residency.evictionsFor(modelId, wanted, claimedBytes, this.demand, nowMs)) {
+            this.drain(this.get(evicted), "eviction");
+            this.reconcileReplica(this.get(evicted), nowMs);
         }
+        return this.options.catalog.model(modelId)?.memoryBytes ?? 0;
     }
 
-    private residentModels(demand: Demand): ResidentModel[] {
-        return [...this.replicas.values()].filter(replica => replica.state === "ready").map(replica => ({
-            modelId: replica.modelId,
-            memoryBytes: this.ledger.reservedFor(replica.modelId),
-            inUseCount: replica.inUseCount + (demand.get(replica.modelId)?.count ?? 0),
-            lastUsedAtMs: replica.lastUsedAtMs,
-            loadedAtMs: replica.loadedAtMs,
-            reloadMs: this.loadMs(replica.modelId),
-            arrivalsAtMs: replica.arrivalsAtMs,
-        }));
-    }
-
-    private orderLoad(replica: Replica, version: string, memoryBytes: number, urgency: number, nowMs: number): void {
-        const orderId = this.beginOrder(replica, "load");
-        replica.version = version;
-        replica.memoryBytes = memoryBytes;
+    /** Reserves memory and orders the load; false when it does not fit beside `claimedBytes`. */
+    private tryLoad(replica: Replica, claimedBytes: number, urgency: number, nowMs: number): boolean {
+        const model = this.options.catalog.model(replica.modelId);
+        if (model === undefined || model.memoryBytes > this.ledger.freeBytes - claimedBytes) return false;
+        if (!this.ledger.tryReserve(replica.modelId, model.memoryBytes)) return false;
+        replica.version = model.version;
         replica.loadStartedAtMs = nowMs;
         replica.send("LOAD");
-        this.options.engine.load(orderId, replica.modelId, version, memoryBytes, urgency);
+        const orderId = this.beginOrder(replica, "load");
+        this.options.engine.load(orderId, replica.modelId, model.version, model.memoryBytes, urgency);
+        return true;
     }
 
-    private orderUnload(replica: Replica): void {
-        this.options.engine.unload(this.beginOrder(replica, "unload"), replica.modelId);
+    private orderFence(replica: Replica): void {
+        this.options.engine.fence(this.beginOrder(replica, "fence"), replica.modelId);
     }
 
-    private beginOrder(replica: Replica, kind: "load" | "unload"): number {
-        this.lastOrderId += 1;
-        this.stamp += 1;
-        this.orders.set(this.lastOrderId, { replica, kind });
-        replica.orderId = this.lastOrderId;
-        replica.orderStamp = this.stamp;
-        return this.lastOrderId;
+    private beginOrder(replica: Replica, kind: "load" | "unload" | "fence"): number {
+        const orderId = this.orders.begin({ replica, kind });
+        this.orders.touch(replica);
+        replica.orderId = orderId;
+        return orderId;
     }
 
     private loadAdapters(replica: Replica, wanted: ModelDemand, nowMs: number): void {
@@ -328,9 +283,7 @@
             const current = replica.adapterLoads.get(adapterId);
             if (replica.adapters.has(adapterId) || current?.orderId !== undefined) continue;
             if (nowMs < (current?.retryAtMs ?? 0)) continue;
-            this.lastOrderId += 1;
-            const orderId = this.lastOrderId;
-            this.orders.set(orderId, { replica, kind: "adapter", adapterId });
+            const orderId = this.orders.begin({ replica, kind: "adapter", adapterId });
             replica.adapterLoads.set(adapterId, { orderId, failureCount: current?.failureCount ?? 0, retryAtMs: 0 });
             this.options.engine.loadAdapter(orderId, replica.modelId, adapterId);
         }
@@ -341,57 +294,47 @@
         const adapterId = order.adapterId!;
         const current = replica.adapterLoads.get(adapterId);
         if (current?.orderId !== orderId) return;
-        this.touch(replica);
+        this.orders.touch(replica);
         if (result.isOk()) {
             replica.adapters.add(adapterId);
             replica.adapterLoads.delete(adapterId);
             return;
         }
         const failureCount = current.failureCount + 1;
-        replica.adapterLoads.set(adapterId, {
-            orderId: undefined,
-            failureCount,
-            retryAtMs: this.retryAt(failureCount, nowMs),
-        });
-        this.logFailure("adapter.load", replica.modelId, result.error);
+        const retryAtMs = this.retryAt(failureCount, nowMs);
+        replica.adapterLoads.set(adapterId, { orderId: undefined, failureCount, retryAtMs });
     }
 
     private applyLoadResult(replica: Replica, result: OrderResult, nowMs: number): void {
-        this.touch(replica);
-        replica.orderId = undefined;
         if (result.isOk()) {
-            replica.failureCount = 0;
-            replica.loadedAtMs = nowMs;
+            replica.becomeReady(nowMs);
             replica.locality = "memory";
-            replica.send("FOUND_READY");
-            this.options.durations.record(loadGroup(replica.modelId), nowMs - replica.loadStartedAtMs);
+            this.residency.recordLoad(replica.modelId, nowMs - replica.loadStartedAtMs);
             return;
         }
         if (result.error.kind === "not_sent") {
-            this.markGone(replica, true, nowMs);
+            this.markGone(replica, false, nowMs);
             return;
         }
-        this.logFailure("engine.load", replica.modelId, result.error);
         const { error } = result.error;
         replica.mayArriveLate = error instanceof OutcomeUnknownError || error instanceof ProtocolError;
+        // Later orders carry a higher token, so that the engine can refuse this one when it arrives after them.
+        if (replica.mayArriveLate) this.options.engine.raiseToken();
         this.readIndex();
     }
 
     private applyUnloadResult(replica: Replica, result: OrderResult, nowMs: number): void {
-        this.touch(replica);
-        replica.orderId = undefined;
-        if (result.isErr()) {
-            replica.failureCount += 1;
-            this.logFailure("engine.unload", replica.modelId, result.error);
-        }
+        replica.failureCount = result.isOk() ? 0 : replica.failureCount + 1;
         replica.retryAtMs = this.retryAt(Math.max(1, replica.failureCount), nowMs);
         this.readIndex();
     }
 
-    /** Makes index reads that began before now say nothing about the replica. */
-    private touch(replica: Replica): void {
-        this.stamp += 1;
-        replica.orderStamp = this.stamp;
+    private applyFenceResult(replica: Replica, result: OrderResult, nowMs: number): void {
+        const wasSeen = result.isOk()
+            || (result.error.kind === "engine" && result.error.error instanceof RefusedError);
+        if (wasSeen) replica.mayArriveLate = false;
+        else replica.retryAtMs = this.retryAt(1, nowMs);
+        this.readIndex();
     }
 
     private markGone(replica: Replica, failed: boolean, nowMs: number): void {
@@ -409,18 +352,27 @@
         }
     }
 
-    private retryAt(failureCount: number, nowMs: number): number {
-        return nowMs + backoffMs(failureCount, this.options.limits.retryMinMs, this.options.limits.retryMaxMs);
+    private checksFencing(): boolean {
+        const service = this.options.catalog.service();
+        return service?.kind === "model" && service.checksFencing;
+    }
+
+    private noteLocality(found: EngineModel): void {
+        if (found.locality !== "remote" || this.replicas.has(found.modelId)) {
+            this.get(found.modelId).locality = found.locality;
+        }
     }
 
-    private loadMs(modelId: ModelId): number {
-        const fallbackMs = this.options.catalog.model(modelId)?.expectedLoadMs ?? 0;
-        return this.options.durations.expectedMs(loadGroup(modelId), fallbackMs);
+    private noteFailure(order: Order, failure: OrderFailure): void {
+        if (failure.kind === "not_sent") return;
+        const { error } = failure;
+        const fields = { step: error.step, peer: error.peer, model: order.replica.modelId, err: error };
+        this.options.logger.warn(fields, `${order.kind} order failed`);
+        if (error instanceof RefusedError && this.checksFencing()) this.options.onOrderRefused();
     }
 
-    private logFailure(step: string, modelId: ModelId, failure: OrderFailure): void {
-        const err = failure.kind === "engine" ? failure.error : undefined;
-        this.options.logger.warn({ step, peer: err?.peer ?? "engine", model: modelId, err }, "order failed");
+    private retryAt(failureCount: number, nowMs: number): number {
+        return nowMs + backoffMs(failureCount, this.options.limits.retryMinMs, this.options.limits.retryMaxMs);
     }
 
     private get(modelId: ModelId): Replica {
@@ -431,7 +383,3 @@
         return created;
     }
 }
-
-function loadGroup(modelId: ModelId): string {
-    return `load/${modelId}`;
-}
--- a/packages/agent/src/runtime/replica.ts
+++ b/packages/agent/src/runtime/replica.ts
@@ -17,6 +17,15 @@
 /** Why a replica leaves memory. A required unload can't be taken back by new demand. */
 export type UnloadCause = "no_grant" | "version" | "not_offered" | "idle" | "eviction";
 
+/** A replica as the status message names it. */
+export interface ReplicaFacts {
+    readonly modelId: ModelId;
+    readonly modelVersion: string;
+    readonly state: ReplicaState;
+    readonly adapterIds: AdapterId[];
+    readonly locality: Locality;
+}
+
 export interface AdapterLoad {
     readonly orderId: number | undefined;
     readonly failureCount: number;
@@ -32,7 +41,6 @@
     readonly adapterLoads = new Map<AdapterId, AdapterLoad>();
     readonly arrivalsAtMs: number[] = [];
     version = "";
-    memoryBytes = 0;
     locality: Locality = "remote";
     inUseCount = 0;
     lastUsedAtMs = 0;
@@ -66,10 +74,30 @@
         if (this.arrivalsAtMs.length > MAX_ARRIVALS) this.arrivalsAtMs.shift();
     }
 
+    facts(): ReplicaFacts {
+        return {
+            modelId: this.modelId,
+            modelVersion: this.version,
+            state: this.state,
+            adapterIds: [...this.adapters],
+            locality: this.locality,
+        };
+    }
+
+    /** Settles the load; returns false when the model was ready already. */
+    becomeReady(nowMs: number): boolean {
+        if (!this.send("FOUND_READY")) return false;
+        this.orderId = undefined;
+        this.mayArriveLate = false;
+        this.absentSinceMs = undefined;
+        this.failureCount = 0;
+        this.loadedAtMs = nowMs;
+        return true;
+    }
+
     takeFacts(found: EngineModel): void {
         this.version = found.version;
         this.locality = found.locality;
-        this.memoryBytes = Math.max(this.memoryBytes, found.memoryBytes);
         this.adapters.clear();
         for (const adapterId of found.adapterIds) this.adapters.add(adapterId);
     }
@@ -82,6 +110,5 @@
         this.orderId = undefined;
         this.mayArriveLate = false;
         this.absentSinceMs = undefined;
-        this.memoryBytes = 0;
     }
 }
--- a/packages/agent/src/runtime/start-up.ts
+++ b/packages/agent/src/runtime/start-up.ts
@@ -18,7 +18,7 @@
 
 /** Runs the start-up chart; each step is repeated until it succeeds. */
 export class StartUp {
-    private readonly chart = new Chart<StartUpState, "DONE">(startUpChart);
+    private readonly chart = new Chart<StartUpState, "DONE" | "PAUSED">(startUpChart);
 
     constructor(private readonly options: StartUpOptions) {}
 
@@ -26,6 +26,11 @@
         return this.chart.state;
     }
 
+    /** Goes back to the exchange of records, since they may be outdated; false during the start-up. */
+    notePause(): boolean {
+        return this.chart.send("PAUSED");
+    }
+
     /** Resolves once the given state is reached or the signal aborts. */
     async runUntil(state: StartUpState, signal: AbortSignal): Promise<void> {
         let failureCount = 0;
--- a/packages/agent/src/runtime/stream-checker.ts
+++ b/packages/agent/src/runtime/stream-checker.ts
@@ -12,25 +12,43 @@
     /** Chunks are missing before this one. */
     | "gap";
 
+/**
+ * The number of an engine's first chunk: 0, or 1 at an engine that has never sent 0.
+ *
+ * @example
+ * const numbering = new StreamNumbering();
+ * numbering.isFirst(1); // true
+ * numbering.isFirst(0); // true
+ * numbering.isFirst(1); // false
+ */
+export class StreamNumbering {
+    private startsAtZero = false;
+
+    isFirst(sequence: number): boolean {
+        if (sequence === 0) this.startsAtZero = true;
+        return sequence === 0 || (sequence === 1 && !this.startsAtZero);
+    }
+}
+
 /**
  * Checks that an engine's stream is the complete answer to one attempt.
  *
  * @example
- * const checker = new StreamChecker(attemptId);
+ * const checker = new StreamChecker(attemptId, numbering);
  * if (checker.check(event) === "relay") write(event.raw);
  */
 export class StreamChecker {
     private readonly ids: ReadonlySet<unknown>;
-    private nextSequence = 0;
+    private nextSequence: number | undefined;
     private finished = false;
 
-    constructor(attemptId: AttemptId) {
+    constructor(attemptId: AttemptId, private readonly numbering: StreamNumbering) {
         this.ids = answerIds(attemptId);
     }
 
     /** Sequence number of the last relayed chunk; undefined before the first. */
     get lastSequence(): number | undefined {
-        return this.nextSequence === 0 ? undefined : this.nextSequence - 1;
+        return this.nextSequence === undefined ? undefined : this.nextSequence - 1;
     }
 
     check(event: SseEvent): StreamVerdict {
@@ -42,7 +60,7 @@
         if (!this.ids.has(chunk["id"])) return "drop";
         const order = this.checkSequence(event.id);
         if (order !== "next") return order;
-        this.nextSequence += 1;
+        this.nextSequence = Number(event.id) + 1;
         this.finished ||= hasFinishReason(chunk);
         return "relay";
     }
@@ -56,8 +74,10 @@
     }
 
     private checkSequence(id: string | undefined): "next" | "drop" | "gap" {
-        const sequence = id === undefined || !/^\d{1,15}$/.test(id) ? Number.NaN : Number(id);
-        if (Number.isNaN(sequence) || sequence < this.nextSequence) return "drop";
+        if (id === undefined || !/^\d{1,15}$/.test(id)) return "drop";
+        const sequence = Number(id);
+        if (this.nextSequence === undefined) return this.numbering.isFirst(sequence) ? "next" : "gap";
+        if (sequence < this.nextSequence) return "drop";
         return sequence > this.nextSequence ? "gap" : "next";
     }
 }
--- a/packages/agent/src/runtime/waiting-room.ts
+++ b/packages/agent/src/runtime/waiting-room.ts
@@ -79,7 +79,7 @@
     private count(entry: WaitingRequest, step: 1 | -1): void {
         const { modelId, adapterId } = entry.head;
         if (modelId === undefined) return;
-        const demand = this.models.get(modelId) ?? { count: 0, adapters: new Map<AdapterId, number>() };
+        const demand = this.models.get(modelId) ?? newDemand(entry.enqueuedAtMs);
         demand.count += step;
         this.models.set(modelId, demand);
         if (adapterId !== undefined) {
@@ -90,3 +90,7 @@
         if (demand.count === 0) this.models.delete(modelId);
     }
 }
+
+function newDemand(sinceMs: number): ModelDemand {
+    return { count: 0, sinceMs, adapters: new Map<AdapterId, number>() };
+}
--- a/packages/agent/src/types/engine-port.ts
+++ b/packages/agent/src/types/engine-port.ts
@@ -14,6 +14,10 @@
     load(orderId: number, modelId: ModelId, version: string, memoryBytes: number, urgency: number): void;
     unload(orderId: number, modelId: ModelId): void;
     loadAdapter(orderId: number, modelId: ModelId, adapterId: AdapterId): void;
+    /** An unload order whose purpose is to show the engine the current token. */
+    fence(orderId: number, modelId: ModelId): void;
+    /** Raises the token of all later orders. */
+    raiseToken(): void;
     /** Reads the index; the answer comes back as a message with the stamp. */
     readIndex(stamp: number): void;
 }
--- a/packages/agent/src/types/options.ts
+++ b/packages/agent/src/types/options.ts
@@ -35,6 +35,8 @@
     readonly retryMaxMs: number;
     /** How long `start` tries to bind its ports. @default 10000 */
     readonly bindTimeoutMs: number;
+    /** A gap of this length between two ticks means that the process was paused. @default 5000 */
+    readonly pauseMs: number;
     /** Request ids and idempotency keys remembered. @default 10000 */
     readonly onceMaxCount: number;
     /** How long they are remembered. @default 24 h */
--- a/packages/agent/src/utils/refusals.ts
+++ b/packages/agent/src/utils/refusals.ts
@@ -19,8 +19,12 @@
     bodyTooLarge: () => refusal(413, "invalid_request_error", "body_too_large", "The request body is too large."),
     wrongService: () =>
         refusal(503, "unavailable_error", "wrong_service", "This backend server does not run the service."),
-    modelNotFound: () =>
-        refusal(404, "invalid_request_error", "model_not_found", "The service does not offer the model."),
+    // The router has found the model in its configuration, so another server may know it as well.
+    modelNotOffered: () =>
+        refusal(503, "unavailable_error", "model_not_offered", "This agent's configuration does not name the model."),
+    modelTooLarge: () =>
+        refusal(503, "unavailable_error", "model_too_large", "The model needs more memory than the engine has."),
+    modelNotLoaded: () => refusal(503, "unavailable_error", "model_not_loaded", "The engine has lost the model."),
     noGrant: () => refusal(503, "unavailable_error", "no_grant", "This backend server may not load the model."),
     notReady: () => ({
         ...refusal(503, "unavailable_error", "not_ready", "The agent has not taken stock of its engine yet."),
--- a/packages/agent/src/utils/resolve-options.ts
+++ b/packages/agent/src/utils/resolve-options.ts
@@ -19,6 +19,7 @@
     retryMinMs: 100,
     retryMaxMs: 5000,
     bindTimeoutMs: 10_000,
+    pauseMs: 5000,
     onceMaxCount: 10_000,
     onceMaxAgeMs: 24 * 3600 * 1000,
     maxResumeCount: 3,
--- a/packages/agent/src/utils/server-status.ts
+++ b/packages/agent/src/utils/server-status.ts
@@ -24,7 +24,7 @@
         memorySizeBytes: BigInt(replicas?.ledger.sizeBytes ?? 0),
         memoryReservedBytes: BigInt(replicas?.ledger.reservedBytes ?? 0),
         models: withModels ? replicas?.models() ?? [] : [],
-        acceptsLoads: replicas?.acceptsLoads ?? true,
+        acceptsLoads: replicas?.rules.acceptsLoads ?? true,
     });
 }
 
