--- a/packages/router/src/runtime/attempt.ts
+++ b/packages/router/src/runtime/attempt.ts
@@ -14,14 +14,26 @@
     onLateChunk(): void;
 }
 
+export interface AttemptOptions {
+    readonly attemptId: AttemptId;
+    readonly server: ServerState;
+    readonly sentAtMs: number;
+    readonly expectedMs: number;
+    readonly isWarm: boolean;
+    readonly owner: AttemptOwner;
+}
+
 export class CancelledError extends Error {}
 
 /** One dispatch of a request to one agent; owns the exchange with that agent. */
 export class Attempt implements Dispatcher.DispatchHandler {
     readonly attemptId: AttemptId;
     readonly server: ServerState;
-    readonly isHedge: boolean;
     readonly sentAtMs: number;
+    /** Time to the first byte that this server was expected to take. */
+    readonly expectedMs: number;
+    /** The server was known to have the model loaded, so its time says how fast it is. */
+    readonly isWarm: boolean;
     /** A byte of the request may have left this process. */
     wasSent = false;
     head: AnswerHead | undefined;
@@ -30,20 +42,21 @@
     private ended = false;
     private cancelled = false;
 
-    constructor(attemptId: AttemptId, server: ServerState, isHedge: boolean, sentAtMs: number, owner: AttemptOwner) {
-        this.attemptId = attemptId;
-        this.server = server;
-        this.isHedge = isHedge;
-        this.sentAtMs = sentAtMs;
-        this.owner = owner;
+    constructor(options: AttemptOptions) {
+        this.attemptId = options.attemptId;
+        this.server = options.server;
+        this.sentAtMs = options.sentAtMs;
+        this.expectedMs = options.expectedMs;
+        this.isWarm = options.isWarm;
+        this.owner = options.owner;
     }
 
-    start(pool: Pool, spec: RequestSpec, remainingMs: number): void {
+    start(pool: Pool, spec: RequestSpec, remainingMs: number, peerKey: string): void {
         this.server.outstandingCount += 1;
         pool.dispatch({
             method: spec.method,
             path: spec.path,
-            headers: toAgentHeaders(spec, this.attemptId, remainingMs),
+            headers: toAgentHeaders(spec, this.attemptId, remainingMs, peerKey),
             body: spec.body,
         }, this);
     }
@@ -104,10 +117,12 @@
     }
 }
 
-function toAgentHeaders(spec: RequestSpec, attemptId: AttemptId, remainingMs: number): string[] {
+function toAgentHeaders(spec: RequestSpec, attemptId: AttemptId, remainingMs: number, peerKey: string): string[] {
     const { target } = spec;
     const headers = [
         ...spec.headers,
+        HEADERS.peerKey,
+        peerKey,
         HEADERS.requestId,
         spec.requestId,
         HEADERS.attemptId,
