feat(agent): settle a predecessor's orders before the first load

Cause: a load order of an agent that crashed may reach the engine after its successor read the index. Change: a start-up step shows the engine the new token, or waits for the settling time, and reads the index again; expected waits of the start-up are logged at debug level. Conclusion: the ledger of a restarted agent starts from an index that no old order can change.

--- a/packages/agent/src/node/agent.ts
+++ b/packages/agent/src/node/agent.ts
@@ -7,6 +7,7 @@
     type PermitClient,
     type PermitLimit,
     type RecordStore,
+    sleep,
 } from "@skylarkmill/coordination";
 import { ConflictError, type SkylarkmillError, UnavailableError } from "@skylarkmill/protocol";
 import { err, errAsync, ok, okAsync, type Result, ResultAsync } from "neverthrow";
@@ -265,6 +266,7 @@
                 bindPeerPort: () => this.bindPeerPort(),
                 readIndex: () => this.readIndex(),
                 readGrants: () => this.records.refresh(),
+                settleEngine: () => new ResultAsync(this.settleEngine()),
                 raiseFence: () => (this.replicas === undefined ? okAsync(undefined) : this.fencing.raise()),
                 exchangeRecords: () => this.exchangeRecords(),
             },
@@ -290,9 +292,19 @@
 
     private readIndex(): ResultAsync<void, SkylarkmillError> {
         if (this.replicas === undefined || this.replicas.hasInventory) return okAsync(undefined);
-        this.task.mailbox.post({ kind: "tick" });
-        const context = { step: "engine.index", peer: "engine" };
-        return errAsync(new UnavailableError("The engine's index has not been read yet.", context));
+        return this.task.readIndex();
+    }
+
+    /** A load order of a predecessor may still be on its way; the index is right only once it can't take effect. */
+    private async settleEngine(): Promise<Result<void, SkylarkmillError>> {
+        if (this.replicas === undefined || !this.fencing.hasPredecessor) return ok(undefined);
+        if (this.replicas.checksFencing()) {
+            const absent = this.replicas.anyAbsentModel();
+            const shown = absent === undefined ? undefined : await this.orders?.showToken(absent);
+            if (shown?.isErr() === true) return err(shown.error);
+        }
+        else await sleep(this.options.limits.settleMs, this.abort.signal);
+        return this.task.readIndex();
     }
 
     private exchangeRecords(): ResultAsync<void, SkylarkmillError> {
--- a/packages/agent/src/node/engine-orders.ts
+++ b/packages/agent/src/node/engine-orders.ts
@@ -1,6 +1,6 @@
 import { type PermitClient, type PermitKind, URGENCY } from "@skylarkmill/coordination";
 import type { EngineControl, EngineError } from "@skylarkmill/platform";
-import type { AdapterId, ModelId } from "@skylarkmill/protocol";
+import { type AdapterId, type ModelId, RefusedError } from "@skylarkmill/protocol";
 import { err, ok, type ResultAsync } from "neverthrow";
 import type { EnginePort, IndexRead, OrderResult } from "../types/engine-port.ts";
 import type { Fencing } from "./fencing.ts";
@@ -69,6 +69,13 @@
         this.unload(orderId, modelId);
     }
 
+    /** Shows the engine the current token by unloading a model that is absent; a refusal counts as seen. */
+    showToken(modelId: ModelId): ResultAsync<void, EngineError> {
+        const { control, fencing } = this.options;
+        return control.unload({ modelId, fencingToken: fencing.token }, this.signal())
+            .orElse(error => (error instanceof RefusedError ? ok(undefined) : err(error)));
+    }
+
     raiseToken(): void {
         this.options.fencing.raiseLocally();
     }
--- a/packages/agent/src/node/fencing.ts
+++ b/packages/agent/src/node/fencing.ts
@@ -36,6 +36,11 @@
         return this.startNumber * TOKENS_PER_START + this.orderCount;
     }
 
+    /** An agent of this server has sent orders before this one. */
+    get hasPredecessor(): boolean {
+        return this.startNumber > 1;
+    }
+
     /** Raises the token of later orders without the key-value service. */
     raiseLocally(): void {
         this.orderCount += 1;
--- a/packages/agent/src/node/request-handler.ts
+++ b/packages/agent/src/node/request-handler.ts
@@ -51,7 +51,7 @@
             maxResumeCount: limits.maxResumeCount,
             counters: metrics.answers,
             signal: request.signal,
-            onModelMissing: () => task.mailbox.post({ kind: "model-missing" }),
+            onModelMissing: () => task.mailbox.post({ kind: "read-index" }),
             onFinished: outcome => this.finish(request.head, outcome),
         });
     }
--- a/packages/agent/src/runtime/backend-task.ts
+++ b/packages/agent/src/runtime/backend-task.ts
@@ -1,7 +1,8 @@
 import { Mailbox } from "@skylarkmill/coordination";
+import type { EngineError } from "@skylarkmill/platform";
 import type { AdmissionPolicy, DurationEstimator } from "@skylarkmill/policy";
-import type { AttemptId, Refusal, RequestId } from "@skylarkmill/protocol";
-import { toId } from "@skylarkmill/protocol";
+import { type AttemptId, type Refusal, type RequestId, toId, UnavailableError } from "@skylarkmill/protocol";
+import { err, ok, type Result, ResultAsync } from "neverthrow";
 import type { IndexRead, OrderResult } from "../types/engine-port.ts";
 import type { AgentLimits } from "../types/options.ts";
 import type { Decision, RequestHead, RunOutcome, WaitingRequest } from "../types/request.ts";
@@ -25,8 +26,7 @@
     | { readonly kind: "index"; readonly read: IndexRead; }
     | { readonly kind: "records"; }
     | { readonly kind: "allow-orders"; readonly allowed: boolean; }
-    /** The engine answered that it lacks a model that the agent counts as loaded. */
-    | { readonly kind: "model-missing"; }
+    | { readonly kind: "read-index"; readonly resolve?: IndexWaiter["resolve"]; }
     | { readonly kind: "drain"; readonly draining: boolean; }
     | { readonly kind: "settle"; readonly resolve: () => void; }
     | { readonly kind: "tick"; };
@@ -45,6 +45,11 @@
     readonly onPaused: () => void;
 }
 
+interface IndexWaiter {
+    readonly stamp: number;
+    readonly resolve: (result: Result<void, EngineError>) => void;
+}
+
 interface Running {
     readonly entry: WaitingRequest;
     readonly startedAtMs: number;
@@ -58,6 +63,7 @@
     private draining = false;
     private handledAtMs = Infinity;
     private slownessValue = 1;
+    private indexWaiters: IndexWaiter[] = [];
     private settleWaiters: (() => void)[] = [];
 
     constructor(private readonly options: BackendTaskOptions) {
@@ -93,6 +99,15 @@
         return sumMs;
     }
 
+    /** Reads the engine's index; resolves once its facts have been taken over. */
+    readIndex(): ResultAsync<void, EngineError> {
+        return new ResultAsync(
+            new Promise(resolve => {
+                if (!this.mailbox.post({ kind: "read-index", resolve })) resolve(err(stopped()));
+            }),
+        );
+    }
+
     /** Resolves once the messages posted so far have been handled and no request runs. */
     whenSettled(): Promise<void> {
         return new Promise(resolve => {
@@ -103,6 +118,7 @@
     /** Handles messages until the mailbox closes. */
     async run(): Promise<void> {
         for await (const message of this.mailbox) this.handle(message, Date.now());
+        this.endIndexWaits(Infinity, err(stopped()));
     }
 
     /** Handles one message and starts what has become possible. */
@@ -139,11 +155,12 @@
             case "order":
                 return replicas?.applyOrderResult(message.orderId, message.result, nowMs);
             case "index":
-                return replicas?.applyIndex(message.read, nowMs);
+                replicas?.applyIndex(message.read, nowMs);
+                return this.endIndexWaits(message.read.stamp, message.read.result.map(() => undefined));
             case "records":
                 return;
-            case "model-missing":
-                return replicas?.readIndex();
+            case "read-index":
+                return this.beginIndexRead(message.resolve);
             case "allow-orders":
                 return replicas?.rules.allowOrders(message.allowed);
             case "drain":
@@ -153,10 +170,23 @@
                 return;
             case "tick":
                 replicas?.reviewResidency(this.waiting.demand, nowMs);
-                return replicas?.readIndex();
+                return this.beginIndexRead(undefined);
         }
     }
 
+    private beginIndexRead(resolve: IndexWaiter["resolve"] | undefined): void {
+        const stamp = this.options.replicas?.readIndex();
+        if (resolve === undefined) return;
+        if (stamp === undefined) resolve(ok(undefined));
+        else this.indexWaiters.push({ stamp, resolve });
+    }
+
+    /** A read that began before a waiter asked says nothing to it. */
+    private endIndexWaits(stamp: number, result: Result<void, EngineError>): void {
+        for (const waiter of this.indexWaiters) if (waiter.stamp <= stamp) waiter.resolve(result);
+        this.indexWaiters = this.indexWaiters.filter(waiter => waiter.stamp > stamp);
+    }
+
     private arrive(head: RequestHead, decide: (decision: Decision) => void, nowMs: number): void {
         const entry = this.createEntry(head, decide, nowMs);
         const refusal = this.checkArrival(entry, nowMs);
@@ -318,6 +348,10 @@
     }
 }
 
+function stopped(): UnavailableError {
+    return new UnavailableError("The agent has stopped.", { step: "engine.index", peer: "local" });
+}
+
 function onceNames(head: RequestHead): string[] {
     const names = [`request:${head.requestId}`];
     if (head.idempotencyKey !== undefined) names.push(`key:${head.idempotencyKey}`);
--- a/packages/agent/src/runtime/replica-set.ts
+++ b/packages/agent/src/runtime/replica-set.ts
@@ -75,6 +75,13 @@
         return [...this.replicas.values()].filter(replica => replica.state !== "absent").length;
     }
 
+    /** A model of the service that is not in memory. */
+    anyAbsentModel(): ModelId | undefined {
+        const service = this.options.catalog.service();
+        const names = service?.kind === "model" ? Object.keys(service.models) as ModelId[] : [];
+        return names.find(modelId => this.get(modelId).state === "absent");
+    }
+
     /** Models in memory, and those whose checkpoint lies on this host's disk or in its memory. */
     models(): ReplicaFacts[] {
         return [...this.replicas.values()]
@@ -137,9 +144,11 @@
         replica.lastUsedAtMs = nowMs;
     }
 
-    /** Asks for the index; the answer comes to `applyIndex`. */
-    readIndex(): void {
-        this.options.engine.readIndex(this.orders.nextStamp());
+    /** Asks for the index; the answer comes to `applyIndex`, with the returned stamp or a later one. */
+    readIndex(): number {
+        const stamp = this.orders.nextStamp();
+        this.options.engine.readIndex(stamp);
+        return stamp;
     }
 
     applyIndex(read: IndexRead, nowMs: number): void {
@@ -352,7 +361,7 @@
         }
     }
 
-    private checksFencing(): boolean {
+    checksFencing(): boolean {
         const service = this.options.catalog.service();
         return service?.kind === "model" && service.checksFencing;
     }
--- a/packages/agent/src/runtime/start-up.ts
+++ b/packages/agent/src/runtime/start-up.ts
@@ -6,9 +6,17 @@
 import { backoffMs } from "../utils/backoff.ts";
 import { Chart } from "../utils/chart.ts";
 
-export type StartUpStep = "bindPeerPort" | "readIndex" | "readGrants" | "raiseFence" | "exchangeRecords";
+export type StartUpStep =
+    | "bindPeerPort"
+    | "readIndex"
+    | "readGrants"
+    | "raiseFence"
+    | "settleEngine"
+    | "exchangeRecords";
 export type StartUpState = StartUpStep | "acceptingLoads";
 
+const WARN_FAILURES = 5;
+
 export interface StartUpOptions {
     readonly steps: Readonly<Record<StartUpStep, () => ResultAsync<void, SkylarkmillError>>>;
     readonly retryMinMs: number;
@@ -44,12 +52,15 @@
                 continue;
             }
             failureCount += 1;
-            const { error } = result;
-            this.options.logger.warn(
-                { step: error.step, peer: error.peer, state: step, err: error },
-                "start-up step failed",
-            );
+            this.report(step, failureCount, result.error);
             await sleep(backoffMs(failureCount, this.options.retryMinMs, this.options.retryMaxMs), signal);
         }
     }
+
+    /** The first failures are normal while other processes start. */
+    private report(state: StartUpStep, failureCount: number, error: SkylarkmillError): void {
+        const fields = { step: error.step, peer: error.peer, state, failureCount, err: error };
+        if (failureCount < WARN_FAILURES) this.options.logger.debug(fields, "start-up step is repeated");
+        else this.options.logger.warn(fields, "start-up step failed");
+    }
 }
