feat(router): refuse for a deadline only on learned durations

An assumed duration refused requests with short deadlines that the server could meet, and slow answers alone could keep a group refused for good.

--- a/packages/router/src/node/router.ts
+++ b/packages/router/src/node/router.ts
@@ -23,6 +23,7 @@
 import type { Server } from "node:http";
 import { AgentPools } from "../runtime/agent-pools.ts";
 import { DemandTracker } from "../runtime/demand-tracker.ts";
+import { DurationBook } from "../runtime/duration-book.ts";
 import { KeyedRequests } from "../runtime/keyed-requests.ts";
 import { Peers } from "../runtime/peers.ts";
 import { Prober } from "../runtime/prober.ts";
@@ -117,6 +118,7 @@
             metrics: new RouterMetrics(() => counts.total),
             counts,
             demand: new DemandTracker(),
+            durations: new DurationBook(policies.estimator),
             newAttemptId: createAttemptIds(),
         };
         this.handler = new RequestHandler(this.context, new KeyedRequests(this.context, this.claims));
--- a/packages/router/src/runtime/choice.ts
+++ b/packages/router/src/runtime/choice.ts
@@ -39,7 +39,7 @@
         serviceId,
         nowMs,
         deadlineAtMs: spec.deadlineAtMs,
-        expectedMs: spec.expectedMs,
+        expectedMs: spec.learnedMs,
         waitMs: waitOf(view),
         // The request itself is already counted.
         serviceCount: counts.of(serviceId) - 1,
--- a/packages/router/src/runtime/request-handler.ts
+++ b/packages/router/src/runtime/request-handler.ts
@@ -145,11 +145,13 @@
         body: Buffer,
         request: ModelRequest | undefined,
     ): RequestSpec {
-        const { config, policies } = this.context;
+        const { config, durations } = this.context;
         const { incoming, startedAtMs } = exchange;
         const method = incoming.method!;
         const requestClass = config.requestClass(target.serviceId, options.className);
         const group = `${target.serviceId}/${target.modelId ?? method}/${requestClass.name}/${request?.stream ?? ""}`;
+        // A whole answer comes with its first byte.
+        const totalGroup = request?.stream === true ? `${group}/total` : group;
         const assumedMs = request === undefined
             ? ASSUMED_PLAIN_MS
             : request.stream
@@ -170,8 +172,10 @@
             startedAtMs,
             deadlineAtMs: startedAtMs + (options.timeoutMs ?? requestClass.timeoutMs),
             group,
-            expectedMs: policies.estimator.expectedMs(group, assumedMs),
-            highMs: policies.estimator.highMs(group, assumedMs),
+            totalGroup,
+            expectedMs: durations.expectedMs(group, assumedMs),
+            highMs: durations.highMs(group, assumedMs),
+            learnedMs: durations.learnedMs(totalGroup, startedAtMs),
             prompt: request?.prompt ?? "",
             preferredServerId: idempotent ? undefined : this.preferredServer(target, options.idempotencyKey),
         };
--- a/packages/router/src/runtime/request-task.ts
+++ b/packages/router/src/runtime/request-task.ts
@@ -197,6 +197,10 @@
         const complete = this.relay!.end();
         const head = attempt.head!;
         this.step(complete ? "END" : "FAIL");
+        const { group, totalGroup } = this.spec;
+        if (complete && totalGroup !== group && attempt.isWarm) {
+            this.context.durations.record(totalGroup, nowMs() - attempt.sentAtMs, nowMs());
+        }
         if (complete) this.finish({ kind: "answered", head, body: this.relay!.keptBody() });
         else this.finish({ kind: "broken" });
     }
@@ -333,11 +337,11 @@
 
     private recordFirstByte(attempt: Attempt): void {
         if (!attempt.isWarm) return;
-        const { policies } = this.context;
+        const { policies, durations } = this.context;
         const now = nowMs();
         const waitedMs = now - attempt.sentAtMs;
         policies.stragglers.record(attempt.server.serverId, waitedMs, attempt.expectedMs, now);
-        policies.estimator.record(this.spec.group, waitedMs);
+        durations.record(this.spec.group, waitedMs, now);
     }
 
     private rememberModel(attempt: Attempt): void {
--- a/packages/router/src/types/context.ts
+++ b/packages/router/src/types/context.ts
@@ -3,6 +3,7 @@
 import type Logger from "bunyan";
 import type { AgentPools } from "../runtime/agent-pools.ts";
 import type { DemandTracker } from "../runtime/demand-tracker.ts";
+import type { DurationBook } from "../runtime/duration-book.ts";
 import type { RequestCounts } from "../runtime/request-counts.ts";
 import type { RouterMetrics } from "../runtime/router-metrics.ts";
 import type { ServerDirectory } from "../runtime/server-directory.ts";
@@ -22,5 +23,6 @@
     readonly metrics: RouterMetrics;
     readonly counts: RequestCounts;
     readonly demand: DemandTracker;
+    readonly durations: DurationBook;
     readonly newAttemptId: () => AttemptId;
 }
--- a/packages/router/src/types/request.ts
+++ b/packages/router/src/types/request.ts
@@ -30,6 +30,10 @@
     /** Expected time to the first byte of the answer at a server that is not busy. */
     readonly expectedMs: number;
     readonly highMs: number;
+    /** Learned time to the end of the answer, to hold against the deadline; 0 while it is not known. */
+    readonly learnedMs: number;
+    /** Estimator group of the time to the end of the answer. */
+    readonly totalGroup: string;
     /** Start of the prompt, for prefix affinity; empty for plain services. */
     readonly prompt: string;
     /** Server to prefer while it is available. */
--- a/test/router/support/fake-agent.ts
+++ b/test/router/support/fake-agent.ts
@@ -1,3 +1,4 @@
+import { EventEmitter, once } from "node:events";
 import {
     createServer,
     type IncomingHttpHeaders,
@@ -22,29 +23,37 @@
     closedEarlyCount = 0;
     behave: AgentBehaviour;
     port = 0;
-    private readonly server: Server;
-    private readonly waiters: { count: number; resolve: () => void; }[] = [];
+    private server: Server | undefined;
+    private readonly changes = new EventEmitter();
 
     constructor(behave: AgentBehaviour = answerJson) {
         this.behave = behave;
-        this.server = createServer((request, response) => void this.take(request, response));
     }
 
+    /** Listens, on the same port after a stop. */
     async start(): Promise<void> {
-        await new Promise<void>(resolve => this.server.listen(this.port, "127.0.0.1", resolve));
-        this.port = (this.server.address() as AddressInfo).port;
+        const server = createServer((request, response) => void this.take(request, response));
+        await new Promise<void>(resolve => server.listen(this.port, "127.0.0.1", resolve));
+        this.port = (server.address() as AddressInfo).port;
+        this.server = server;
     }
 
     async stop(): Promise<void> {
-        const closed = new Promise<void>(resolve => this.server.close(() => resolve()));
-        this.server.closeAllConnections();
+        const { server } = this;
+        this.server = undefined;
+        const closed = new Promise<void>(resolve => server === undefined ? resolve() : server.close(() => resolve()));
+        server?.closeAllConnections();
         await closed;
     }
 
     /** Resolves once the journal has `count` entries. */
     async received(count: number): Promise<void> {
-        if (this.journal.length >= count) return;
-        await new Promise<void>(resolve => this.waiters.push({ count, resolve }));
+        while (this.journal.length < count) await once(this.changes, "change");
+    }
+
+    /** Resolves once `count` connections closed before their answer was complete. */
+    async closedEarly(count: number): Promise<void> {
+        while (this.closedEarlyCount < count) await once(this.changes, "change");
     }
 
     private async take(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -54,9 +63,10 @@
         const entry = { method: request.method!, path: request.url!, headers: request.headers, body };
         response.on("close", () => {
             if (!response.writableFinished) this.closedEarlyCount += 1;
+            this.changes.emit("change");
         });
         this.journal.push(entry);
-        for (const waiter of this.waiters) if (this.journal.length >= waiter.count) waiter.resolve();
+        this.changes.emit("change");
         this.behave(entry, response, this.journal.length - 1);
     }
 }
--- a/test/router/support/harness.ts
+++ b/test/router/support/harness.ts
@@ -1,6 +1,7 @@
 import { KEYS } from "@skylarkmill/config";
 import type { HostEntry, HostState, Membership } from "@skylarkmill/platform";
-import { type TeamId, toId } from "@skylarkmill/protocol";
+import type { ServerChooser } from "@skylarkmill/policy";
+import { type ServerId, type TeamId, toId } from "@skylarkmill/protocol";
 import { createRouter, type Router, type RouterOptions } from "@skylarkmill/router";
 import bunyan from "bunyan";
 import { request } from "undici";
@@ -63,6 +64,16 @@
     readonly json: { error: { code: string; execution: string; message: string; retry_after_ms?: number; }; };
 }
 
+/** Chooses the named servers first, in place of a random choice. */
+export function toFirst(first: readonly ServerId[]): ServerChooser {
+    return {
+        choose: (request, servers) => {
+            const open = servers.filter(server => !request.tried.has(server.serverId));
+            return open.find(server => first.includes(server.serverId)) ?? open[0];
+        },
+    };
+}
+
 /** A router with two agents of the model service and two of the plain service. */
 export class Harness {
     readonly store = new MemoryStore();
@@ -134,6 +145,26 @@
         return { status: response.statusCode, headers: response.headers, text, json };
     }
 
+    putDrain(hostId: string): void {
+        this.store.putRecord(KEYS.drain(hostId), { hostId, requestedBy: "ops", requestedAtMs: 0 });
+    }
+
+    /** Makes the agent say in its next answer that it drains. */
+    async reportDraining(serverId: string): Promise<void> {
+        const agent = this.agents[serverId]!;
+        agent.behave = (_request, response) => {
+            response.writeHead(200, { "x-skylarkmill-load": JSON.stringify({ serverId, draining: true }) });
+            response.end("{}");
+        };
+        await this.chat({ model: "bench-diagnosis" });
+        await agent.received(1);
+    }
+
+    /** Resolves once the router has logged a line with the text. */
+    async untilLogged(text: string): Promise<void> {
+        while (!this.logged.some(line => line.includes(text))) await new Promise(resolve => setImmediate(resolve));
+    }
+
     /** Requests that all agents of a service got. */
     runs(): number {
         return Object.values(this.agents).reduce((sum, agent) => sum + agent.journal.length, 0);
