--- a/packages/router/src/node/listen.ts
+++ b/packages/router/src/node/listen.ts
@@ -29,10 +29,22 @@
     );
 }
 
-/** Closes a server: idle connections at once, others when their answer is complete. */
+/** Time for requests that were on their way when the server closed. */
+const CLOSE_GRACE_MS = 1000;
+const CLOSE_CHECK_MS = 20;
+
+/**
+ * Closes a server whose requests have ended: idle connections at once, the rest after a short time,
+ * since a connection on which a request was never sent does not count as idle.
+ */
 export function closeServer(server: Server): Promise<void> {
     return new Promise(resolve => {
-        server.close(() => resolve());
-        server.closeIdleConnections();
+        const idleCheck = setInterval(() => server.closeIdleConnections(), CLOSE_CHECK_MS);
+        const lastCall = setTimeout(() => server.closeAllConnections(), CLOSE_GRACE_MS);
+        server.close(() => {
+            clearInterval(idleCheck);
+            clearTimeout(lastCall);
+            resolve();
+        });
     });
 }
--- /dev/null
+++ b/test/router/input.test.ts
@@ -0,0 +1,131 @@
+import { request as httpRequest } from "node:http";
+import { connect } from "node:net";
+import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import { Harness } from "./support/harness.ts";
+
+const model = JSON.stringify({ model: "bench-diagnosis" });
+const CHAT = "/v1/chat/completions";
+
+// Guards against bad input that reaches a backend server or gets an unclear refusal.
+describe("bad input", () => {
+    let harness: Harness;
+    beforeAll(async () => {
+        harness = await new Harness().start({ limits: { maxBodyBytes: 2000 } });
+    });
+    afterAll(() => harness.stop());
+
+    const cases = [
+        { name: "no JSON", body: "{", status: 400, code: "not_json" },
+        { name: "a JSON array", body: "[]", status: 400, code: "not_json" },
+        { name: "JSON null", body: "null", status: 400, code: "not_json" },
+        { name: "no model", body: "{}", status: 400, code: "model_missing" },
+        { name: "an unknown model", body: '{"model":"x"}', status: 404, code: "model_not_found" },
+        { name: "another model's adapter", body: '{"model":"parts-note:trike"}', status: 404, code: "model_not_found" },
+        {
+            name: "a deadline of 0",
+            body: model,
+            headers: { "x-request-timeout-ms": "0" },
+            status: 400,
+            code: "bad_timeout",
+        },
+        {
+            name: "a deadline of 600001",
+            body: model,
+            headers: { "x-request-timeout-ms": "600001" },
+            status: 400,
+            code: "bad_timeout",
+        },
+        {
+            name: "a deadline with a fraction",
+            body: model,
+            headers: { "x-request-timeout-ms": "1.5" },
+            status: 400,
+            code: "bad_timeout",
+        },
+        {
+            name: "a request id with spaces",
+            body: model,
+            headers: { "x-request-id": "a b" },
+            status: 400,
+            code: "bad_request_id",
+        },
+        {
+            name: "an empty key",
+            body: model,
+            headers: { "idempotency-key": "" },
+            status: 400,
+            code: "bad_idempotency_key",
+        },
+        { name: "a long body", body: "x".repeat(2001), status: 413, code: "body_too_large" },
+        { name: "a very long body", body: "x".repeat(20_000), status: 413, code: "body_too_large" },
+        { name: "an unknown service", path: "/services/none/x", body: "", status: 404, code: "service_not_found" },
+        {
+            name: "a model service as a plain one",
+            path: "/services/workshop-assistant/x",
+            body: "",
+            status: 404,
+            code: "service_not_found",
+        },
+        { name: "an unknown path", path: "/v2/chat", body: "", status: 404, code: "path_not_found" },
+        { name: "a wrong method", path: CHAT, method: "PUT", body: "", status: 405, code: "method_not_allowed" },
+    ];
+    it.each(cases)("refuses $name", async ({ path = CHAT, method = "POST", body, headers = {}, status, code }) => {
+        const reply = await harness.send(method, path, body, headers as Record<string, string>);
+        expect(reply.status).toBe(status);
+        expect(reply.json.error).toMatchObject({ type: "invalid_request_error", code, execution: "not_run" });
+        expect(harness.runs()).toBe(0);
+    });
+
+    it.each([
+        ["headers that are too large", `GET / HTTP/1.1\r\nhost: x\r\nx-a: ${"y".repeat(20_000)}\r\n\r\n`, 431],
+        ["what is not HTTP", "HELLO\r\n\r\n", 400],
+    ])("refuses %s on the raw connection", async (_name, text, status) => {
+        const socket = connect(Number(new URL(harness.url).port), "127.0.0.1");
+        socket.on("error", () => undefined);
+        let received = "";
+        const closed = new Promise(resolve => socket.once("close", resolve));
+        socket.on("data", chunk => received += chunk.toString());
+        socket.write(text);
+        await closed;
+        expect(received).toContain(`HTTP/1.1 ${status} `);
+        expect(received).toContain('"execution":"not_run"');
+    });
+
+    it("drops headers of the connection and keeps the caller's authorization apart from the peers' key", async () => {
+        const { port } = new URL(harness.url);
+        await new Promise<void>((resolve, reject) => {
+            httpRequest({
+                port,
+                path: "/services/parts-ledger/stock",
+                headers: {
+                    "connection": "x-hop, close",
+                    "x-hop": "1",
+                    "authorization": "Bearer caller",
+                    "x-skylarkmill-once": "1",
+                    "x-kept": "1",
+                },
+            }, response => response.resume().on("end", resolve)).on("error", reject).end();
+        });
+        const [entry] = Object.values(harness.agents).flatMap(agent => agent.journal);
+        expect(entry?.headers).toMatchObject({
+            "authorization": "Bearer key",
+            "x-skylarkmill-caller-authorization": "Bearer caller",
+            "x-kept": "1",
+        });
+        expect(entry?.headers).not.toHaveProperty("x-hop");
+        expect(entry?.headers).not.toHaveProperty("x-skylarkmill-once");
+        for (const agent of Object.values(harness.agents)) agent.journal.length = 0;
+    });
+
+    it("lists models and adapters, and counts what it received", async () => {
+        const { data } = JSON.parse((await harness.send("GET", "/v1/models")).text) as { data: { id: string; }[]; };
+        expect(data.map(entry => entry.id)).toEqual(["bench-diagnosis", "parts-note", "trike"]);
+        const metrics = (await harness.send("GET", "/metrics")).text;
+        const sum = (pattern: RegExp) =>
+            [...metrics.matchAll(pattern)].reduce((total, match) => total + Number(match[1]), 0);
+        const received = sum(/^skylarkmill_router_requests_received_total (\d+)$/gm);
+        expect(received).toBeGreaterThan(0);
+        expect(sum(/^skylarkmill_router_requests_total\{.*\} (\d+)$/gm)).toBe(received);
+        expect(sum(/^skylarkmill_router_chart_faults_total (\d+)$/gm)).toBe(0);
+    });
+});
