--- a/packages/protocol/src/types/headers.ts
+++ b/packages/protocol/src/types/headers.ts
@@ -4,14 +4,14 @@
     requestTimeoutMs: "x-request-timeout-ms",
     idempotencyKey: "idempotency-key",
     idempotencyReplayed: "idempotency-replayed",
+    /** The peers' key; `authorization` belongs to the caller and the backend server. */
+    peerKey: "x-skylarkmill-peer-key",
     attemptId: "x-skylarkmill-attempt-id",
     /** Milliseconds that remain until the request's deadline. */
     deadlineMs: "x-skylarkmill-deadline-ms",
     service: "x-skylarkmill-service",
     model: "x-skylarkmill-model",
     adapter: "x-skylarkmill-adapter",
-    /** The caller's `authorization` header; the header itself carries the peers' key to the agent. */
-    callerAuthorization: "x-skylarkmill-caller-authorization",
     /** `1` on a non-idempotent request. */
     once: "x-skylarkmill-once",
     requestClass: "x-skylarkmill-class",
--- a/packages/router/src/runtime/attempt.ts
+++ b/packages/router/src/runtime/attempt.ts
@@ -136,8 +136,8 @@
     const { target } = spec;
     const headers = [
         ...spec.headers,
-        "authorization",
-        `Bearer ${peerKey}`,
+        HEADERS.peerKey,
+        peerKey,
         HEADERS.requestId,
         spec.requestId,
         HEADERS.attemptId,
--- a/packages/router/src/utils/forwarded-headers.ts
+++ b/packages/router/src/utils/forwarded-headers.ts
@@ -37,7 +37,7 @@
     for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
         const name = rawHeaders[i]!.toLowerCase();
         if (HOP_BY_HOP.has(name) || SET_BY_ROUTER.has(name) || named.includes(name)) continue;
-        picked.push(name === "authorization" ? HEADERS.callerAuthorization : name, rawHeaders[i + 1]!);
+        picked.push(name, rawHeaders[i + 1]!);
     }
     return picked;
 }
