feat(policy): hedge a request at a normal server after 1.5 x the 95th percentile

Cause: a hedge after the 95th percentile spends the whole budget of 5% on servers that are normal, and requests at a new straggler find it empty.

--- a/packages/policy/src/budgets/hedge-policies.ts
+++ b/packages/policy/src/budgets/hedge-policies.ts
@@ -11,7 +11,7 @@
     readonly maxTokens?: number;
     /** Shortest delay before a hedge. @default 10 */
     readonly minDelayMs?: number;
-    /** Delay as a factor on the high percentile of the duration. @default 1 */
+    /** Delay as a factor on the high percentile of the duration. @default 1.5 */
     readonly delayFactor?: number;
     /** Slowness from which a hedge goes out after the expected duration. @default 2.5 */
     readonly stragglerSlowness?: number;
@@ -73,7 +73,7 @@
         share: numberOption("share", options.share, 0.05, 0, 1),
         maxTokens: numberOption("maxTokens", options.maxTokens, 20, 1),
         minDelayMs: numberOption("minDelayMs", options.minDelayMs, 10, 0),
-        delayFactor: numberOption("delayFactor", options.delayFactor, 1, 0),
+        delayFactor: numberOption("delayFactor", options.delayFactor, 1.5, 0),
         stragglerSlowness: numberOption("stragglerSlowness", options.stragglerSlowness, 2.5, 1),
     };
 }
