feat(policy): spread the first grants of all models before second ones

Cause: a burst loads the first grant of each model. With the grants placed model by model, up to four models of one burst share a server that holds three, and the fourth waits until a model is no longer in use. Change: first grants are placed in a round of their own, by the memory of the first grants per server.

--- a/bench/cold-start.ts
+++ b/bench/cold-start.ts
@@ -45,7 +45,7 @@
     return { requests, modelIds };
 }
 
-function runBurst(
+export function runBurst(
     deployment: Deployment,
     seed: number,
     policies: PolicySet,
@@ -66,7 +66,7 @@
 }
 
 /** The loads alone: each model once from its nearest copy, back to back at the limit of the weight store. */
-function loadsAlone(fleet: Fleet, burst: Burst): number[] {
+export function loadsAlone(fleet: Fleet, burst: Burst): number[] {
     const events = new EventQueue();
     const store = new WeightStore(events, fleet.deployment.loadsInFlight);
     const readyAtMs = new Map<ModelId, number>();
--- a/packages/policy/src/placement/locality-placement.ts
+++ b/packages/policy/src/placement/locality-placement.ts
@@ -6,6 +6,8 @@
 interface ServerLoad {
     readonly server: PlacementServer;
     grantedBytes: number;
+    /** Memory of the models whose first grant, the one that a burst loads, is on this server. */
+    firstBytes: number;
     demandPerSecond: number;
     readonly modelIds: Set<ModelId>;
 }
@@ -26,22 +28,36 @@
         );
         return [
             ...ordered.flatMap(model => revocations(model, loads)),
-            ...ordered.flatMap(model => this.additions(model, loads)),
+            ...this.additions(ordered, loads),
         ];
     }
 
-    private additions(model: PlacementModel, loads: ReadonlyMap<ServerId, ServerLoad>): PlacementChange[] {
-        const held = new Set(model.grantedTo.map(grant => grant.serverId));
-        const kept = model.grantedTo.filter(grant => !grant.revoking);
-        const dataCentres = kept.flatMap(grant => loads.get(grant.serverId)?.server.dataCentre ?? []);
+    /** First grants of all models come before second ones, so that they spread evenly over the servers. */
+    private additions(models: readonly PlacementModel[], loads: ReadonlyMap<ServerId, ServerLoad>): PlacementChange[] {
+        const progress = models.map(model => {
+            const kept = model.grantedTo.filter(grant => !grant.revoking);
+            return {
+                model,
+                held: new Set(model.grantedTo.map(grant => grant.serverId)),
+                dataCentres: kept.flatMap(grant => loads.get(grant.serverId)?.server.dataCentre ?? []),
+                keptCount: kept.length,
+                count: model.grantedTo.length,
+            };
+        });
         const changes: PlacementChange[] = [];
-        for (let count = model.grantedTo.length; count < model.maxReplicas; count += 1) {
-            const best = this.best(model, loads, held, dataCentres);
-            if (best === undefined) break;
-            held.add(best.server.serverId);
-            dataCentres.push(best.server.dataCentre);
-            assign(best, model);
-            changes.push(addition(model, best.server));
+        const roundCount = Math.max(0, ...models.map(model => model.maxReplicas));
+        for (let round = 0; round < roundCount; round += 1) {
+            for (const state of progress) {
+                if (state.keptCount !== round || state.count >= state.model.maxReplicas) continue;
+                const best = this.best(state.model, loads, state.held, state.dataCentres);
+                if (best === undefined) continue;
+                state.held.add(best.server.serverId);
+                state.dataCentres.push(best.server.dataCentre);
+                state.keptCount += 1;
+                state.count += 1;
+                assign(best, state.model, round === 0);
+                changes.push(addition(state.model, best.server));
+            }
         }
         return changes;
     }
@@ -70,9 +86,10 @@
         const { localityWeight, memoryWeight, demandWeight, spreadWeight, togetherWeight } = this.options;
         const locality = LOCALITY_COST[load.server.locality.get(model.modelId) ?? "remote"];
         const together = (model.activeTogether ?? []).filter(modelId => load.modelIds.has(modelId)).length;
+        const bytes = dataCentres.length === 0 ? load.firstBytes : load.grantedBytes;
         const sameDataCentre = dataCentres.filter(dataCentre => dataCentre === load.server.dataCentre).length;
         return localityWeight * locality
-            + memoryWeight * (load.grantedBytes + model.memoryBytes) / load.server.memorySizeBytes
+            + memoryWeight * (bytes + model.memoryBytes) / load.server.memorySizeBytes
             + demandWeight * load.demandPerSecond
             + spreadWeight * sameDataCentre
             + togetherWeight * together;
@@ -87,18 +104,20 @@
 ): Map<ServerId, ServerLoad> {
     const loads = new Map(servers.map(server => [
         server.serverId,
-        { server, grantedBytes: 0, demandPerSecond: 0, modelIds: new Set<ModelId>() },
+        { server, grantedBytes: 0, firstBytes: 0, demandPerSecond: 0, modelIds: new Set<ModelId>() },
     ]));
     for (const model of models) {
+        const first = model.grantedTo.find(grant => !grant.revoking);
         for (const grant of model.grantedTo) {
             const load = loads.get(grant.serverId);
-            if (load !== undefined) assign(load, model);
+            if (load !== undefined) assign(load, model, grant === first);
         }
     }
     return loads;
 }
 
-function assign(load: ServerLoad, model: PlacementModel): void {
+function assign(load: ServerLoad, model: PlacementModel, first: boolean): void {
+    if (first) load.firstBytes += model.memoryBytes;
     load.grantedBytes += model.memoryBytes;
     load.demandPerSecond += model.demandPerSecond / Math.max(1, model.maxReplicas);
     load.modelIds.add(model.modelId);
