test(failures): prove at-most-once with real processes, and bound the calls of a claim

Cause: keyed orders must run at most once under kills, suspensions, cuts, outages and lost answers. After an outage in which calls hung, the next keyed order was refused for up to 2 s, since the group before it still waited for its answer. Change: 23 cases with two routers and two ledgers behind fault proxies; a claim's call counts as unanswered after 300 ms and is repeated, which is safe since the comparison recognises the own claim. Ruled out: a longer claim timeout, which would only make callers wait longer.

--- a/packages/coordination/src/node/claim-writer.ts
+++ b/packages/coordination/src/node/claim-writer.ts
@@ -2,7 +2,7 @@
 import { err, ok, type Result, ResultAsync } from "neverthrow";
 import { Mailbox } from "../runtime/mailbox.ts";
 import type { ClaimInput, ClaimOutcome, ClaimRecord, ClaimResult, ClaimWriter } from "../types/claim.ts";
-import type { KeyValueEntry, KeyValueStore, Put } from "../types/key-value-store.ts";
+import type { KeyValueEntry, KeyValueError, KeyValueStore, Put } from "../types/key-value-store.ts";
 import { type Logger, silentLogger } from "../types/logger.ts";
 import { hashIdempotencyKey, parseClaim } from "../utils/claim-codec.ts";
 import { sleep } from "../utils/sleep.ts";
@@ -50,6 +50,8 @@
 const MAX_GROUP_SIZE = 60;
 const RETRY_DELAY_MS = 50;
 const OUTCOME_RETRY_MS = 60_000;
+/** A call that hangs in an outage must not hold up the claims that come after it; repeating the write is safe. */
+const CALL_TIMEOUT_MS = 300;
 const STOP_TIMEOUT_MS = 3000;
 const LEASE_RENEWAL_MS = 3_600_000;
 
@@ -187,7 +189,9 @@
         if (this.lease !== undefined && Date.now() - this.lease.grantedAtMs < LEASE_RENEWAL_MS) {
             return this.lease.leaseId;
         }
-        const granted = await this.options.store.grantLease(this.options.retentionMs + LEASE_RENEWAL_MS);
+        const granted = await withinCallTimeout(
+            this.options.store.grantLease(this.options.retentionMs + LEASE_RENEWAL_MS),
+        );
         if (granted.isErr()) return undefined;
         this.lease = { leaseId: granted.value.leaseId, grantedAtMs: Date.now() };
         return this.lease.leaseId;
@@ -198,11 +202,11 @@
         for (const pending of group) {
             if (pending.kind === "claim") pending.sent = true;
         }
-        const result = await this.options.store.commit({
+        const result = await withinCallTimeout(this.options.store.commit({
             compare: group.map(({ key, modRevision }) => ({ key, modRevision })),
             puts: group.map(pending => toPut(pending, leaseId)),
             readOnFailure: group.map(({ key }) => key),
-        });
+        }));
         if (result.isErr()) {
             const { step, peer, message } = result.error;
             this.options.logger.warn({ step, peer, count: group.length }, `claims not written: ${message}`);
@@ -265,6 +269,18 @@
 
 const NOT_RUN: ClaimOutcome = { kind: "not_run", status: 503, contentType: "", bodyBase64: undefined };
 
+function withinCallTimeout<T>(call: ResultAsync<T, KeyValueError>): Promise<Result<T, KeyValueError>> {
+    const overdue = sleep(CALL_TIMEOUT_MS).then(() =>
+        err(
+            new OutcomeUnknownError(`No answer within ${CALL_TIMEOUT_MS} ms.`, {
+                step: "claim.write",
+                peer: "key-value-service",
+            }),
+        )
+    );
+    return Promise.race([call, overdue]);
+}
+
 function toPut(pending: Pending, leaseId: string): Put {
     return { key: pending.key, value: JSON.stringify(pending.record), leaseId };
 }
--- /dev/null
+++ b/test/failures/at-most-once.test.ts
@@ -0,0 +1,246 @@
+import { afterAll, beforeAll, beforeEach, describe, expect, it } from "vitest";
+import { type Answer, type Cluster, startCluster } from "../support/cluster.ts";
+import { eventually } from "../support/eventually.ts";
+
+const sections = {
+    ledger: {
+        team: "ledger",
+        services: {
+            "parts-ledger": { kind: "plain", timeoutMs: 4000, nonIdempotent: [{ method: "POST", path: "/orders" }] },
+        },
+    },
+};
+
+const LEDGERS = ["ledger-1", "ledger-2"];
+const AGENTS = ["agent-1", "agent-2"];
+const ROUTERS = ["router-1", "router-2"];
+const toAgents = AGENTS.map(to => ({ from: "router-1", to }));
+const toStore = { from: "router-1", to: "kv" };
+
+let cluster: Cluster;
+let orderCount = 0;
+
+beforeAll(async () => {
+    cluster = await startCluster({
+        sections,
+        routerCount: 2,
+        engineCount: 0,
+        ledgerCount: 2,
+        links: [...toAgents, toStore],
+    });
+}, 60_000);
+
+afterAll(() => cluster.close());
+
+async function setLedgers(faults: object): Promise<void> {
+    await Promise.all(LEDGERS.map(name => cluster.control(name, "faults", faults)));
+}
+
+async function heal(): Promise<void> {
+    await cluster.control("kv", "faults", { outage: "none", delayMs: 0, loseAnswers: 0, lateWrites: 0 });
+    await setLedgers({ delayMs: 0, loseAnswers: 0, hangAnswers: 0, fail: 0 });
+    await Promise.all(
+        [...toAgents, toStore].map(link =>
+            cluster.fault(link, { mode: "pass", resetAfterBytes: 0, delayMs: 0, direction: "both" })
+        ),
+    );
+    for (const name of [...AGENTS, ...ROUTERS]) {
+        cluster.process(name).signal("SIGCONT");
+        if (!cluster.process(name).isRunning) cluster.process(name).start();
+    }
+    await Promise.all([...AGENTS, ...ROUTERS].map(name => cluster.waitUntilReady(name)));
+}
+
+/** One try; a broken connection, such as one to a killed router, gives status 0. */
+async function order(key: string | undefined, router: string, part: string, timeoutMs = 1500): Promise<Answer> {
+    try {
+        const headers: Record<string, string> = { "x-request-timeout-ms": String(timeoutMs) };
+        if (key !== undefined) headers["idempotency-key"] = key;
+        return await cluster.call(router, "/services/parts-ledger/orders", {
+            method: "POST",
+            headers,
+            body: { part },
+        });
+    }
+    catch {
+        return { status: 0, headers: {}, text: "" };
+    }
+}
+
+async function runsOf(key: string): Promise<number> {
+    const events = await cluster.journal(...LEDGERS);
+    return events.filter(event => event.kind === "execution_started" && event["idempotencyKey"] === key).length;
+}
+
+async function untilRunning(key: string): Promise<void> {
+    await eventually(`an execution under ${key}`, async () => (await runsOf(key)) > 0 || undefined);
+}
+
+async function runningAgent(key: string): Promise<string> {
+    const events = await cluster.journal(...LEDGERS);
+    const started = events.find(event => event.kind === "execution_started" && event["idempotencyKey"] === key);
+    return AGENTS[LEDGERS.indexOf(String(started?.["source"] ?? started?.["name"]))] ?? AGENTS[0]!;
+}
+
+/** Brings the fault about around the first try; resolves with the first answer once it is there. */
+type Fault = (key: string, first: () => Promise<Answer>) => Promise<Answer>;
+
+const slowOrder = async (): Promise<void> => setLedgers({ delayMs: 400 });
+
+async function duringRun(key: string, first: () => Promise<Answer>, act: () => unknown): Promise<Answer> {
+    await slowOrder();
+    const answer = first();
+    await untilRunning(key);
+    await act();
+    return answer;
+}
+
+const FAULTS: Record<string, Fault> = {
+    "no fault": (_key, first) => first(),
+    "the ledger's answer is lost": async (_key, first) => {
+        await setLedgers({ loseAnswers: 1 });
+        return first();
+    },
+    "the ledger never answers": async (_key, first) => {
+        await setLedgers({ hangAnswers: 1 });
+        return first();
+    },
+    "the agent is killed while the order runs": (key, first) =>
+        duringRun(key, first, async () => cluster.process(await runningAgent(key)).end("SIGKILL")),
+    "the agent is suspended while the order runs": (key, first) =>
+        duringRun(key, first, async () => cluster.process(await runningAgent(key)).signal("SIGSTOP")),
+    "the router is killed while the order runs": (key, first) =>
+        duringRun(key, first, () => cluster.process("router-1").end("SIGKILL")),
+    "the router is suspended while the order runs": async (key, first) => {
+        void duringRun(key, first, () => cluster.process("router-1").signal("SIGSTOP"));
+        await untilRunning(key);
+        return { status: 0, headers: {}, text: "" };
+    },
+    "router and agent are cut while the order runs": (key, first) =>
+        duringRun(key, first, () => Promise.all(toAgents.map(link => cluster.fault(link, { mode: "cut" })))),
+    "router and agent are reset after some bytes": async (_key, first) => {
+        await Promise.all(toAgents.map(link => cluster.fault(link, { mode: "pass", resetAfterBytes: 900 })));
+        return first();
+    },
+    "the claim's answer is lost": async (_key, first) => {
+        await cluster.control("kv", "faults", { loseAnswers: 1 });
+        return first();
+    },
+    "two of the claim's answers are lost": async (_key, first) => {
+        await cluster.control("kv", "faults", { loseAnswers: 2 });
+        return first();
+    },
+    "the claim takes effect late": async (_key, first) => {
+        await cluster.control("kv", "faults", { lateWrites: 1, lateWriteMs: 700 });
+        return first();
+    },
+    "the service is down": async (_key, first) => {
+        await cluster.control("kv", "faults", { outage: "refuse" });
+        return first();
+    },
+    "the service hangs": async (_key, first) => {
+        await cluster.control("kv", "faults", { outage: "hang" });
+        return first();
+    },
+    "the service goes down while the order runs": (key, first) =>
+        duringRun(key, first, () => cluster.control("kv", "faults", { outage: "hang" })),
+    "the service goes down and the router is killed": (key, first) =>
+        duringRun(key, first, async () => {
+            await cluster.control("kv", "faults", { outage: "refuse" });
+            await cluster.process("router-1").end("SIGKILL");
+        }),
+    "the claim's answer is lost and the agent is killed": async (key, first) => {
+        await cluster.control("kv", "faults", { loseAnswers: 1 });
+        return duringRun(key, first, async () => cluster.process(await runningAgent(key)).end("SIGKILL"));
+    },
+};
+
+const names = Object.keys(FAULTS).map(name => ({ name }));
+
+describe("a keyed order that the caller repeats through both routers", () => {
+    beforeEach(heal, 40_000);
+
+    // Guards against an order that runs twice, and against answers that contradict each other.
+    it.each(names)("runs at most once when $name", async ({ name }) => {
+        orderCount += 1;
+        const key = `key-${orderCount}`;
+        const part = `part-${orderCount}`;
+        const answers = [await FAULTS[name]!(key, () => order(key, "router-1", part))];
+        answers.push(await order(key, "router-2", part));
+        await heal();
+        for (const router of ["router-1", "router-2", "router-1"]) answers.push(await order(key, router, part));
+
+        const runs = await runsOf(key);
+        expect(runs, describeAnswers(answers)).toBeLessThanOrEqual(1);
+        const successes = answers.filter(answer => answer.status === 201);
+        expect(new Set(successes.map(answer => answer.text)).size).toBeLessThanOrEqual(1);
+        if (successes.length > 0) expect(runs, describeAnswers(answers)).toBe(1);
+        const notRun = answers.filter(answer => answer.text.includes('"execution":"not_run"'));
+        if (runs === 1) expect(notRun.map(answer => answer.text)).toEqual([]);
+    }, 60_000);
+
+    it("runs at most once when ten repeats arrive at the same time", async () => {
+        const key = "key-concurrent";
+        await slowOrder();
+        const tries = Array.from({ length: 10 }, (_, index) => order(key, ROUTERS[index % 2]!, "part-c"));
+        const answers = await Promise.all(tries);
+        expect(await runsOf(key)).toBe(1);
+        expect(answers.every(answer => answer.status === 201 || answer.status === 409)).toBe(true);
+    });
+
+    // Guards against callers that wait out a long outage for an order that can't be claimed.
+    it("is refused within a second and a half while the service hangs", async () => {
+        await cluster.control("kv", "faults", { outage: "hang" });
+        const startedAtMs = performance.now();
+        const answer = await order("key-outage", "router-1", "part-o", 10_000);
+        expect(performance.now() - startedAtMs).toBeLessThan(1500);
+        expect(answer.status).toBe(503);
+        expect(answer.text).toContain('"code":"claim_store_unavailable"');
+        expect(await runsOf("key-outage")).toBe(0);
+    });
+
+    it("is refused when its key comes back with another body", async () => {
+        const first = await order("key-reused", "router-1", "part-a");
+        const second = await order("key-reused", "router-2", "part-b");
+        expect([first.status, second.status]).toEqual([201, 422]);
+        expect(await runsOf("key-reused")).toBe(1);
+    });
+});
+
+describe("an order without a key", () => {
+    beforeEach(heal, 40_000);
+
+    async function runsOfPart(part: string): Promise<number> {
+        const events = await cluster.journal(...LEDGERS);
+        const ran = events.filter(event => event.kind === "execution_finished");
+        return ran.filter(event => JSON.stringify(event).includes(`"${part}"`)).length;
+    }
+
+    const cases = [
+        { name: "the answer is lost", faults: { loseAnswers: 1 }, kill: false },
+        { name: "no answer comes", faults: { hangAnswers: 1 }, kill: false },
+        { name: "the router's connections are cut", faults: { delayMs: 300 }, kill: true },
+    ];
+    // Guards against a router that repeats a request whose outcome it does not know.
+    it.each(cases)("is sent once when $name, and its outcome is unknown", async ({ name, faults, kill }) => {
+        const part = `unkeyed-${name.replaceAll(" ", "-")}`;
+        await setLedgers(faults);
+        const pending = order(undefined, "router-1", part);
+        if (kill) {
+            await eventually("the order's start", async () => {
+                const events = await cluster.journal(...LEDGERS);
+                const open = events.filter(event => event.kind === "execution_started").length
+                    - events.filter(event => event.kind === "execution_finished").length;
+                return open > 0 || undefined;
+            });
+            await Promise.all(toAgents.map(link => cluster.fault(link, { mode: "cut" })));
+        }
+        const answer = await pending;
+        expect(answer.text).toContain('"execution":"unknown"');
+        expect(await eventually("the order's end", async () => (await runsOfPart(part)) || undefined)).toBe(1);
+    });
+});
+
+function describeAnswers(answers: readonly Answer[]): string {
+    return answers.map(answer => `${answer.status} ${answer.text.slice(0, 160)}`).join("\n");
+}
--- a/test/support/cluster.ts
+++ b/test/support/cluster.ts
@@ -168,6 +168,11 @@
         return lists.flat().sort((a, b) => a.atMs - b.atMs || a.seq - b.seq);
     }
 
+    /** Makes one HTTP call to a process by name. */
+    call(name: string, path: string, options?: CallOptions): Promise<Answer> {
+        return call(`${this.url(name)}${path}`, options);
+    }
+
     chat(options: ChatOptions): Promise<Answer> {
         const { router = "router-1", model, message = "squeaky hub", stream = false, maxTokens = 8 } = options;
         return call(`${this.url(router)}/v1/chat/completions`, {
