--- a/packages/control/src/node/operator-app.ts
+++ b/packages/control/src/node/operator-app.ts
@@ -95,13 +95,25 @@
         const section = readSectionName(context.req.query("section"));
         if (editId.isErr()) return send(context, editId.error);
         if (section.isErr()) return send(context, section.error);
-        return send(context, await editor.outcome(section.value, editId.value, context.get("team")));
+        const version = context.req.query("version");
+        const ifMatch = version === undefined ? undefined : readIfMatch(version);
+        if (ifMatch?.isErr() === true) return send(context, ifMatch.error);
+        return send(
+            context,
+            await editor.outcome({
+                team: context.get("team"),
+                section: section.value,
+                editId: editId.value,
+                ifMatch: ifMatch?.unwrapOr(undefined),
+            }),
+        );
     });
     app.get("/operator/config/:section", context => {
         const name = context.req.param("section");
         const record = records.get<ConfigSection>(KEYS.config(name));
         if (record?.value === undefined) {
-            return send(context, refuse(404, "unknown_section", `There is no section ${name}.`));
+            const currentVersion = record?.version ?? 0;
+            return send(context, refuse(404, "unknown_section", `There is no section ${name}.`, { currentVersion }));
         }
         const { version, editId, writtenAtMs, value } = record;
         return send(context, ok({ name, version, editId, writtenAtMs, section: value }, { etag: `"${version}"` }));
--- a/packages/control/src/runtime/config-editor.ts
+++ b/packages/control/src/runtime/config-editor.ts
@@ -8,7 +8,14 @@
     parseSection,
 } from "@skylarkmill/config";
 import type { KeyValueError, VersionedRecord } from "@skylarkmill/coordination";
-import { ConflictError, type EditId, OutcomeUnknownError, type SectionName, type TeamId } from "@skylarkmill/protocol";
+import {
+    ConflictError,
+    type EditId,
+    OutcomeUnknownError,
+    type SectionName,
+    type TeamId,
+    toId,
+} from "@skylarkmill/protocol";
 import { err, ok, type Result } from "neverthrow";
 import type { ChangeSince, OperatorAnswer, ResolvedOperatorOptions } from "../types/operator.ts";
 import { refuse, unavailable } from "../utils/operator-answers.ts";
@@ -23,6 +30,15 @@
     readonly input: unknown;
 }
 
+/** `ifMatch` is the version that the edit named, where known. */
+export interface OutcomeQuestion extends Pick<SectionEdit, "team" | "section" | "editId"> {
+    readonly ifMatch: number | undefined;
+}
+
+const CONTEXT = { step: "config.outcome", peer: "key-value-service" };
+/** Attempts when other editors write at the same moment. */
+const MAX_VOID_ATTEMPTS = 3;
+
 type SectionRecord = VersionedRecord<ConfigSection>;
 type Checked<T> = Result<T, OperatorAnswer>;
 
@@ -38,38 +54,61 @@
         if (earlier !== undefined) return earlier;
         const checked = this.checkOwner(edit).andThen(() => this.checkContent(edit));
         if (checked.isErr()) return checked.error;
-        if (this.currentVersion(edit) !== edit.ifMatch) return this.stale(edit);
+        if ((this.record(edit.section)?.version ?? 0) !== edit.ifMatch) return this.stale(edit);
         return this.write(edit, checked.value);
     }
 
-    /** Says whether an edit took effect; one that did not can't take effect later. */
-    async outcome(section: SectionName, editId: EditId, team: TeamId): Promise<OperatorAnswer> {
+    /**
+     * Says whether an edit took effect. One that did not is voided first: the section gets a new version
+     * with the same content, so that a request which is still on its way meets a stale version.
+     */
+    async outcome(question: OutcomeQuestion): Promise<OperatorAnswer> {
+        for (let attempt = 1; attempt <= MAX_VOID_ATTEMPTS; attempt += 1) {
+            const known = await this.findOutcome(question);
+            if (known !== undefined) return known;
+            const voided = await this.voidEdit(question);
+            if (voided.isOk()) return notAccepted(question);
+            if (!(voided.error instanceof ConflictError)) return this.unknown(question, voided.error);
+        }
+        return this.unknown(question, new ConflictError("The section is being edited; ask again.", CONTEXT));
+    }
+
+    private async findOutcome(question: OutcomeQuestion): Promise<OperatorAnswer | undefined> {
+        const { section, editId, team, ifMatch } = question;
         const { records } = this.options;
         const refreshed = await records.refresh();
-        if (refreshed.isErr()) return unavailable(refreshed.error, this.unknownDetails(section, editId));
+        if (refreshed.isErr()) return this.unknown(question, refreshed.error);
         const record = this.record(section);
         if (record?.editId === editId) return accepted(section, editId, record.version, true);
         const entries = await this.audit.read(section);
-        if (entries.isErr()) return unavailable(entries.error, this.unknownDetails(section, editId));
+        if (entries.isErr()) return this.unknown(question, entries.error);
         const entry = entries.value.find(candidate => candidate.editId === editId);
         if (entry !== undefined) return accepted(section, editId, entry.versionAfter, false);
+        if (entries.value.some(candidate => candidate.editId === voidId(editId))) return notAccepted(question);
         if (record?.value !== undefined && record.value.team !== team) return notOwner(section, record.value.team);
+        // The record remembers its last edit ids even when the audit trail went back to an older state.
         const resolved = await records.resolveEdit(KEYS.config(section), editId);
-        if (resolved.isErr()) return unavailable(resolved.error, this.unknownDetails(section, editId));
-        if (resolved.value === "not_accepted") {
-            return { status: 200, body: { section, editId, outcome: "not_accepted" } };
-        }
-        return { status: 200, body: { section, editId, outcome: "accepted" } };
+        if (resolved.isErr()) return this.unknown(question, resolved.error);
+        if (resolved.value === "accepted") return { status: 200, body: { section, editId, outcome: "accepted" } };
+        const isSuperseded = ifMatch !== undefined && (record?.version ?? 0) > ifMatch;
+        return isSuperseded ? notAccepted(question) : undefined;
     }
 
-    private record(section: SectionName): SectionRecord | undefined {
-        return this.options.records.get<ConfigSection>(KEYS.config(section));
+    private voidEdit({ section, editId, team }: OutcomeQuestion) {
+        const record = this.record(section);
+        const edit = { section, team, editId: voidId(editId) };
+        const entry = createEntry(edit, record?.version ?? 0, [`edit ${editId} was declared not accepted`]);
+        return this.options.records.write<ConfigSection>({
+            key: KEYS.config(section),
+            expectedVersion: record?.version ?? 0,
+            value: record?.value,
+            editId: edit.editId,
+            extraPuts: [auditPut(entry)],
+        });
     }
 
-    /** A deleted section counts as absent. */
-    private currentVersion(edit: SectionEdit): number {
-        const record = this.record(edit.section);
-        return record?.value === undefined && edit.ifMatch === 0 ? 0 : record?.version ?? 0;
+    private record(section: SectionName): SectionRecord | undefined {
+        return this.options.records.get<ConfigSection>(KEYS.config(section));
     }
 
     private async findEarlierOutcome(edit: SectionEdit): Promise<OperatorAnswer | undefined> {
@@ -123,7 +162,7 @@
         const key = KEYS.config(edit.section);
         const record = this.record(edit.section);
         const changes = diffSections(record?.value, section);
-        const entry = this.createEntry(edit, record?.version ?? 0, changes);
+        const entry = createEntry(edit, record?.version ?? 0, changes);
         const written = await records.write<ConfigSection>({
             key,
             expectedVersion: edit.ifMatch,
@@ -138,29 +177,8 @@
             return accepted(edit.section, edit.editId, version, true, changes);
         }
         if (written.error instanceof ConflictError) return this.stale(edit);
-        const answer = await this.resolveFailedWrite(edit);
-        if (written.error instanceof OutcomeUnknownError || answer.status !== 503) return answer;
-        return { ...answer, body: { ...answer.body, thisAttempt: "not_written" } };
-    }
-
-    private createEntry(edit: SectionEdit, versionBefore: number, changes: readonly string[]): AuditEntry {
-        return {
-            atMs: Date.now(),
-            who: edit.team,
-            section: edit.section,
-            versionBefore,
-            versionAfter: versionBefore + 1,
-            editId: edit.editId,
-            changes,
-        };
-    }
-
-    private async resolveFailedWrite(edit: SectionEdit): Promise<OperatorAnswer> {
-        const answer = await this.outcome(edit.section, edit.editId, edit.team);
-        const { outcome } = answer.body as { outcome?: string; };
-        if (outcome !== "not_accepted") return answer;
-        const message = "The write did not take effect; the edit may be sent again.";
-        return refuse(503, "write_failed", message, { outcome, section: edit.section, editId: edit.editId });
+        if (written.error instanceof OutcomeUnknownError) return this.unknown(edit, written.error);
+        return this.notWritten(edit, written.error);
     }
 
     /** Tells an editor which changes came in between. */
@@ -182,15 +200,38 @@
 
     /** This attempt wrote nothing; an earlier one under the same edit id may have. */
     private notWritten(edit: SectionEdit, error: KeyValueError | ConflictError): OperatorAnswer {
-        return unavailable(error, { ...this.unknownDetails(edit.section, edit.editId), thisAttempt: "not_written" });
+        return unavailable(error, { ...unknownDetails(edit), thisAttempt: "not_written" });
     }
 
-    private unknownDetails(section: SectionName, editId: EditId) {
-        const askAgain = `GET /operator/config/edits/${editId}?section=${section}`;
-        return { outcome: "unknown" as const, section, editId, askAgain };
+    private unknown(edit: OutcomeQuestion, error: KeyValueError | ConflictError): OperatorAnswer {
+        return unavailable(error, unknownDetails(edit));
     }
 }
 
+function unknownDetails({ section, editId, ifMatch }: OutcomeQuestion) {
+    const version = ifMatch === undefined ? "" : `&version=${ifMatch}`;
+    const askAgain = `GET /operator/config/edits/${editId}?section=${section}${version}`;
+    return { outcome: "unknown" as const, section, editId, askAgain };
+}
+
+function voidId(editId: EditId): EditId {
+    return toId<EditId>(`void:${editId}`);
+}
+
+type Edit = Pick<SectionEdit, "section" | "team" | "editId">;
+
+function createEntry(edit: Edit, versionBefore: number, changes: readonly string[]): AuditEntry {
+    return {
+        atMs: Date.now(),
+        who: edit.team,
+        section: edit.section,
+        versionBefore,
+        versionAfter: versionBefore + 1,
+        editId: edit.editId,
+        changes,
+    };
+}
+
 /** `undefined` when the audit trail can't be read now. */
 function changesSince(
     entries: Result<readonly AuditEntry[], KeyValueError>,
@@ -216,6 +257,10 @@
     };
 }
 
+function notAccepted({ section, editId }: OutcomeQuestion): OperatorAnswer {
+    return { status: 200, body: { section, editId, outcome: "not_accepted" } };
+}
+
 function notOwner(section: SectionName, owner: TeamId): OperatorAnswer {
     return refuse(403, "not_owner", `Section ${section} belongs to team ${owner}.`, { outcome: "not_accepted" });
 }
