--- a/test/control/operator-fixture.ts
+++ b/test/control/operator-fixture.ts
@@ -24,6 +24,7 @@
 
 /** Operators' interface of one router. */
 export interface Operator {
+    readonly fetch: (request: Request) => Response | Promise<Response>;
     readonly records: ReturnType<typeof createRecords>["records"];
     call(method: string, path: string, options?: CallOptions): Promise<Answer>;
     put(section: string, ifMatch: number, editId: string, body: unknown, team?: Team): Promise<Answer>;
@@ -93,6 +94,7 @@
             return { status: response.status, body, headers: response.headers };
         };
         return {
+            fetch: request => app.fetch(request),
             records,
             call,
             put: (section, ifMatch, editId, body, team = "parts") =>
