--- a/packages/control/src/cli/command-flags.ts
+++ b/packages/control/src/cli/command-flags.ts
@@ -1,6 +1,6 @@
 import { type InputFault, InvalidInputError } from "@skylarkmill/protocol";
-import meow from "meow";
 import { err, ok, type Result } from "neverthrow";
+import { parseArgs } from "node:util";
 import { z } from "zod";
 
 /** Arguments of one operators' command, as texts. */
@@ -110,32 +110,19 @@
 const toVariable = (name: string) => `SKYLARKMILL_${name.toUpperCase().replaceAll("-", "_")}`;
 const toCamel = (name: string) => name.replace(/-(\w)/g, (_, letter: string) => letter.toUpperCase());
 
-const toText = (value: unknown) => (typeof value === "string" ? value : JSON.stringify(value));
-
 /** Splits arguments into words and flags; unknown flags are kept, so that they can be reported. */
 export function splitArguments(command: string, argv: readonly string[]): ParsedCommand {
-    const cli = meow({
-        importMeta: { url: import.meta.url } as ImportMeta,
-        pkg: { name: "skylarkmill" },
-        argv: [...argv],
-        autoHelp: false,
-        autoVersion: false,
-        booleanDefault: undefined,
-        flags: Object.fromEntries(
-            flagsOf(command).map(({ name, isSwitch }) => [
-                toCamel(name),
-                isSwitch === true
-                    ? { type: "boolean" as const }
-                    : { type: "string" as const, isMultiple: true as const },
-            ]),
-        ),
-    });
-    const texts = Object.entries(cli.flags as Record<string, unknown>).flatMap(([key, value]) => {
-        if (value === undefined || (Array.isArray(value) && value.length === 0)) return [];
-        const name = key.replace(/[A-Z]/g, letter => `-${letter.toLowerCase()}`);
-        return [[name, Array.isArray(value) ? value.join(",") : toText(value)]];
-    });
-    return { words: cli.input, texts: Object.fromEntries(texts) as ParsedCommand["texts"] };
+    const options = Object.fromEntries(
+        flagsOf(command).map(({ name, isSwitch }) => [
+            name,
+            isSwitch === true ? { type: "boolean" as const } : { type: "string" as const, multiple: true },
+        ]),
+    );
+    const { positionals, values } = parseArgs({ args: [...argv], options, strict: false, allowPositionals: true });
+    const texts = Object.entries(values).flatMap(([name, value]) =>
+        value === undefined ? [] : [[name, [value].flat().join(",")] as const]
+    );
+    return { words: positionals, texts: Object.fromEntries(texts) };
 }
 
 /** Reads the flags: flag, then variable, then default. Names every fault with its value and what is accepted. */
