fix(agent): keep an old index read or a slow one from upsetting the ledger

Cause: a read of the index older than a newer one re-accounted a model that had left memory, and an unload repeated after 100 ms made each slower read of the index say nothing, so its memory stayed reserved for good. Change: every fact is checked against the stamp of the last order or outcome, and an unload is repeated only after the index shows the model still ready.

--- a/packages/agent/src/runtime/index-facts.ts
+++ b/packages/agent/src/runtime/index-facts.ts
@@ -22,8 +22,9 @@
 
 /** Takes over what the index says about a model that occupies memory. */
 export function applyPresent(replica: Replica, found: EngineModel, context: IndexContext): void {
-    context.ledger.account(replica.modelId, found.memoryBytes);
+    // Older reads may still show a model that a newer one showed absent.
     if (context.stamp <= replica.orderStamp) return;
+    context.ledger.account(replica.modelId, found.memoryBytes);
     replica.absentSinceMs = undefined;
     if (found.state === "ready") applyReady(replica, found, context.nowMs);
     if (found.state === "loading" && replica.state !== "unloading") replica.send("FOUND_LOADING");
@@ -31,8 +32,10 @@
 }
 
 function applyReady(replica: Replica, found: EngineModel, nowMs: number): void {
-    // An unload that the engine has not begun is repeated by the replica set.
-    if (replica.state === "unloading") return;
+    if (replica.state === "unloading") {
+        replica.needsUnloadOrder = replica.orderId === undefined;
+        return;
+    }
     replica.takeFacts(found);
     replica.becomeReady(nowMs);
 }
--- a/packages/agent/src/runtime/replica-set.ts
+++ b/packages/agent/src/runtime/replica-set.ts
@@ -234,9 +234,11 @@
         }
         if (replica.state === "draining" && replica.inUseCount === 0) {
             replica.send("UNLOAD");
+            replica.needsUnloadOrder = true;
             replica.retryAtMs = 0;
         }
-        if (replica.state === "unloading" && replica.orderId === undefined && nowMs >= replica.retryAtMs) {
+        if (replica.state === "unloading" && replica.needsUnloadOrder && nowMs >= replica.retryAtMs) {
+            replica.needsUnloadOrder = false;
             this.options.engine.unload(this.beginOrder(replica, "unload"), replica.modelId);
         }
     }
@@ -347,6 +349,7 @@
     }
 
     private markGone(replica: Replica, failed: boolean, nowMs: number): void {
+        this.orders.touch(replica);
         replica.send("GONE");
         replica.clear();
         this.ledger.release(replica.modelId);
--- a/packages/agent/src/runtime/replica.ts
+++ b/packages/agent/src/runtime/replica.ts
@@ -47,6 +47,8 @@
     loadStartedAtMs = 0;
     loadedAtMs = 0;
     unloadCause: UnloadCause | undefined;
+    /** Set when the unload begins, and when the index shows the model still ready after an order's answer. */
+    needsUnloadOrder = false;
     /** The order whose answer is awaited. */
     orderId: number | undefined;
     /** Index reads that began at or before this stamp say nothing about the last order. */
@@ -107,6 +109,7 @@
         this.adapters.clear();
         this.adapterLoads.clear();
         this.unloadCause = undefined;
+        this.needsUnloadOrder = false;
         this.orderId = undefined;
         this.mayArriveLate = false;
         this.absentSinceMs = undefined;
