--- a/packages/router/src/runtime/request-handler.ts
+++ b/packages/router/src/runtime/request-handler.ts
@@ -145,11 +145,13 @@
         body: Buffer,
         request: ModelRequest | undefined,
     ): RequestSpec {
-        const { config, policies } = this.context;
+        const { config, durations } = this.context;
         const { incoming, startedAtMs } = exchange;
         const method = incoming.method!;
         const requestClass = config.requestClass(target.serviceId, options.className);
         const group = `${target.serviceId}/${target.modelId ?? method}/${requestClass.name}/${request?.stream ?? ""}`;
+        // A whole answer comes with its first byte.
+        const totalGroup = request?.stream === true ? `${group}/total` : group;
         const assumedMs = request === undefined
             ? ASSUMED_PLAIN_MS
             : request.stream
@@ -170,8 +172,10 @@
             startedAtMs,
             deadlineAtMs: startedAtMs + (options.timeoutMs ?? requestClass.timeoutMs),
             group,
-            expectedMs: policies.estimator.expectedMs(group, assumedMs),
-            highMs: policies.estimator.highMs(group, assumedMs),
+            totalGroup,
+            expectedMs: durations.expectedMs(group, assumedMs),
+            highMs: durations.highMs(group, assumedMs),
+            learnedMs: durations.learnedMs(totalGroup, startedAtMs),
             prompt: request?.prompt ?? "",
             preferredServerId: idempotent ? undefined : this.preferredServer(target, options.idempotencyKey),
         };
@@ -189,6 +193,7 @@
         const { counts } = this.context;
         const { serviceId } = spec.target;
         counts.enter(serviceId);
+        if (spec.target.modelId !== undefined) this.context.demand.record(spec.target.modelId, spec.startedAtMs);
         const onEnded = (end: RequestEnd) => {
             counts.leave(serviceId);
             if (end.kind === "refused") this.context.metrics.refusals.inc({ execution: end.execution });
--- a/packages/router/src/runtime/request-task.ts
+++ b/packages/router/src/runtime/request-task.ts
@@ -92,6 +92,7 @@
             sentAtMs: now,
             expectedMs: spec.expectedMs + waitOf(view),
             isWarm: view.loaded,
+            isIdempotent: spec.idempotent,
             owner: this,
         });
         this.attempts.add(attempt);
@@ -139,7 +140,7 @@
         for (const other of this.attempts) if (other !== attempt) this.cancel(other);
         this.step("HEAD");
         this.recordFirstByte(attempt);
-        this.rememberPrefix(attempt);
+        if (head.status === 200) this.rememberModel(attempt);
         this.relay = new AnswerRelay({
             writer: this.writer,
             spec: this.spec,
@@ -196,6 +197,10 @@
         const complete = this.relay!.end();
         const head = attempt.head!;
         this.step(complete ? "END" : "FAIL");
+        const { group, totalGroup } = this.spec;
+        if (complete && totalGroup !== group && attempt.isWarm) {
+            this.context.durations.record(totalGroup, nowMs() - attempt.sentAtMs, nowMs());
+        }
         if (complete) this.finish({ kind: "answered", head, body: this.relay!.keptBody() });
         else this.finish({ kind: "broken" });
     }
@@ -228,7 +233,10 @@
         this.wait ??= new ServerWait(
             this.context.directory,
             this.spec.startedAtMs + this.context.options.limits.serverWaitMs,
-            () => this.state === "choosing" && this.choose(),
+            () => {
+                this.moveCount = 0;
+                if (this.state === "choosing") this.choose();
+            },
             () => this.state === "choosing" && this.refuse(this.lastRefusal ?? refusals.noServer(1000)),
         );
         this.wait.arm();
@@ -329,16 +337,17 @@
 
     private recordFirstByte(attempt: Attempt): void {
         if (!attempt.isWarm) return;
-        const { policies } = this.context;
+        const { policies, durations } = this.context;
         const now = nowMs();
         const waitedMs = now - attempt.sentAtMs;
         policies.stragglers.record(attempt.server.serverId, waitedMs, attempt.expectedMs, now);
-        policies.estimator.record(this.spec.group, waitedMs);
+        durations.record(this.spec.group, waitedMs, now);
     }
 
-    private rememberPrefix(attempt: Attempt): void {
+    private rememberModel(attempt: Attempt): void {
         const { modelId, adapterId } = this.spec.target;
-        if (modelId === undefined || this.spec.prompt === "") return;
+        if (modelId === undefined) return;
+        this.context.directory.noteAnswered(attempt.server, modelId, adapterId);
         this.context.policies.affinity.record(
             attempt.server.serverId,
             modelId,
