feat(router): say outcome_unknown when the claiming router does not run any more

An open claim of a dead router answered request_in_progress for 10 minutes. Routers now ask each other for their process ids when they meet an open claim of another process; unreachable routers count as running.

--- a/packages/router/src/node/router.ts
+++ b/packages/router/src/node/router.ts
@@ -31,6 +31,7 @@
 import { RequestHandler } from "../runtime/request-handler.ts";
 import { RouterMetrics } from "../runtime/router-metrics.ts";
 import { createRouterPolicies } from "../runtime/router-policies.ts";
+import { RouterRoster } from "../runtime/router-roster.ts";
 import { ServerDirectory } from "../runtime/server-directory.ts";
 import { ServerViews } from "../runtime/server-views.ts";
 import type { RouterContext } from "../types/context.ts";
@@ -121,7 +122,8 @@
             durations: new DurationBook(policies.estimator),
             newAttemptId: createAttemptIds(),
         };
-        this.handler = new RequestHandler(this.context, new KeyedRequests(this.context, this.claims));
+        const keyed = new KeyedRequests(this.context, this.claims, new RouterRoster(this.peers));
+        this.handler = new RequestHandler(this.context, keyed);
         this.callerServer = createCallerServer({
             context: this.context,
             handler: this.handler,
--- a/packages/router/src/runtime/keyed-requests.ts
+++ b/packages/router/src/runtime/keyed-requests.ts
@@ -7,6 +7,7 @@
 import { refusals } from "../utils/refusals.ts";
 import type { AnswerWriter } from "./answer-writer.ts";
 import { type RequestEnd, RequestTask } from "./request-task.ts";
+import type { RouterRoster } from "./router-roster.ts";
 
 /** Longest deadline of a request and some spare time; a claim that is open for longer has no process behind it. */
 const LONGEST_OPEN_MS = 620_000;
@@ -17,10 +18,12 @@
 export class KeyedRequests {
     private readonly context: RouterContext;
     private readonly claims: ClaimWriter;
+    private readonly roster: RouterRoster;
 
-    constructor(context: RouterContext, claims: ClaimWriter) {
+    constructor(context: RouterContext, claims: ClaimWriter, roster: RouterRoster) {
         this.context = context;
         this.claims = claims;
+        this.roster = roster;
     }
 
     async run(spec: RequestSpec, writer: AnswerWriter, onEnded: (end: RequestEnd) => void): Promise<void> {
@@ -30,11 +33,13 @@
         if (claimed.kind === "unavailable") return refuse(writer, refusals.claimStoreUnavailable(), onEnded);
         const { record } = claimed;
         const { outcome } = record;
+        // A claim that can't be read has no fingerprint; whatever it stands for may have run.
+        if (record.fingerprint === "") return refuse(writer, refusals.outcomeOfKeyUnknown(), onEnded);
         if (record.fingerprint !== input.record.fingerprint) return refuse(writer, refusals.keyReused(), onEnded);
         if (outcome?.kind === "finished" && outcome.bodyBase64 !== undefined) {
             return replay(writer, outcome, outcome.bodyBase64, onEnded);
         }
-        refuse(writer, this.refusalOf(record), onEnded);
+        refuse(writer, await this.refusalOf(record), onEnded);
     }
 
     private toInput(spec: RequestSpec): ClaimInput {
@@ -101,12 +106,13 @@
         this.claims.complete(input, { kind, status, contentType: "", bodyBase64: undefined });
     }
 
-    private refusalOf(record: ClaimRecord): Refusal {
+    private async refusalOf(record: ClaimRecord): Promise<Refusal> {
         if (record.outcome?.kind === "finished") return refusals.outcomeNotStored(record.outcome.status);
         if (record.outcome !== undefined) return refusals.outcomeOfKeyUnknown();
-        return Date.now() - record.claimedAtMs > LONGEST_OPEN_MS
-            ? refusals.outcomeOfKeyUnknown()
-            : refusals.requestInProgress();
+        if (Date.now() - record.claimedAtMs > LONGEST_OPEN_MS) return refusals.outcomeOfKeyUnknown();
+        const isOwn = record.processId === this.context.options.processId;
+        const mayRun = isOwn || await this.roster.mayRun(record.processId);
+        return mayRun ? refusals.requestInProgress() : refusals.outcomeOfKeyUnknown();
     }
 }
 
--- a/packages/router/src/runtime/peers.ts
+++ b/packages/router/src/runtime/peers.ts
@@ -58,6 +58,11 @@
         return this.others().filter(host => host.role === "router" && host.state === "live");
     }
 
+    /** Other routers that may still run, leaving ones included. */
+    listedRouters(): readonly HostEntry[] {
+        return this.others().filter(host => host.role === "router");
+    }
+
     /** This router is the one that serves the soft limit. */
     isBroker(kind: string): boolean {
         return rankByRendezvous(kind, this.liveRouterIds())[0] === this.options.hostId;
--- a/test/router/input.test.ts
+++ b/test/router/input.test.ts
@@ -91,7 +91,7 @@
         expect(received).toContain('"execution":"not_run"');
     });
 
-    it("drops headers of the connection and keeps the caller's authorization apart from the peers' key", async () => {
+    it("drops headers of the connection and those of the router, and keeps the caller's authorization", async () => {
         const { port } = new URL(harness.url);
         await new Promise<void>((resolve, reject) => {
             httpRequest({
@@ -102,14 +102,15 @@
                     "x-hop": "1",
                     "authorization": "Bearer caller",
                     "x-skylarkmill-once": "1",
+                    "x-skylarkmill-peer-key": "forged",
                     "x-kept": "1",
                 },
             }, response => response.resume().on("end", resolve)).on("error", reject).end();
         });
         const [entry] = Object.values(harness.agents).flatMap(agent => agent.journal);
         expect(entry?.headers).toMatchObject({
-            "authorization": "Bearer key",
-            "x-skylarkmill-caller-authorization": "Bearer caller",
+            "authorization": "Bearer caller",
+            "x-skylarkmill-peer-key": "key",
             "x-kept": "1",
         });
         expect(entry?.headers).not.toHaveProperty("x-hop");
--- a/test/router/keyed.test.ts
+++ b/test/router/keyed.test.ts
@@ -1,3 +1,5 @@
+import { KEYS } from "@skylarkmill/config";
+import { createHash } from "node:crypto";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { type AgentBehaviour, answerJson, breakConnection, refuseWith } from "./support/fake-agent.ts";
 import { Harness, type Reply } from "./support/harness.ts";
@@ -143,6 +145,15 @@
         expect(harness.runs()).toBe(1);
     });
 
+    it("says unknown when the router that claimed the key does not run any more", async () => {
+        const fingerprint = createHash("sha256").update('POST\0/orders\0{"part":7}').digest("hex");
+        const keyHash = createHash("sha256").update("key-1").digest("hex");
+        const claim = { requestId: "r", attemptId: "a", processId: "router-0", claimedAtMs: Date.now(), fingerprint };
+        harness.store.put(KEYS.claim("parts-ledger", keyHash), JSON.stringify(claim));
+        expect(await order()).toMatchObject({ status: 409, json: { error: { code: "outcome_unknown" } } });
+        expect(harness.runs()).toBe(0);
+    });
+
     it("sends idempotent requests with a key without a claim", async () => {
         harness.store.isDown = true;
         const reply = await harness.send("GET", "/services/parts-ledger/stock/1", undefined, {
