--- a/packages/router/src/runtime/prober.ts
+++ b/packages/router/src/runtime/prober.ts
@@ -1,4 +1,5 @@
 import { toBinary } from "@bufbuild/protobuf";
+import { Code, ConnectError } from "@connectrpc/connect";
 import { type ServerStatus, ServerStatusSchema } from "@skylarkmill/protocol";
 import type { RouterContext } from "../types/context.ts";
 import type { ServerState } from "../types/server.ts";
@@ -19,6 +20,7 @@
 const PROBE_TIMEOUT_MS = 1000;
 /** Probes without an answer after which an agent counts as silent. */
 const SILENT_PROBES = 2;
+const SIGNS_OF_LIFE = new Set([Code.Unauthenticated, Code.PermissionDenied, Code.Unimplemented, Code.Internal]);
 /** Servers that were used within this time are probed by a router that does not hold the placement duty. */
 const RECENT_USE_MS = 60_000;
 
@@ -77,7 +79,7 @@
             const silent = seenMs >= SILENT_MS && this.hasSilentAttempt(server, now);
             const recovering = server.unreachableUntilMs > 0 && server.unreachableUntilMs <= now;
             if (!silent && !recovering && (seenMs < FRESH_MS || !this.isWatched(server, now))) continue;
-            due.push({ server, urgency: silent || recovering ? Infinity : seenMs });
+            due.push({ server, urgency: silent ? Infinity : seenMs });
         }
         return due.sort((a, b) => b.urgency - a.urgency).map(entry => entry.server);
     }
@@ -118,11 +120,12 @@
         this.options.context.directory.applyReport(server, readServerStatus(status), nowMs());
     }
 
-    /** One missed probe proves nothing, since both processes may be busy. */
+    /** One missed probe proves nothing, since both processes may be busy; a refused one is a sign of life. */
     private reject(server: ServerState, error: unknown): void {
         const { directory, logger } = this.options.context;
-        server.missedProbeCount += 1;
         logger.debug({ step: "agent.probe", peer: server.serverId, err: error }, "probe failed");
+        if (SIGNS_OF_LIFE.has(ConnectError.from(error).code)) return;
+        server.missedProbeCount += 1;
         if (server.missedProbeCount >= SILENT_PROBES) directory.markSilent(server, nowMs());
     }
 }
--- a/packages/router/src/runtime/server-directory.ts
+++ b/packages/router/src/runtime/server-directory.ts
@@ -6,7 +6,7 @@
 
 /** Pauses before an agent that refused connections is chosen again. */
 const FIRST_PAUSE_MS = 250;
-const LONGEST_PAUSE_MS = 4000;
+const LONGEST_PAUSE_MS = 2000;
 
 /** The backend servers, from the host list, the drain records and what this router observes itself. */
 export class ServerDirectory {
--- a/test/router/support/harness.ts
+++ b/test/router/support/harness.ts
@@ -2,7 +2,7 @@
 import type { HostEntry, HostState, Membership } from "@skylarkmill/platform";
 import type { ServerChooser } from "@skylarkmill/policy";
 import { type ServerId, type TeamId, toId } from "@skylarkmill/protocol";
-import { createRouter, type Router, type RouterOptions } from "@skylarkmill/router";
+import { createRouter, type Router, type RouterOptions, type RouterPorts } from "@skylarkmill/router";
 import bunyan from "bunyan";
 import { request } from "undici";
 import { type AgentBehaviour, FakeAgent } from "./fake-agent.ts";
@@ -82,6 +82,9 @@
     readonly logged: string[] = [];
     router!: Router;
     url = "";
+    ports: RouterPorts = { port: 0, operatorPort: 0, peerPort: 0 };
+    /** Port of an agent's peer interface; by default agents have none and are not probed. */
+    peerPortOf: (serverId: string) => Promise<number> = async () => 1;
 
     async start(options: Partial<RouterOptions> = {}, behave?: AgentBehaviour): Promise<this> {
         await this.addAgents("workshop-assistant", ["engine-1", "engine-2"], behave);
@@ -108,8 +111,8 @@
             ...options,
             limits: { probeBytesPerSecond: 0, ...options.limits },
         });
-        const ports = (await this.router.start())._unsafeUnwrap();
-        this.url = `http://127.0.0.1:${ports.port}`;
+        this.ports = (await this.router.start())._unsafeUnwrap();
+        this.url = `http://127.0.0.1:${this.ports.port}`;
         await this.untilReady();
         return this;
     }
@@ -181,7 +184,7 @@
                 role: "backend",
                 state: "live",
                 address: "127.0.0.1",
-                peerPort: 1,
+                peerPort: await this.peerPortOf(serverId),
                 requestPort: agent.port,
                 serverId: toId(serverId),
                 serviceId: toId(serviceId),
