feat(policy): place models in constant use by demand rather than locality

Cause: with the placement blind to demand, some servers hold no model that is in demand and idle through the peak. Change: the weight of the checkpoint's place falls with the demand of the model, and the benches pass the demand before the peak to the placement.

--- a/bench/peak-load.ts
+++ b/bench/peak-load.ts
@@ -16,6 +16,7 @@
 const DURATION_SPREAD = Math.exp(0.4 ** 2 / 2);
 
 const BASELINE: PolicySet = {
+    placement: { name: "load-anywhere" },
     chooser: { name: "random" },
     queue: { name: "fifo" },
     admission: { name: "bounded-queue" },
@@ -28,28 +29,37 @@
     const { deployment } = fleet;
     const generator = new RequestGenerator(deployment, random);
     const hot = fleet.models.slice(0, deployment.hotModelCount);
-    const weights = hot.map((_, index) => (index + 1) ** -0.6);
+    const shares = hotShares(deployment);
     const pickClass = (): RequestClass =>
         random.fraction() < LONG_SHARE
             ? deployment.long
             : deployment.short[random.index(deployment.short.length)] as RequestClass;
-    const meanMs = meanDurationMs(deployment);
-    const basePerSecond = BASE_SHARE * deployment.engineCount * deployment.slotCount / meanMs * 1_000;
-    const rate = (atMs: number) =>
-        basePerSecond * (1 + (FACTOR - 1) * Math.min(1, Math.max(0, (atMs - PEAK_AT_MS) / RISE_MS)));
-    return generator.arrivals(0, END_MS, basePerSecond * FACTOR, rate).map(atMs =>
-        generator.create(atMs, pickWeighted(hot, weights, random).modelId, pickClass())
+    const base = basePerSecond(deployment);
+    const rate = (atMs: number) => base * (1 + (FACTOR - 1) * Math.min(1, Math.max(0, (atMs - PEAK_AT_MS) / RISE_MS)));
+    return generator.arrivals(0, END_MS, base * FACTOR, rate).map(atMs =>
+        generator.create(atMs, pickWeighted(hot, shares, random).modelId, pickClass())
     );
 }
 
+/** Share of each hot model in the requests. */
+function hotShares(deployment: Deployment): number[] {
+    const weights = Array.from({ length: deployment.hotModelCount }, (_, index) => (index + 1) ** -0.6);
+    return weights.map(weight => weight / sum(weights));
+}
+
+/** Requests per second before the peak. */
+function basePerSecond(deployment: Deployment): number {
+    return BASE_SHARE * deployment.engineCount * deployment.slotCount / meanDurationMs(deployment) * 1_000;
+}
+
 function meanDurationMs(deployment: Deployment): number {
     const shortMs = sum(deployment.short.map(other => other.medianMs)) / deployment.short.length;
     return (shortMs * (1 - LONG_SHARE) + deployment.long.medianMs * LONG_SHARE) * DURATION_SPREAD;
 }
 
-function pickWeighted(models: readonly ModelSpec[], weights: readonly number[], random: RandomSource): ModelSpec {
-    let rest = random.fraction() * sum(weights);
-    const index = weights.findIndex(weight => (rest -= weight) < 0);
+function pickWeighted(models: readonly ModelSpec[], shares: readonly number[], random: RandomSource): ModelSpec {
+    let rest = random.fraction();
+    const index = shares.findIndex(share => (rest -= share) < 0);
     return models[index < 0 ? 0 : index] as ModelSpec;
 }
 
@@ -64,14 +74,15 @@
     return sum(usefulMs) / ((END_MS - fromMs) * deployment.engineCount * deployment.slotCount);
 }
 
-function runPeak(deployment: Deployment, seed: number, policies: PolicySet) {
+export function runPeak(deployment: Deployment, seed: number, policies: PolicySet) {
     const replicas = (index: number, generated: number) => index < deployment.hotModelCount ? 3 : generated;
-    const fleet = new Fleet(deployment, { seed, policies, replicas });
+    const demandPerSecond = (index: number) => basePerSecond(deployment) * (hotShares(deployment)[index] ?? 0);
+    const fleet = new Fleet(deployment, { seed, policies, replicas, demandPerSecond });
     for (const model of fleet.models.slice(0, deployment.hotModelCount)) fleet.preload(model.modelId, 1);
     const requests = generatePeak(fleet, createRandom(seed * 7_919));
     fleet.submit(requests);
     const outcomes = fleet.run(END_MS + 120_000);
-    return { requests, outcomes, useful: usefulShare(deployment, outcomes) };
+    return { fleet, requests, outcomes, useful: usefulShare(deployment, outcomes) };
 }
 
 type Run = ReturnType<typeof runPeak>;
--- a/bench/shared/fleet.ts
+++ b/bench/shared/fleet.ts
@@ -52,6 +52,8 @@
     readonly reportIntervalMs?: number;
     /** Replaces the generated replica number. */
     readonly replicas?: (index: number, generated: number) => number;
+    /** Recent requests per second of each model, as placement knows them. @default 0 */
+    readonly demandPerSecond?: (index: number) => number;
 }
 
 type Locality = "memory" | "disk" | "remote";
@@ -202,10 +204,10 @@
     private placeGrants(): void {
         const { policies, seed } = this.options;
         const changes = createPlacementPolicy({ ...policies.placement, seed }).plan(
-            this.models.map(model => ({
+            this.models.map((model, index) => ({
                 ...model,
                 serviceId: toId<ServiceId>("assistant"),
-                demandPerSecond: 0,
+                demandPerSecond: this.options.demandPerSecond?.(index) ?? 0,
                 grantedTo: [],
             })),
             this.servers.map(server => ({
--- a/packages/policy/src/placement/create-placement-policy.ts
+++ b/packages/policy/src/placement/create-placement-policy.ts
@@ -12,7 +12,7 @@
     readonly localityWeight?: number;
     /** Weight of the granted memory, as a multiple of the server's memory. @default 1 */
     readonly memoryWeight?: number;
-    /** Weight of the granted models' requests per second. @default 0.5 */
+    /** Weight of the granted models' requests per second. @default 1 */
     readonly demandWeight?: number;
     /** Weight of each other grant of the model in the same data centre. @default 1 */
     readonly spreadWeight?: number;
@@ -41,7 +41,7 @@
         seed: options.seed ?? Date.now(),
         localityWeight: numberOption("localityWeight", options.localityWeight, 4, 0),
         memoryWeight: numberOption("memoryWeight", options.memoryWeight, 1, 0),
-        demandWeight: numberOption("demandWeight", options.demandWeight, 0.5, 0),
+        demandWeight: numberOption("demandWeight", options.demandWeight, 1, 0),
         spreadWeight: numberOption("spreadWeight", options.spreadWeight, 1, 0),
         togetherWeight: numberOption("togetherWeight", options.togetherWeight, 1, 0),
     };
--- a/packages/policy/src/placement/locality-placement.ts
+++ b/packages/policy/src/placement/locality-placement.ts
@@ -88,7 +88,9 @@
         const together = (model.activeTogether ?? []).filter(modelId => load.modelIds.has(modelId)).length;
         const bytes = dataCentres.length === 0 ? load.firstBytes : load.grantedBytes;
         const sameDataCentre = dataCentres.filter(dataCentre => dataCentre === load.server.dataCentre).length;
-        return localityWeight * locality
+        // A model in constant use is rarely loaded, so the place of its checkpoint matters little.
+        const loadShare = 1 / (1 + model.demandPerSecond);
+        return localityWeight * loadShare * locality
             + memoryWeight * (bytes + model.memoryBytes) / load.server.memorySizeBytes
             + demandWeight * load.demandPerSecond
             + spreadWeight * sameDataCentre
