test(failures): prove that an accepted configuration is in force everywhere and never reverts

Cause: configuration must survive outages, restores to older data, suspended processes, racing operators and lost answers. Change: 18 cases with three routers and two agents as real processes. Two faults were found and mended: the losers of a race were answered 503 instead of 409, since the writer compared with the version that a peer had pushed meanwhile; an edit whose write had no effect was answered 'unknown' although that could be settled at once.

--- a/packages/coordination/src/runtime/record-writer.ts
+++ b/packages/coordination/src/runtime/record-writer.ts
@@ -5,7 +5,6 @@
 import type { EditOutcome, RecordChange, RecordWriteError } from "../types/record-store.ts";
 import type { VersionedRecord } from "../types/versioned-record.ts";
 import { encodeStoredRecord, parseStoredRecord, type StoredRecord, toPreviousEditIds } from "../utils/record-codec.ts";
-import { compareStamps } from "../utils/record-version.ts";
 import { sleep } from "../utils/sleep.ts";
 import type { RecordTable } from "./record-table.ts";
 
@@ -45,7 +44,7 @@
         key: string,
         editId: EditId,
     ): Promise<Result<EditOutcome, UnavailableError | OutcomeUnknownError>> {
-        const outcome = await this.resolve(key, editId);
+        const outcome = await this.resolve(key, editId, Infinity);
         return outcome.map(value => (value === "accepted" ? "accepted" : "not_accepted"));
     }
 
@@ -87,7 +86,7 @@
         change: RecordChange<T>,
         record: StoredRecord<T>,
     ): Promise<Result<VersionedRecord<T>, RecordWriteError>> {
-        const outcome = await this.resolve(change.key, change.editId);
+        const outcome = await this.resolve(change.key, change.editId, record.version);
         if (outcome.isErr()) return err(outcome.error);
         if (outcome.value === "accepted") return ok(this.accept(record));
         if (outcome.value === "superseded") {
@@ -106,13 +105,16 @@
         );
     }
 
-    /** Reads back until the outcome is certain; an edit without effect is fenced off. */
+    /**
+     * Reads back until the outcome is certain; an edit without effect is fenced off.
+     * A record of at least `version` with another edit id was written by another process.
+     */
     private async resolve(
         key: string,
         editId: EditId,
+        version: number,
     ): Promise<Result<LostAnswer, UnavailableError | OutcomeUnknownError>> {
         let lastError: unknown;
-        const before = this.table.get(key);
         for (const delayMs of READ_BACK_DELAYS_MS) {
             await sleep(delayMs);
             const current = await this.read(key);
@@ -123,7 +125,7 @@
             const { record, modRevision } = current.value;
             if (record !== undefined) this.table.apply(record);
             if (record?.editId === editId || record?.previousEditIds.includes(editId) === true) return ok("accepted");
-            const superseded = record !== undefined && (before === undefined || compareStamps(record, before) > 0);
+            const superseded = record !== undefined && record.version >= version;
             const fenced = await this.fence(key, record, modRevision);
             if (fenced) return ok(superseded ? "superseded" : "not_accepted");
         }
--- /dev/null
+++ b/test/failures/configuration.test.ts
@@ -0,0 +1,309 @@
+import { afterAll, beforeAll, beforeEach, describe, expect, it } from "vitest";
+import { type Answer, type Cluster, startCluster, TEAM_TOKEN } from "../support/cluster.ts";
+import { eventually } from "../support/eventually.ts";
+
+const sections = {
+    ledger: {
+        team: "ledger",
+        services: {
+            "parts-ledger": { kind: "plain", timeoutMs: 4000, nonIdempotent: [{ method: "POST", path: "/orders" }] },
+        },
+    },
+    notices: { team: "ledger", services: { "notice-board": { kind: "plain", timeoutMs: 4000 } } },
+    stores: { team: "stores", services: { "store-room": { kind: "plain", timeoutMs: 4000 } } },
+};
+
+const ROUTERS = ["router-1", "router-2", "router-3"];
+const AGENTS = ["agent-1", "agent-2"];
+/** An accepted edit is in force in every live process within this time. */
+const IN_FORCE_MS = 5000;
+
+interface Section {
+    readonly team: string;
+    readonly services: Record<string, { readonly kind: string; readonly timeoutMs: number; }>;
+}
+
+interface ProcessStatus {
+    readonly hostId: string;
+    readonly reachable: boolean;
+    readonly versions?: Readonly<Record<string, number>>;
+}
+
+let cluster: Cluster;
+let editCount = 0;
+
+beforeAll(async () => {
+    cluster = await startCluster({ sections, routerCount: 3, engineCount: 0, ledgerCount: 2 });
+}, 60_000);
+
+afterAll(() => cluster.close());
+
+async function heal(): Promise<void> {
+    await cluster.control("kv", "faults", { outage: "none", delayMs: 0, loseAnswers: 0, lateWrites: 0 });
+    for (const name of [...AGENTS, ...ROUTERS]) {
+        cluster.process(name).signal("SIGCONT");
+        if (!cluster.process(name).isRunning) cluster.process(name).start();
+    }
+    await Promise.all([...AGENTS, ...ROUTERS].map(name => cluster.waitUntilReady(name)));
+    await untilInForce((await cluster.readSection("ledger")).version);
+}
+
+async function statuses(router = "router-1"): Promise<readonly ProcessStatus[]> {
+    const answer = await cluster.operator("GET", "config/status", { router });
+    return (JSON.parse(answer.text) as { readonly processes: ProcessStatus[]; }).processes;
+}
+
+/** Waits until each of the processes has at least this version of the section in force. */
+async function untilInForce(
+    version: number,
+    processes: readonly string[] = [...AGENTS, ...ROUTERS],
+    router = "router-1",
+): Promise<void> {
+    await eventually(`version ${version} in ${processes.join(", ")}`, async () => {
+        const known = await statuses(router);
+        const has = (name: string) =>
+            (known.find(status => status.hostId === cluster.hostId(name))?.versions?.["ledger"] ?? 0) >= version;
+        return processes.every(has) || undefined;
+    }, IN_FORCE_MS);
+}
+
+async function changed(router = "router-1"): Promise<{ readonly version: number; readonly section: Section; }> {
+    const { version, section } = await cluster.readSection<Section>("ledger", router);
+    editCount += 1;
+    const services = { "parts-ledger": { ...section.services["parts-ledger"]!, timeoutMs: 4000 + editCount } };
+    return { version, section: { ...section, services } };
+}
+
+async function edit(router = "router-1", editId = `edit-${editCount + 1}`): Promise<Answer & { readonly id: string; }> {
+    const { version, section } = await changed(router);
+    return { ...await cluster.editSection("ledger", version, section, router, editId), id: editId };
+}
+
+const versionOf = (answer: Answer): number => (JSON.parse(answer.text) as { readonly version: number; }).version;
+
+/** Watches the version in force in every process; `stop` returns the versions seen to go back. */
+function watchVersions(): { stop(): Promise<readonly string[]>; } {
+    const highest = new Map<string, number>();
+    const reverts: string[] = [];
+    let stopped = false;
+    const loop = async () => {
+        while (!stopped) {
+            for (const router of ROUTERS) {
+                const known = await statuses(router).catch(() => []);
+                for (const { hostId, versions } of known) note(hostId, versions?.["ledger"]);
+            }
+        }
+    };
+    const note = (hostId: string, version: number | undefined) => {
+        if (version === undefined) return;
+        const before = highest.get(hostId) ?? 0;
+        if (version < before) reverts.push(`${hostId}: ${before} -> ${version}`);
+        highest.set(hostId, Math.max(before, version));
+    };
+    const running = loop();
+    return {
+        async stop() {
+            stopped = true;
+            await running;
+            return reverts;
+        },
+    };
+}
+
+describe("an accepted edit", () => {
+    beforeEach(heal, 40_000);
+
+    it("is in force in every process within five seconds, and stands in the audit trail", async () => {
+        const answer = await edit();
+        expect(answer.status, answer.text).toBe(200);
+        await untilInForce(versionOf(answer));
+        const audit = await cluster.operator("GET", "audit?section=ledger");
+        const { entries } = JSON.parse(audit.text) as { entries: Record<string, unknown>[]; };
+        const entry = entries.find(candidate => candidate["editId"] === answer.id);
+        const version = versionOf(answer);
+        expect(entry).toMatchObject({ who: "ledger", versionBefore: version - 1, versionAfter: version });
+        expect(JSON.stringify(entry?.["changes"])).toContain("timeoutMs");
+    });
+
+    // Guards against a process that starts during an outage with an older state or with none.
+    const starts = [{ name: "router-3" }, { name: "agent-2" }];
+    it.each(starts)("is in force in $name, which starts while the service is down", async ({ name }) => {
+        const answer = await edit();
+        await untilInForce(versionOf(answer));
+        await cluster.control("kv", "faults", { outage: "refuse" });
+        await cluster.process(name).end("SIGKILL");
+        cluster.process(name).start();
+        await untilInForce(versionOf(answer), [name]);
+    });
+
+    // Guards against a restore of the service that takes an accepted edit back.
+    const restores = [
+        { name: "with all processes running", restart: [] },
+        { name: "with a router and an agent starting after it", restart: ["router-2", "agent-1"] },
+        { name: "with every router but one starting after it", restart: ["router-1", "router-2"] },
+    ];
+    it.each(restores)("stays when the service's data becomes older, $name", async ({ restart }) => {
+        const before = await edit();
+        await untilInForce(versionOf(before));
+        const { snapshotId } = await cluster.control("kv", "snapshot", {}, "POST") as { snapshotId: number; };
+        const newest = await edit();
+        await untilInForce(versionOf(newest));
+
+        const watch = watchVersions();
+        await Promise.all(restart.map(name => cluster.process(name).end("SIGKILL")));
+        await cluster.control("kv", "restore", { snapshotId }, "POST");
+        for (const name of restart) cluster.process(name).start();
+        await untilInForce(versionOf(newest), [...AGENTS, ...ROUTERS], "router-3");
+        await eventually("the repair of the service", async () => {
+            const stored = await cluster.readKey("/skylarkmill/config/ledger");
+            const { version } = JSON.parse(stored ?? "{}") as { version?: number; };
+            return version === versionOf(newest) || undefined;
+        });
+        expect(await watch.stop()).toEqual([]);
+        const next = await edit("router-3");
+        expect(versionOf(next)).toBe(versionOf(newest) + 1);
+    }, 60_000);
+
+    it("reaches a process that was suspended, which then never shows an older version", async () => {
+        cluster.process("router-2").signal("SIGSTOP");
+        const answer = await edit();
+        const watch = watchVersions();
+        cluster.process("router-2").signal("SIGCONT");
+        await untilInForce(versionOf(answer));
+        expect(await watch.stop()).toEqual([]);
+    });
+});
+
+describe("racing edits", () => {
+    beforeEach(heal, 40_000);
+
+    // Guards against two operators who both believe that their change is in force.
+    it("of one section have one winner, and the others are told what changed", async () => {
+        for (let round = 0; round < 8; round += 1) {
+            const { version, section } = await changed();
+            const answers = await Promise.all(ROUTERS.map((router, index) => {
+                const services = {
+                    "parts-ledger": { ...section.services["parts-ledger"]!, timeoutMs: 6000 + round * 10 + index },
+                };
+                return cluster.editSection(
+                    "ledger",
+                    version,
+                    { ...section, services },
+                    router,
+                    `race-${round}-${index}`,
+                );
+            }));
+            const winners = answers.filter(answer => answer.status === 200);
+            expect(winners, answers.map(answer => answer.text).join("\n")).toHaveLength(1);
+            const losers = answers.filter(answer => answer.status === 409);
+            expect(losers).toHaveLength(2);
+            for (const loser of losers) expect(loser.text).toContain('"changedMeanwhile":[{');
+            await untilInForce(versionOf(winners[0]!));
+        }
+    }, 60_000);
+
+    it("of different sections both take effect", async () => {
+        const [first, second] = await Promise.all([
+            edit("router-1"),
+            (async () => {
+                const { version, section } = await cluster.readSection("notices", "router-2");
+                return cluster.editSection("notices", version, section, "router-2");
+            })(),
+        ]);
+        expect([first.status, second.status]).toEqual([200, 200]);
+    });
+});
+
+describe("an edit whose answer is lost", () => {
+    beforeEach(heal, 40_000);
+
+    interface Case {
+        readonly name: string;
+        readonly faults: object;
+        readonly outcome: "accepted" | "not_accepted";
+    }
+    // Guards against an editor who is told "not accepted" about a change that takes effect.
+    const cases: Case[] = [
+        { name: "the service loses the answer", faults: { loseAnswers: 1 }, outcome: "accepted" },
+        { name: "the write takes effect late", faults: { lateWrites: 1, lateWriteMs: 600 }, outcome: "not_accepted" },
+    ];
+    it.each(cases)("is resolved truthfully when $name", async ({ faults, outcome }) => {
+        await cluster.control("kv", "faults", faults);
+        const answer = await edit();
+        expect(answer.text).toContain(`"outcome":"${outcome}"`);
+        const again = await cluster.operator("GET", `config/edits/${answer.id}?section=ledger`);
+        expect(again.text).toContain(`"outcome":"${outcome}"`);
+        const { version } = await cluster.readSection("ledger");
+        // Longer than the late write takes.
+        await new Promise(resolve => setTimeout(resolve, 800));
+        const stored = JSON.parse(await cluster.readKey("/skylarkmill/config/ledger") ?? "{}") as { editId: string; };
+        expect(stored.editId === answer.id).toBe(outcome === "accepted");
+        expect((await cluster.readSection("ledger")).version).toBe(version);
+    });
+
+    it("says unknown during an outage and is resolved after it", async () => {
+        const { version, section } = await changed();
+        await cluster.control("kv", "faults", { outage: "hang" });
+        const startedAtMs = performance.now();
+        const answer = await cluster.editSection("ledger", version, section, "router-1", "edit-outage");
+        expect(performance.now() - startedAtMs).toBeLessThan(10_000);
+        expect(answer.status).toBe(503);
+        expect(answer.text).toContain('"outcome":"unknown"');
+        await cluster.control("kv", "faults", { outage: "none" });
+        const resolved = await eventually("the outcome", async () => {
+            const again = await cluster.operator("GET", "config/edits/edit-outage?section=ledger");
+            return again.status === 200 ? again : undefined;
+        });
+        expect(resolved.text).toContain('"outcome":"not_accepted"');
+        // The version may have moved on, which keeps a request that is still on its way from taking effect.
+        const { timeoutMs } = section.services["parts-ledger"]!;
+        expect(await cluster.readKey("/skylarkmill/config/ledger")).not.toContain(`"timeoutMs":${timeoutMs}`);
+        await edit();
+        expect(await cluster.readKey("/skylarkmill/config/ledger")).not.toContain(`"timeoutMs":${timeoutMs},`);
+    }, 40_000);
+});
+
+describe("operators and peers without the right secret", () => {
+    beforeEach(heal, 40_000);
+
+    const cases = [
+        { name: "no token", token: "", status: 401 },
+        { name: "an unknown token", token: "guess", status: 401 },
+        { name: "another team's token", token: `${TEAM_TOKEN}-stores`, status: 403 },
+        { name: "another team's token and team", token: `${TEAM_TOKEN}-stores`, status: 403, team: "stores" },
+    ];
+    // Guards against a team that changes another team's section.
+    it.each(cases)("change nothing with $name", async ({ token, status, team }) => {
+        const { version, section } = await changed();
+        const answer = await cluster.operator("PUT", "config/ledger", {
+            headers: { "authorization": `Bearer ${token}`, "if-match": String(version), "x-edit-id": `bad-${status}` },
+            body: team === undefined ? section : { ...section, team },
+        });
+        expect(answer.status).toBe(status);
+        expect((await cluster.readSection("ledger")).version).toBe(version);
+    });
+
+    it("run nothing at an agent", async () => {
+        const runs = async () =>
+            (await cluster.journal("ledger-1")).filter(event => event.kind === "execution_started").length;
+        const before = await runs();
+        const answer = await cluster.call("agent-1", "/orders", {
+            method: "POST",
+            headers: {
+                "x-skylarkmill-service": "parts-ledger",
+                "x-skylarkmill-attempt-id": "a1",
+                "x-skylarkmill-deadline-ms": "1000",
+                "x-skylarkmill-peer-key": "guess",
+            },
+            body: { part: "hub" },
+        });
+        expect(answer.status).toBe(401);
+        expect(await runs()).toBe(before);
+    });
+
+    it("never see a secret in a log", async () => {
+        const secrets = [TEAM_TOKEN, "cluster-peer-key"];
+        const lines = [...ROUTERS, ...AGENTS].flatMap(name => cluster.process(name).lines);
+        expect(lines.filter(line => secrets.some(secret => line.includes(secret)))).toEqual([]);
+    });
+});
