fix(coordination): close a peer's sockets instead of aborting its session manager

Cause: an abort takes away the session manager's error handler; when it was handling a GOAWAY at that moment, the error ended the process. Change: close destroys the sockets, which the session manager handles as any lost connection. Conclusion: a peer that leaves can't end this process.

--- a/packages/coordination/src/node/peer-client.ts
+++ b/packages/coordination/src/node/peer-client.ts
@@ -1,6 +1,7 @@
 import { type Client, createClient, type Interceptor } from "@connectrpc/connect";
 import { createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
 import { PeerService, type ProcessId } from "@skylarkmill/protocol";
+import { connect, type Socket } from "node:net";
 import type { PermitBrokerPeer } from "../types/permits.ts";
 import type { RecordPeer } from "../types/record-store.ts";
 
@@ -41,7 +42,12 @@
         request.header.set("authorization", `Bearer ${options.keys()[0] ?? ""}`);
         return next(request);
     };
-    const sessions = new Http2SessionManager(baseUrl, { idleConnectionTimeoutMs: IDLE_CONNECTION_TIMEOUT_MS });
+    const sockets = new Set<Socket>();
+    const sessions = new Http2SessionManager(
+        baseUrl,
+        { idleConnectionTimeoutMs: IDLE_CONNECTION_TIMEOUT_MS },
+        { createConnection: () => openSocket(options, sockets) },
+    );
     const calls = createClient(
         PeerService,
         createConnectTransport({
@@ -64,6 +70,17 @@
         release: async permitId => {
             await calls.releasePermit({ permitId });
         },
-        close: () => sessions.abort(),
+        // An abort of the session manager takes away its error handler, so a GOAWAY that it is
+        // handling at that moment would end the process.
+        close: () => {
+            for (const socket of sockets) socket.destroy();
+        },
     };
 }
+
+function openSocket({ address, port }: PeerClientOptions, sockets: Set<Socket>): Socket {
+    const socket = connect({ host: address, port, noDelay: true });
+    sockets.add(socket);
+    socket.once("close", () => sockets.delete(socket));
+    return socket;
+}
