fix(router): try agents out of reach when an idempotent request has no other

An agent whose probes fail but which serves requests stayed excluded, and a request waited up to 5 s for it. Idempotent requests now use such agents as a last resort; only improvements wake waiting requests.

--- a/packages/router/src/runtime/request-task.ts
+++ b/packages/router/src/runtime/request-task.ts
@@ -185,7 +185,6 @@
         }
         if (isInvalidRequest(error)) return this.refuse(refusals.malformed());
         directory.markUnreachable(attempt.server, nowMs());
-        this.tried.delete(attempt.server.serverId);
         this.moveOrFail(refusals.noServer(1000), true);
     }
 
--- a/packages/router/src/runtime/server-directory.ts
+++ b/packages/router/src/runtime/server-directory.ts
@@ -37,7 +37,7 @@
         this.listeners.clear();
     }
 
-    /** Calls back after each change that may make a server available or unavailable. */
+    /** Calls back after each change that may make a server available. */
     subscribe(listener: () => void): () => void {
         this.listeners.add(listener);
         return () => this.listeners.delete(listener);
@@ -55,10 +55,14 @@
         return this.byService.get(serviceId) ?? [];
     }
 
-    /** The server may get new work. */
+    /** The server is not leaving. */
+    mayWork(server: ServerState): boolean {
+        return server.host.state === "live" && !server.agentDraining && !server.operatorDraining;
+    }
+
+    /** The server is not leaving, and its agent was in reach. */
     isAvailable(server: ServerState, nowMs: number): boolean {
-        return server.host.state === "live" && !server.agentDraining && !server.operatorDraining
-            && server.unreachableUntilMs <= nowMs;
+        return this.mayWork(server) && server.unreachableUntilMs <= nowMs;
     }
 
     applyReport(server: ServerState, report: ServerReport, nowMs: number): void {
@@ -91,9 +95,7 @@
 
     /** The agent said that it drains; it gets no new work until a later report says otherwise. */
     markDraining(server: ServerState): void {
-        if (server.agentDraining) return;
         server.agentDraining = true;
-        this.notify();
     }
 
     /** A connection to the agent failed. */
@@ -101,7 +103,6 @@
         server.failureCount += 1;
         const pauseMs = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** (server.failureCount - 1));
         server.unreachableUntilMs = nowMs + pauseMs;
-        this.notify();
     }
 
     private readHosts(): void {
--- a/packages/router/src/runtime/server-views.ts
+++ b/packages/router/src/runtime/server-views.ts
@@ -34,14 +34,16 @@
         this.options = options;
     }
 
-    /** Servers that may get the request now. */
+    /**
+     * Servers that may get the request now. An idempotent request also tries agents that were out of reach
+     * when there are no others; one that may not run twice waits, since a suspended agent may run it much later.
+     */
     forRequest(spec: RequestSpec, nowMs: number): ServerView[] {
         const { directory } = this.options;
-        const views: ServerView[] = [];
-        for (const candidate of this.candidates(spec.target)) {
-            if (directory.isAvailable(candidate.server, nowMs)) views.push(this.toView(candidate, spec, nowMs));
-        }
-        return views;
+        const candidates = this.candidates(spec.target).filter(({ server }) => directory.mayWork(server));
+        const reachable = candidates.filter(({ server }) => server.unreachableUntilMs <= nowMs);
+        const chosen = reachable.length === 0 && spec.idempotent ? candidates : reachable;
+        return chosen.map(candidate => this.toView(candidate, spec, nowMs));
     }
 
     private candidates(target: Target): readonly Candidate[] {
