feat(router): bound the memory that request bodies take

4,096 requests of 4 MiB each would exceed the memory of an entry host many times. Bodies beyond 64 MiB in all are refused with queue_full.

--- a/packages/router/src/runtime/request-counts.ts
+++ b/packages/router/src/runtime/request-counts.ts
@@ -5,11 +5,25 @@
     private readonly perService = new Map<ServiceId, number>();
     private readonly idleListeners: (() => void)[] = [];
     private count = 0;
+    private heldBytes = 0;
 
     get total(): number {
         return this.count;
     }
 
+    /** Bytes of request bodies in memory. */
+    get heldBodyBytes(): number {
+        return this.heldBytes;
+    }
+
+    holdBody(sizeBytes: number): void {
+        this.heldBytes += sizeBytes;
+    }
+
+    releaseBody(sizeBytes: number): void {
+        this.heldBytes -= sizeBytes;
+    }
+
     of(serviceId: ServiceId): number {
         return this.perService.get(serviceId) ?? 0;
     }
--- a/packages/router/src/runtime/request-handler.ts
+++ b/packages/router/src/runtime/request-handler.ts
@@ -21,6 +21,8 @@
 
 /** Longest time for a body to arrive when the caller names no deadline. */
 const BODY_TIMEOUT_MS = 30_000;
+/** Retry time of a request that is refused before its service is known. */
+const BUSY_RETRY_MS = 1000;
 /** Time that one token is assumed to take until durations have been learned. */
 const ASSUMED_TOKEN_MS = 10;
 /** Time that a plain service is assumed to take until durations have been learned. */
@@ -130,6 +132,10 @@
 
     private async readBody(exchange: Exchange, options: RequestOptions): Promise<Buffer | undefined> {
         const { maxBodyBytes } = this.context.options.limits;
+        if (!this.reserveBody(exchange)) {
+            this.refuse(exchange, refusals.overloaded("queue_full", BUSY_RETRY_MS));
+            return undefined;
+        }
         const body = await readBody(exchange.incoming, maxBodyBytes, options.timeoutMs ?? BODY_TIMEOUT_MS);
         if (body.isOk()) return body.value;
         if (body.error === undefined) this.countEnd("none", exchange, "disconnected");
@@ -137,6 +143,20 @@
         return undefined;
     }
 
+    /** Bounds the memory that bodies take; a body of unknown length counts with the longest that is accepted. */
+    private reserveBody({ incoming, writer }: Exchange): boolean {
+        const { counts, options: { limits } } = this.context;
+        const isChunked = incoming.headers["transfer-encoding"] !== undefined;
+        const length = isChunked ? limits.maxBodyBytes : Number(incoming.headers["content-length"] ?? 0);
+        const sizeBytes = Math.min(length, limits.maxBodyBytes);
+        if (counts.total > limits.maxRequests || counts.heldBodyBytes + sizeBytes > limits.maxHeldBodyBytes) {
+            return false;
+        }
+        counts.holdBody(sizeBytes);
+        writer.onClose(() => counts.releaseBody(sizeBytes));
+        return true;
+    }
+
     private toSpec(
         exchange: Exchange,
         options: RequestOptions,
--- a/packages/router/src/types/options.ts
+++ b/packages/router/src/types/options.ts
@@ -38,6 +38,8 @@
 export interface RouterLimits {
     /** Longest accepted request body. @default 4194304 */
     readonly maxBodyBytes: number;
+    /** Request bodies in memory over all requests. @default 67108864 */
+    readonly maxHeldBodyBytes: number;
     /** Longest accepted block of request headers. @default 16384 */
     readonly maxHeaderBytes: number;
     /** Requests in progress over all services. @default 4096 */
@@ -76,6 +78,7 @@
 
 const DEFAULT_LIMITS: RouterLimits = {
     maxBodyBytes: 4 * 1024 * 1024,
+    maxHeldBodyBytes: 64 * 1024 * 1024,
     maxHeaderBytes: 16 * 1024,
     maxRequests: 4096,
     connectTimeoutMs: 1000,
