perf(skylarkmill): keep routers and agents below 128 MB resident

Under 600 requests with the Association's 65 models a router reached 135,600 KiB: V8's young generation grows to 32 MB, and the bundle carries all of zod's languages.

--- a/packages/skylarkmill/src/main.ts
+++ b/packages/skylarkmill/src/main.ts
@@ -1,4 +1,4 @@
-import { runCommandLine } from "./node/command-line.ts";
+import { limitYoungGeneration } from "./node/young-generation.ts";
 
 process.on("unhandledRejection", cause => {
     const text = cause instanceof Error ? cause.stack ?? cause.message : String(cause);
@@ -6,5 +6,9 @@
     process.exit(1);
 });
 
+limitYoungGeneration();
+
 // The exit is explicit, since kept connections of a stopped role could hold the process.
-void runCommandLine(process.argv.slice(2)).then(exitCode => process.exit(exitCode));
+void import("./node/command-line.ts")
+    .then(({ runCommandLine }) => runCommandLine(process.argv.slice(2)))
+    .then(exitCode => process.exit(exitCode));
