feat(control): write lost audit entries back

When the key-value service returns with older data, records are repaired by version but their audit entries stayed lost. Each process remembers the entries it wrote in the last ten minutes and checks them with one transaction every 15 s while there are any.

--- a/packages/control/src/node/operator-app.ts
+++ b/packages/control/src/node/operator-app.ts
@@ -4,7 +4,7 @@
 import { type Context, Hono } from "hono";
 import { bodyLimit } from "hono/body-limit";
 import { randomUUID } from "node:crypto";
-import { AuditLog } from "../runtime/audit-log.ts";
+import { type AuditLog, auditLogOf } from "../runtime/audit-log.ts";
 import { ConfigEditor } from "../runtime/config-editor.ts";
 import { DrainOrders } from "../runtime/drain-orders.ts";
 import { FleetReader } from "../runtime/fleet-reader.ts";
@@ -34,7 +34,7 @@
  */
 export function createOperatorApp(options: OperatorOptions): Hono<Env> {
     const resolved: ResolvedOperatorOptions = { ...DEFAULTS, ...options };
-    const audit = new AuditLog(resolved.store);
+    const audit = auditLogOf(resolved.store);
     const app = new Hono<Env>();
     app.use("/operator/*", async (context, next) => {
         const team = findTeam(context.req.header("authorization"), resolved.teamTokens());
--- a/packages/control/src/node/placement-duty.ts
+++ b/packages/control/src/node/placement-duty.ts
@@ -1,7 +1,7 @@
 import { auditSection, createGrantChange, KEYS } from "@skylarkmill/config";
 import { createDutyLease, silentLogger, sleep } from "@skylarkmill/coordination";
 import { ConflictError } from "@skylarkmill/protocol";
-import { AuditLog } from "../runtime/audit-log.ts";
+import { type AuditLog, auditLogOf } from "../runtime/audit-log.ts";
 import { type GrantPlan, planGrants } from "../runtime/grant-planner.ts";
 import type {
     PlacementDuty,
@@ -21,6 +21,8 @@
     logger: silentLogger,
 };
 
+const AUDIT_CHECK_INTERVAL_MS = 15_000;
+
 const IDLE_ROUND: PlacementRound = { writtenCount: 0, conflictCount: 0, failedCount: 0, deferredCount: 0 };
 
 type WriteOutcome = "written" | "conflict" | "failed";
@@ -52,9 +54,10 @@
     private readonly abort = new AbortController();
     private readonly audit: AuditLog;
     private task: Promise<void> | undefined;
+    private nextAuditCheckAtMs = 0;
 
     constructor(private readonly options: ResolvedPlacementDutyOptions) {
-        this.audit = new AuditLog(options.store);
+        this.audit = auditLogOf(options.store);
     }
 
     get held(): boolean {
@@ -89,20 +92,31 @@
     private async run(): Promise<void> {
         const { signal } = this.abort;
         while (!signal.aborted) {
-            if (this.held) await this.runGuarded();
+            await this.runGuarded();
             await sleep(this.options.intervalMs, signal);
         }
     }
 
     private async runGuarded(): Promise<void> {
         try {
-            await this.runRound();
+            if (this.held) await this.runRound();
+            await this.restoreAudit();
         }
         catch (error) {
             this.options.logger.error({ step: "placement.round", peer: "local", err: error }, "placement round failed");
         }
     }
 
+    /** In every process, whether it holds the duty or not: each restores what it wrote. */
+    private async restoreAudit(): Promise<void> {
+        if (performance.now() < this.nextAuditCheckAtMs) return;
+        this.nextAuditCheckAtMs = performance.now() + AUDIT_CHECK_INTERVAL_MS;
+        const restoredCount = await this.audit.restoreLost();
+        if (restoredCount > 0) {
+            this.options.logger.warn({ step: "audit.restore", restoredCount }, "wrote lost audit entries back");
+        }
+    }
+
     private async writeAll(plans: readonly GrantPlan[]): Promise<PlacementRound> {
         const { maxWritesPerRound } = this.options;
         const counts = { written: 0, conflict: 0, failed: 0 };
@@ -131,7 +145,7 @@
                 { step: "placement.write", model: plan.modelId, version, reasons: plan.reasons },
                 "grants changed",
             );
-            void this.audit.prune("grants", auditSection("grants", plan.modelId), version);
+            void this.audit.written("grants", auditSection("grants", plan.modelId), version, change.extraPuts);
             return "written";
         }
         const { step, peer, message } = written.error;
--- a/packages/control/src/runtime/config-editor.ts
+++ b/packages/control/src/runtime/config-editor.ts
@@ -98,13 +98,14 @@
         const record = this.record(section);
         const edit = { section, team, editId: voidId(editId) };
         const entry = createEntry(edit, record?.version ?? 0, [`edit ${editId} was declared not accepted`]);
+        const extraPuts = [auditPut(entry)];
         return this.options.records.write<ConfigSection>({
             key: KEYS.config(section),
             expectedVersion: record?.version ?? 0,
             value: record?.value,
             editId: edit.editId,
-            extraPuts: [auditPut(entry)],
-        });
+            extraPuts,
+        }).andTee(({ version }) => this.audit.written("config", section, version, extraPuts));
     }
 
     private record(section: SectionName): SectionRecord | undefined {
@@ -162,18 +163,18 @@
         const key = KEYS.config(edit.section);
         const record = this.record(edit.section);
         const changes = diffSections(record?.value, section);
-        const entry = createEntry(edit, record?.version ?? 0, changes);
+        const extraPuts = [auditPut(createEntry(edit, record?.version ?? 0, changes))];
         const written = await records.write<ConfigSection>({
             key,
             expectedVersion: edit.ifMatch,
             value: section,
             editId: edit.editId,
-            extraPuts: [auditPut(entry)],
+            extraPuts,
         });
         if (written.isOk()) {
             const { version } = written.value;
             logger.info({ step: "config.edit", section: edit.section, version, who: edit.team }, "section changed");
-            void this.audit.prune("config", edit.section, version);
+            void this.audit.written("config", edit.section, version, extraPuts);
             return accepted(edit.section, edit.editId, version, true, changes);
         }
         if (written.error instanceof ConflictError) return this.stale(edit);
--- a/packages/control/src/runtime/drain-orders.ts
+++ b/packages/control/src/runtime/drain-orders.ts
@@ -41,6 +41,7 @@
             const record = this.record(order.hostId);
             if ((record?.value !== undefined) === order.draining) return undefined;
             const entry = createEntry(order, record?.version ?? 0);
+            const extraPuts = [auditPut(entry)];
             const written = await records.write<DrainRecord>({
                 key: KEYS.drain(order.hostId),
                 expectedVersion: record?.version ?? 0,
@@ -48,11 +49,11 @@
                     ? { hostId: order.hostId, requestedBy: order.team, requestedAtMs: entry.atMs }
                     : undefined,
                 editId: order.editId,
-                extraPuts: [auditPut(entry)],
+                extraPuts,
             });
             if (written.isOk()) {
                 logger.info({ step: "drain", peer: order.hostId, who: order.team, draining: order.draining }, "drain");
-                void this.audit.prune("drains", entry.section, entry.versionAfter);
+                void this.audit.written("drains", entry.section, entry.versionAfter, extraPuts);
                 return undefined;
             }
             if (written.error instanceof ConflictError) continue;
