--- a/packages/control/src/node/operator-app.ts
+++ b/packages/control/src/node/operator-app.ts
@@ -4,8 +4,10 @@
 import { type Context, Hono } from "hono";
 import { bodyLimit } from "hono/body-limit";
 import { randomUUID } from "node:crypto";
+import { type Counter, Registry } from "prom-client";
 import { type AuditLog, auditLogOf } from "../runtime/audit-log.ts";
 import { ConfigEditor } from "../runtime/config-editor.ts";
+import { createEditCounter } from "../runtime/control-metrics.ts";
 import { DrainOrders } from "../runtime/drain-orders.ts";
 import { FleetReader } from "../runtime/fleet-reader.ts";
 import type { OperatorAnswer, OperatorOptions, ResolvedOperatorOptions } from "../types/operator.ts";
@@ -33,7 +35,8 @@
  * app.route("/", createOperatorApp({ records, store, config, membership, peers, teamTokens }));
  */
 export function createOperatorApp(options: OperatorOptions): Hono<Env> {
-    const resolved: ResolvedOperatorOptions = { ...DEFAULTS, ...options };
+    const resolved: ResolvedOperatorOptions = { ...DEFAULTS, registry: new Registry(), ...options };
+    const edits = createEditCounter(resolved.registry);
     const audit = auditLogOf(resolved.store);
     const app = new Hono<Env>();
     app.use("/operator/*", async (context, next) => {
@@ -56,7 +59,7 @@
         resolved.logger.error({ step: "operator", path: context.req.path, err: error }, "operator request failed");
         return send(context, refuse(500, "internal", "The request failed; the router's log has the cause."));
     });
-    addConfigRoutes(app, resolved, new ConfigEditor(resolved, audit));
+    addConfigRoutes(app, resolved, new ConfigEditor(resolved, audit), edits);
     addInspectionRoutes(app, resolved, audit);
     addDrainRoutes(app, new DrainOrders(resolved, audit));
     app.all("/operator/*", context => send(context, refuse(404, "not_found", `No such path: ${context.req.path}.`)));
@@ -71,6 +74,11 @@
     return { status: 200, body, ...(headers === undefined ? {} : { headers }) };
 }
 
+function outcomeLabel({ status, body }: OperatorAnswer): string {
+    if (status === 409) return "stale";
+    return (body as { readonly outcome?: string; }).outcome ?? "not_accepted";
+}
+
 async function readJson(context: OperatorContext): Promise<{ readonly value: unknown; } | undefined> {
     try {
         return { value: await context.req.json<unknown>() };
@@ -80,7 +88,12 @@
     }
 }
 
-function addConfigRoutes(app: Hono<Env>, options: ResolvedOperatorOptions, editor: ConfigEditor): void {
+function addConfigRoutes(
+    app: Hono<Env>,
+    options: ResolvedOperatorOptions,
+    editor: ConfigEditor,
+    edits: Counter<"outcome">,
+): void {
     const { records, config } = options;
     app.get("/operator/config", context => {
         const sections = config.sections().map(({ name, version, section }) => [name, { version, section }]);
@@ -125,16 +138,15 @@
         for (const input of [section, editId, ifMatch]) if (input.isErr()) return send(context, input.error);
         const body = await readJson(context);
         if (body === undefined) return send(context, refuse(400, "invalid_json", "The body is not JSON."));
-        return send(
-            context,
-            await editor.edit({
-                team: context.get("team"),
-                section: section._unsafeUnwrap(),
-                editId: editId._unsafeUnwrap(),
-                ifMatch: ifMatch._unsafeUnwrap(),
-                input: body.value,
-            }),
-        );
+        const answer = await editor.edit({
+            team: context.get("team"),
+            section: section._unsafeUnwrap(),
+            editId: editId._unsafeUnwrap(),
+            ifMatch: ifMatch._unsafeUnwrap(),
+            input: body.value,
+        });
+        edits.inc({ outcome: outcomeLabel(answer) });
+        return send(context, answer);
     });
 }
 
--- a/packages/control/src/node/placement-duty.ts
+++ b/packages/control/src/node/placement-duty.ts
@@ -1,7 +1,9 @@
 import { auditSection, createGrantChange, KEYS } from "@skylarkmill/config";
 import { createDutyLease, silentLogger, sleep } from "@skylarkmill/coordination";
 import { ConflictError } from "@skylarkmill/protocol";
+import { Registry } from "prom-client";
 import { type AuditLog, auditLogOf } from "../runtime/audit-log.ts";
+import { PlacementMetrics } from "../runtime/control-metrics.ts";
 import { type GrantPlan, planGrants } from "../runtime/grant-planner.ts";
 import type {
     PlacementDuty,
@@ -38,7 +40,7 @@
  * duty.start();
  */
 export function createPlacementDuty(options: PlacementDutyOptions): PlacementDuty {
-    const resolved = { ...DEFAULTS, ...options };
+    const resolved = { ...DEFAULTS, registry: new Registry(), ...options };
     const lease = options.lease ?? createDutyLease({
         store: resolved.store,
         key: KEYS.duty("placement"),
@@ -53,11 +55,14 @@
 class LeasedPlacementDuty implements PlacementDuty {
     private readonly abort = new AbortController();
     private readonly audit: AuditLog;
+    private readonly metrics: PlacementMetrics;
     private task: Promise<void> | undefined;
     private nextAuditCheckAtMs = 0;
 
     constructor(private readonly options: ResolvedPlacementDutyOptions) {
+        const { registry, records, config } = options;
         this.audit = auditLogOf(options.store);
+        this.metrics = new PlacementMetrics({ registry, records, config, held: () => this.held });
     }
 
     get held(): boolean {
@@ -86,7 +91,9 @@
         }
         // Removals and revocations first: they free what the additions wait for.
         const plans = planGrants(this.options).sort((a, b) => Number(a.adds) - Number(b.adds));
-        return this.writeAll(plans);
+        const round = await this.writeAll(plans);
+        this.metrics.countRound(round);
+        return round;
     }
 
     private async run(): Promise<void> {
@@ -112,6 +119,7 @@
         if (performance.now() < this.nextAuditCheckAtMs) return;
         this.nextAuditCheckAtMs = performance.now() + AUDIT_CHECK_INTERVAL_MS;
         const restoredCount = await this.audit.restoreLost();
+        this.metrics.countRestored(restoredCount);
         if (restoredCount > 0) {
             this.options.logger.warn({ step: "audit.restore", restoredCount }, "wrote lost audit entries back");
         }
--- /dev/null
+++ b/packages/control/src/runtime/control-metrics.ts
@@ -0,0 +1,93 @@
+import { type ConfigView, type GrantRecord, KEYS } from "@skylarkmill/config";
+import type { RecordReader } from "@skylarkmill/coordination";
+import { Counter, Gauge, type Registry } from "prom-client";
+import type { PlacementRound } from "../types/placement.ts";
+
+function gauge(registry: Registry, name: string, help: string, read: () => number): void {
+    new Gauge({
+        name,
+        help,
+        registers: [registry],
+        collect() {
+            this.set(read());
+        },
+    });
+}
+
+/** Counts the answers to edits. */
+export function createEditCounter(registry: Registry): Counter<"outcome"> {
+    return new Counter({
+        name: "skylarkmill_control_edits_total",
+        help: "Edits of the configuration, by outcome.",
+        labelNames: ["outcome"],
+        registers: [registry],
+    });
+}
+
+export interface PlacementSources {
+    readonly registry: Registry;
+    readonly records: RecordReader;
+    readonly config: ConfigView;
+    readonly held: () => boolean;
+}
+
+/** Models with fewer usable grants than decided replicas. */
+function countShortModels({ config, records }: PlacementSources): number {
+    return [...config.models().values()].filter(({ modelId, config: { maxReplicas } }) => {
+        const grants = records.get<GrantRecord>(KEYS.grants(modelId))?.value?.grants ?? [];
+        return grants.filter(grant => !grant.revoking).length < maxReplicas;
+    }).length;
+}
+
+/** What the placement duty reports. */
+export class PlacementMetrics {
+    private readonly writes: Counter<"result">;
+    private readonly restored: Counter;
+    private deferredCount = 0;
+
+    constructor(sources: PlacementSources) {
+        const { registry, config } = sources;
+        this.writes = new Counter({
+            name: "skylarkmill_control_grant_writes_total",
+            help: "Writes of grant records by the placement, by result.",
+            labelNames: ["result"],
+            registers: [registry],
+        });
+        this.restored = new Counter({
+            name: "skylarkmill_control_audit_restored_total",
+            help: "Audit entries written back after the key-value service lost them.",
+            registers: [registry],
+        });
+        const name = (suffix: string) => `skylarkmill_control_${suffix}`;
+        gauge(
+            registry,
+            name("placement_held"),
+            "Whether this router holds the placement duty.",
+            () => Number(sources.held()),
+        );
+        gauge(registry, name("grants_deferred"), "Grant changes left for the next round.", () => this.deferredCount);
+        gauge(
+            registry,
+            name("models_short"),
+            "Models with fewer usable grants than decided.",
+            () => countShortModels(sources),
+        );
+        gauge(
+            registry,
+            name("config_problems"),
+            "Sections that contradict others or can't be applied.",
+            () => config.problems().length,
+        );
+    }
+
+    countRound(round: PlacementRound): void {
+        this.writes.inc({ result: "written" }, round.writtenCount);
+        this.writes.inc({ result: "conflict" }, round.conflictCount);
+        this.writes.inc({ result: "failed" }, round.failedCount);
+        this.deferredCount = round.deferredCount;
+    }
+
+    countRestored(count: number): void {
+        this.restored.inc(count);
+    }
+}
--- a/packages/control/src/types/operator.ts
+++ b/packages/control/src/types/operator.ts
@@ -2,6 +2,7 @@
 import type { KeyValueStore, Logger, RecordStore } from "@skylarkmill/coordination";
 import type { HostEntry, Membership } from "@skylarkmill/platform";
 import type { DrainRequest, DrainResponse, ProcessStatus, TeamId } from "@skylarkmill/protocol";
+import type { Registry } from "prom-client";
 
 /** Calls of the operators' interface to other processes. */
 export interface OperatorPeers {
@@ -24,6 +25,8 @@
     readonly peerTimeoutMs?: number;
     /** Calls to other processes at the same time. @default 32 */
     readonly maxConcurrentCalls?: number;
+    /** Receives the metrics. @default a registry of its own */
+    readonly registry?: Registry;
     /** @default silent */
     readonly logger?: Logger;
 }
--- a/packages/control/src/types/placement.ts
+++ b/packages/control/src/types/placement.ts
@@ -3,6 +3,7 @@
 import type { Membership } from "@skylarkmill/platform";
 import type { PlacementPolicy } from "@skylarkmill/policy";
 import type { ModelId, ProcessId, ServerId, ServerStatus } from "@skylarkmill/protocol";
+import type { Registry } from "prom-client";
 
 export interface PlacementDutyOptions {
     readonly processId: ProcessId;
@@ -27,6 +28,8 @@
     readonly leaseTtlMs?: number;
     /** Replaces the lease in the key-value service. @default a lease on `duties/placement` */
     readonly lease?: DutyLease;
+    /** Receives the metrics. @default a registry of its own */
+    readonly registry?: Registry;
     /** @default silent */
     readonly logger?: Logger;
 }
