feat(control): say not_accepted for a write that had no effect

A write without effect is voided before it is answered, so that the answer also holds for an earlier request under the same edit id. The commands stop at such an answer instead of asking the next router.

--- a/packages/control/src/cli/config-apply.ts
+++ b/packages/control/src/cli/config-apply.ts
@@ -103,7 +103,7 @@
     if (response?.body["outcome"] === "accepted") return accepted(options, response);
     if (response?.status === 409) return stale(options, response);
     if (response !== undefined && response.status !== 503) return printRefusal(options.json, response);
-    if (wroteNothing(attempts)) {
+    if (response?.body["outcome"] === "not_accepted" || wroteNothing(attempts)) {
         return report(options, EXIT.failed, "The edit did not take effect; nothing was changed.", response?.body);
     }
     return askOutcome(client, options, ifMatch);
--- a/packages/control/src/cli/operator-client.ts
+++ b/packages/control/src/cli/operator-client.ts
@@ -17,9 +17,9 @@
 
 /** What the routers said, in order. */
 export interface Attempts {
-    /** The first answer that is not 503, else the last. */
+    /** The first answer that settles the request, else the last. */
     readonly response: OperatorResponse | undefined;
-    /** Answers of 503. */
+    /** Answers of 503 that leave the outcome open. */
     readonly unavailable: readonly OperatorResponse[];
     /** `UnavailableError`: the request was not sent. `OutcomeUnknownError`: it was sent and not answered. */
     readonly errors: readonly (UnavailableError | OutcomeUnknownError)[];
@@ -46,7 +46,7 @@
         for (const router of this.options.routers) {
             const response = await this.send(router, operatorRequest);
             if (response.isErr()) errors.push(response.error);
-            else if (response.value.status === 503) unavailable.push(response.value);
+            else if (isUndecided(response.value)) unavailable.push(response.value);
             else return { response: response.value, unavailable, errors };
         }
         return { response: unavailable.at(-1), unavailable, errors };
@@ -77,6 +77,11 @@
     }
 }
 
+/** Another router may do better, unless this one has found out that the edit did not take effect. */
+function isUndecided({ status, body }: OperatorResponse): boolean {
+    return status === 503 && body["outcome"] !== "not_accepted";
+}
+
 const UNSENT_CODES: readonly unknown[] = ["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "UND_ERR_CONNECT_TIMEOUT"];
 
 function isUnsent(cause: unknown): boolean {
--- a/packages/control/src/runtime/config-editor.ts
+++ b/packages/control/src/runtime/config-editor.ts
@@ -179,7 +179,16 @@
         }
         if (written.error instanceof ConflictError) return this.stale(edit);
         if (written.error instanceof OutcomeUnknownError) return this.unknown(edit, written.error);
-        return this.notWritten(edit, written.error);
+        return this.failed(edit);
+    }
+
+    /** This write had no effect; an earlier request with the same edit id may have had one, or have it later. */
+    private async failed(edit: SectionEdit): Promise<OperatorAnswer> {
+        const answer = await this.outcome(edit);
+        const { outcome } = answer.body as { readonly outcome?: string; };
+        if (outcome !== "not_accepted") return answer;
+        const message = "The write did not take effect. Read the section again before the next edit.";
+        return refuse(503, "write_failed", message, { outcome, section: edit.section, editId: edit.editId });
     }
 
     /** Tells an editor which changes came in between. */
--- a/test/control/operator-commands.test.ts
+++ b/test/control/operator-commands.test.ts
@@ -127,6 +127,18 @@
         expect(result).toMatchObject({ exitCode, text: expect.stringContaining(text) as string });
     });
 
+    // Guards against a second attempt at an edit that was declared not accepted.
+    it("stops at a router that says the edit did not take effect", async () => {
+        const body = { error: { code: "write_failed", message: "no effect" }, outcome: "not_accepted" };
+        const failing = await listen(request =>
+            request.method === "PUT" ? Response.json(body, { status: 503 }) : operator.fetch(request)
+        );
+        const other = await listen(request => operator.fetch(request));
+        const result = await run("config apply new.json --section parts", [failing, other]);
+        expect(result).toMatchObject({ exitCode: 1, text: expect.stringContaining("nothing was changed") as string });
+        expect((await operator.call("GET", "/operator/config/parts")).body["version"]).toBe(1);
+    });
+
     // Guards against a command that gives up although another router answers.
     it("goes on to the next router", async () => {
         const router = await listen(request => operator.fetch(request));
--- a/test/control/operator-config.test.ts
+++ b/test/control/operator-config.test.ts
@@ -276,7 +276,7 @@
             fate: "lostRequest",
             downAfter: false,
             status: 503,
-            outcome: "unknown",
+            outcome: "not_accepted",
             resolved: "not_accepted",
         },
         {
