feat(agent): bound bodies, keep routers' connections and prove the life of an agent

Cause: a chunked body was read without a bound, /healthz of a plain service was answered by the agent, and a guess of a request's duration could refuse it. Change: bodies are read up to their limit, requests with a peer key always go to the backend server, a guess takes at most half of the remaining time, failed orders are repeated when their delay ends instead of at the next tick, and a stopping agent refuses for 500 ms more before it closes kept connections.

--- a/packages/agent/src/node/agent.ts
+++ b/packages/agent/src/node/agent.ts
@@ -50,13 +50,14 @@
     private peerServer: PeerServer | undefined;
     private requestServer: RequestServer | undefined;
     private lastChangeMs = 0;
+    private stopping: Promise<void> | undefined;
     private ends: (() => void)[] = [];
     private loops: Promise<void>[] = [];
 
     constructor(private readonly options: ResolvedAgentOptions) {
         this.peers = new PeerDirectory(options);
         this.records = options.records ?? this.createRecords();
-        const onChange = (): void => void this.task.mailbox.post({ kind: "records" });
+        const onChange = (): void => void this.task.mailbox.post({ kind: "wake" });
         this.catalog = createCatalog(this.records, options.serverId, options.serviceId, onChange);
         this.fencing = new Fencing(options.store, options.serverId);
         this.grants = new GrantRemover({ ...options.limits, ...options, records: this.records });
@@ -78,9 +79,18 @@
         return new ResultAsync(this.bind());
     }
 
-    async stop(): Promise<void> {
+    stop(): Promise<void> {
+        this.stopping ??= this.finish();
+        return this.stopping;
+    }
+
+    private async finish(): Promise<void> {
         this.drain.stop();
-        await this.task.whenSettled();
+        if (this.requestServer !== undefined) {
+            // A request that a router has just sent on a kept connection still gets its refusal.
+            await sleep(this.options.limits.lingerMs);
+            await this.task.whenSettled();
+        }
         this.drain.finish();
         this.abort.abort();
         for (const end of this.ends) end();
@@ -231,6 +241,7 @@
             logger,
             removeGrant: modelId => this.grants.remove(modelId),
             onOrderRefused: () => this.onOrderRefused(),
+            wakeAfter: delayMs => void setTimeout(() => this.task.mailbox.post({ kind: "wake" }), delayMs).unref(),
         });
     }
 
--- a/packages/agent/src/node/request-server.ts
+++ b/packages/agent/src/node/request-server.ts
@@ -3,7 +3,7 @@
 import { acceptsKey } from "@skylarkmill/coordination";
 import { HEADERS, type Refusal, type SkylarkmillError, UnavailableError } from "@skylarkmill/protocol";
 import { type Context, Hono } from "hono";
-import { ResultAsync } from "neverthrow";
+import { err, ok, type Result, ResultAsync } from "neverthrow";
 import { once } from "node:events";
 import type { OutgoingHttpHeaders, Server, ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
@@ -12,12 +12,16 @@
 import type { AgentAnswer } from "../types/answer.ts";
 import type { ListenAddress } from "../types/options.ts";
 import type { RequestHead } from "../types/request.ts";
+import { readBody } from "../utils/read-body.ts";
 import { REFUSALS } from "../utils/refusals.ts";
 import { parseRequestHead } from "../utils/request-head.ts";
 
 /** Time after a request's deadline to send what is left of its answer. */
 const SEND_GRACE_MS = 1000;
 
+/** Routers keep connections for the next request; Node's default of 5 s would close most of them in between. */
+const KEEP_ALIVE_MS = 65_000;
+
 export interface RoutedRequest {
     readonly head: RequestHead;
     readonly method: string;
@@ -63,9 +67,14 @@
 
 function createApp(options: RequestServerOptions): Hono<{ Bindings: HttpBindings; }> {
     const app = new Hono<{ Bindings: HttpBindings; }>();
-    app.get("/healthz", context => context.text("ok"));
-    app.get("/readyz", context => (options.isReady() ? context.text("ready") : context.text("not ready", 503)));
-    app.get("/metrics", async context => {
+    // With a peer key these paths are requests of the service that the backend server runs.
+    app.get("/healthz", (context, next) => isPeer(context) ? next() : context.text("ok"));
+    app.get("/readyz", (context, next) => {
+        if (isPeer(context)) return next();
+        return options.isReady() ? context.text("ready") : context.text("not ready", 503);
+    });
+    app.get("/metrics", async (context, next) => {
+        if (isPeer(context)) return next();
         const { contentType, text } = await options.metrics();
         return context.body(text, 200, { "content-type": contentType });
     });
@@ -73,30 +82,43 @@
     return app;
 }
 
+function isPeer(context: Context): boolean {
+    return context.req.header(HEADERS.peerKey) !== undefined;
+}
+
 async function handleRequest(context: AgentContext, options: RequestServerOptions): Promise<Response> {
-    const refuse = (refusal: Refusal): Response => {
-        options.onRefused(refusal);
-        return sendAnswer(refusalAnswer(refusal), outgoing, options);
-    };
-    const outgoing = context.env.outgoing;
-    const { raw } = context.req;
+    const { incoming, outgoing } = context.env;
+    const answer = await takeRequest(context, options);
+    if (answer.isOk()) return sendAnswer(answer.value, outgoing, options);
+    options.onRefused(answer.error);
+    if (!incoming.complete) outgoing.setHeader("connection", "close");
+    return sendAnswer(refusalAnswer(answer.error), outgoing, options);
+}
+
+async function takeRequest(
+    context: AgentContext,
+    options: RequestServerOptions,
+): Promise<Result<AgentAnswer, Refusal>> {
+    const { incoming, outgoing } = context.env;
     const header = (name: string): string | undefined => context.req.header(name);
-    if (!acceptsKey(header(HEADERS.peerKey), options.peerKeys())) return refuse(REFUSALS.unauthorized());
+    if (!acceptsKey(header(HEADERS.peerKey), options.peerKeys())) return err(REFUSALS.unauthorized());
     const head = parseRequestHead(header, Date.now());
-    if (head.isErr()) return refuse(REFUSALS.badHead(head.error));
-    if (Number(header("content-length") ?? 0) > options.maxBodyBytes) return refuse(REFUSALS.bodyTooLarge());
-    const body = raw.method === "GET" || raw.method === "HEAD" ? undefined : new Uint8Array(await raw.arrayBuffer());
-    if (body !== undefined && body.length > options.maxBodyBytes) return refuse(REFUSALS.bodyTooLarge());
-    const url = new URL(raw.url);
-    const answer = await options.handle({
-        head: head.value,
-        method: raw.method,
-        path: url.pathname + url.search,
-        headers: raw.headers,
-        body: body?.length === 0 ? undefined : body,
-        signal: signalOf(outgoing, head.value.deadlineAtMs),
-    });
-    return sendAnswer(answer, outgoing, options);
+    if (head.isErr()) return err(REFUSALS.badHead(head.error));
+    const signal = signalOf(outgoing, head.value.deadlineAtMs);
+    const body = await readBody(incoming, options.maxBodyBytes);
+    if (body.isErr()) {
+        return err(body.error === "too_large" ? REFUSALS.bodyTooLarge() : REFUSALS.badHead("The body broke off."));
+    }
+    return ok(
+        await options.handle({
+            head: head.value,
+            method: incoming.method ?? "GET",
+            path: incoming.url ?? "/",
+            headers: context.req.raw.headers,
+            body: body.value,
+            signal,
+        }),
+    );
 }
 
 /** Aborted when the connection closes before the answer has been sent; a router that stops reading is cut off. */
@@ -135,6 +157,7 @@
 function listen(app: Hono<{ Bindings: HttpBindings; }>, address: ListenAddress): Promise<RequestServer> {
     return new Promise((resolve, reject) => {
         const server: ServerType = serve({ fetch: app.fetch, hostname: address.host, port: address.port });
+        (server as Server).keepAliveTimeout = KEEP_ALIVE_MS;
         const answers = trackAnswers(server as Server);
         server.once("error", reject);
         server.once("listening", () => {
--- a/packages/agent/src/runtime/attempt.ts
+++ b/packages/agent/src/runtime/attempt.ts
@@ -12,6 +12,9 @@
 /** Answers that never have a body (RFC 9110, 6.4.1). */
 const BODYLESS_STATUSES = new Set([204, 205, 304]);
 
+/** Retry delay when the engine itself refuses further requests. */
+const ENGINE_RETRY_MS = 500;
+
 export interface AttemptOptions {
     readonly backend: BackendClient;
     readonly head: RequestHead;
@@ -129,6 +132,11 @@
             this.finish("not_run");
             return refusalAnswer(REFUSALS.modelNotLoaded());
         }
+        if (response.statusCode === 429) {
+            response.body.destroy();
+            this.finish("not_run");
+            return refusalAnswer(REFUSALS.overloaded("engine_overloaded", ENGINE_RETRY_MS));
+        }
         if (response.statusCode >= 500) {
             response.body.destroy();
             return this.fail(REFUSALS.backendFailed(`The engine answered with status ${response.statusCode}.`));
--- a/packages/agent/src/runtime/backend-task.ts
+++ b/packages/agent/src/runtime/backend-task.ts
@@ -24,7 +24,8 @@
     | { readonly kind: "finished"; readonly attemptId: AttemptId; readonly outcome: RunOutcome; }
     | { readonly kind: "order"; readonly orderId: number; readonly result: OrderResult; }
     | { readonly kind: "index"; readonly read: IndexRead; }
-    | { readonly kind: "records"; }
+    /** Records have changed or the time for a retry has come. */
+    | { readonly kind: "wake"; }
     | { readonly kind: "allow-orders"; readonly allowed: boolean; }
     | { readonly kind: "read-index"; readonly resolve?: IndexWaiter["resolve"]; }
     | { readonly kind: "drain"; readonly draining: boolean; }
@@ -157,7 +158,7 @@
             case "index":
                 replicas?.applyIndex(message.read, nowMs);
                 return this.endIndexWaits(message.read.stamp, message.read.result.map(() => undefined));
-            case "records":
+            case "wake":
                 return;
             case "read-index":
                 return this.beginIndexRead(message.resolve);
@@ -212,7 +213,7 @@
             priority: catalog.requestClass(head.requestClass).priority,
             enqueuedAtMs: nowMs,
             deadlineAtMs: head.deadlineAtMs,
-            expectedMs: durations.expectedMs(group, fallbackDurationMs(catalog, head)),
+            expectedMs: durations.expectedMs(group, fallbackDurationMs(catalog, head, nowMs)),
             group,
         };
     }
--- a/packages/agent/src/runtime/replica-set.ts
+++ b/packages/agent/src/runtime/replica-set.ts
@@ -15,6 +15,7 @@
 import type { AgentLimits } from "../types/options.ts";
 import { backoffMs } from "../utils/backoff.ts";
 import type { Catalog } from "../utils/catalog.ts";
+import { AdapterLoads } from "./adapter-loads.ts";
 import { applyAbsent, applyPresent, type IndexContext, occupiesMemory } from "./index-facts.ts";
 import { LoadRules } from "./load-rules.ts";
 import { MemoryLedger } from "./memory-ledger.ts";
@@ -33,6 +34,8 @@
     readonly removeGrant: (modelId: ModelId) => void;
     /** The engine refused an order, perhaps for its fencing token. */
     readonly onOrderRefused: () => void;
+    /** Asks for a call of `reconcile` after a delay. */
+    readonly wakeAfter: (delayMs: number) => void;
 }
 
 /** Reads of the index that fail in a row until the engine counts as out of reach. */
@@ -45,6 +48,7 @@
     private readonly replicas = new Map<ModelId, Replica>();
     private readonly residency: Residency;
     private readonly orders = new OrderBook();
+    private readonly adapterLoads: AdapterLoads;
     private slots = 0;
     private inventoried = false;
     private failedReadCount = 0;
@@ -53,6 +57,11 @@
     constructor(private readonly options: ReplicaSetOptions) {
         const { catalog, durations } = options;
         this.rules = new LoadRules(catalog, this.ledger);
+        this.adapterLoads = new AdapterLoads({
+            engine: options.engine,
+            orders: this.orders,
+            retryAt: (failureCount, nowMs) => this.retryAt(failureCount, nowMs),
+        });
         this.residency = new Residency({
             catalog,
             durations,
@@ -192,7 +201,7 @@
         const order = this.orders.end(orderId);
         if (order === undefined) return;
         if (result.isErr()) this.noteFailure(order, result.error);
-        if (order.kind === "adapter") return this.applyAdapterResult(order, orderId, result, nowMs);
+        if (order.kind === "adapter") return this.adapterLoads.apply(order, orderId, result, nowMs);
         // The index or a later order has settled this one.
         if (order.replica.orderId !== orderId) return;
         this.orders.touch(order.replica);
@@ -254,7 +263,7 @@
     /** Returns the bytes that a waiting load claims, so that later models don't overtake it. */
     private serve(modelId: ModelId, wanted: ModelDemand, claimedBytes: number, nowMs: number): number {
         const replica = this.get(modelId);
-        if (replica.state === "ready") this.loadAdapters(replica, wanted, nowMs);
+        if (replica.state === "ready") this.adapterLoads.start(replica, wanted, nowMs);
         if (replica.state !== "absent" || nowMs < replica.retryAtMs) return 0;
         if (this.blockedBy(modelId) !== undefined) return 0;
         if (this.tryLoad(replica, claimedBytes, URGENCY.waitingRequest, nowMs)) return 0;
@@ -289,33 +298,6 @@
         return orderId;
     }
 
-    private loadAdapters(replica: Replica, wanted: ModelDemand, nowMs: number): void {
-        for (const adapterId of wanted.adapters.keys()) {
-            const current = replica.adapterLoads.get(adapterId);
-            if (replica.adapters.has(adapterId) || current?.orderId !== undefined) continue;
-            if (nowMs < (current?.retryAtMs ?? 0)) continue;
-            const orderId = this.orders.begin({ replica, kind: "adapter", adapterId });
-            replica.adapterLoads.set(adapterId, { orderId, failureCount: current?.failureCount ?? 0, retryAtMs: 0 });
-            this.options.engine.loadAdapter(orderId, replica.modelId, adapterId);
-        }
-    }
-
-    private applyAdapterResult(order: Order, orderId: number, result: OrderResult, nowMs: number): void {
-        const { replica } = order;
-        const adapterId = order.adapterId!;
-        const current = replica.adapterLoads.get(adapterId);
-        if (current?.orderId !== orderId) return;
-        this.orders.touch(replica);
-        if (result.isOk()) {
-            replica.adapters.add(adapterId);
-            replica.adapterLoads.delete(adapterId);
-            return;
-        }
-        const failureCount = current.failureCount + 1;
-        const retryAtMs = this.retryAt(failureCount, nowMs);
-        replica.adapterLoads.set(adapterId, { orderId: undefined, failureCount, retryAtMs });
-    }
-
     private applyLoadResult(replica: Replica, result: OrderResult, nowMs: number): void {
         if (result.isOk()) {
             replica.becomeReady(nowMs);
@@ -384,7 +366,10 @@
     }
 
     private retryAt(failureCount: number, nowMs: number): number {
-        return nowMs + backoffMs(failureCount, this.options.limits.retryMinMs, this.options.limits.retryMaxMs);
+        const { retryMinMs, retryMaxMs } = this.options.limits;
+        const delayMs = Math.ceil(backoffMs(failureCount, retryMinMs, retryMaxMs));
+        this.options.wakeAfter(delayMs);
+        return nowMs + delayMs;
     }
 
     private get(modelId: ModelId): Replica {
--- a/packages/agent/src/types/options.ts
+++ b/packages/agent/src/types/options.ts
@@ -37,6 +37,8 @@
     readonly bindTimeoutMs: number;
     /** A gap of this length between two ticks means that the process was paused. @default 5000 */
     readonly pauseMs: number;
+    /** How long a stopping agent goes on refusing new requests before it closes its connections. @default 500 */
+    readonly lingerMs: number;
     /** Request ids and idempotency keys remembered. @default 10000 */
     readonly onceMaxCount: number;
     /** How long they are remembered. @default 24 h */
--- a/packages/agent/src/utils/chart.ts
+++ b/packages/agent/src/utils/chart.ts
@@ -18,7 +18,7 @@
     private readonly actor;
 
     constructor(file: ChartFile) {
-        this.actor = createActor(createMachine(file as MachineConfig<object, { type: string; }>));
+        this.actor = createActor(machineOf(file));
         this.actor.start();
     }
 
@@ -33,3 +33,16 @@
         return this.state !== before;
     }
 }
+
+const machines = new WeakMap<ChartFile, ReturnType<typeof build>>();
+
+function build(file: ChartFile) {
+    return createMachine(file as MachineConfig<object, { type: string; }>);
+}
+
+/** One machine per file serves all its instances. */
+function machineOf(file: ChartFile): ReturnType<typeof build> {
+    const known = machines.get(file) ?? build(file);
+    machines.set(file, known);
+    return known;
+}
--- a/packages/agent/src/utils/expectations.ts
+++ b/packages/agent/src/utils/expectations.ts
@@ -15,8 +15,13 @@
     return [head.serviceId, head.modelId ?? "", head.requestClass ?? ""].join("/");
 }
 
-/** Expected duration of a request before durations of its group have been observed. */
-export function fallbackDurationMs(catalog: Catalog, head: RequestHead): number {
-    if (catalog.service()?.kind !== "model") return FALLBACK_PLAIN_MS;
-    return catalog.requestClass(head.requestClass).expectedTokens * FALLBACK_MS_PER_TOKEN;
+/**
+ * Expected duration of a request before durations of its group have been observed. A guess alone
+ * must not refuse a request, so it takes at most half of the time that remains.
+ */
+export function fallbackDurationMs(catalog: Catalog, head: RequestHead, nowMs: number): number {
+    const guessMs = catalog.service()?.kind === "model"
+        ? catalog.requestClass(head.requestClass).expectedTokens * FALLBACK_MS_PER_TOKEN
+        : FALLBACK_PLAIN_MS;
+    return Math.min(guessMs, Math.max(0, head.deadlineAtMs - nowMs) / 2);
 }
--- a/packages/agent/src/utils/resolve-options.ts
+++ b/packages/agent/src/utils/resolve-options.ts
@@ -20,6 +20,7 @@
     retryMaxMs: 5000,
     bindTimeoutMs: 10_000,
     pauseMs: 5000,
+    lingerMs: 500,
     onceMaxCount: 10_000,
     onceMaxAgeMs: 24 * 3600 * 1000,
     maxResumeCount: 3,
--- a/test/agent/fakes/fake-engine.ts
+++ b/test/agent/fakes/fake-engine.ts
@@ -32,7 +32,7 @@
     down = false;
     responder: Responder = respondWhole;
     /** Called before an order takes effect; an error that it returns is the answer. */
-    beforeOrder: (order: string) => Promise<EngineError | undefined> = async () => undefined;
+    beforeOrder: (order: string, token: number) => Promise<EngineError | undefined> = async () => undefined;
 
     get usedBytes(): number {
         return [...this.models.values()].reduce((sum, model) => sum + model.memoryBytes, 0);
@@ -49,17 +49,17 @@
     load(order: LoadOrder): ResultAsync<void, EngineError> {
         const { modelId, version, memoryBytes } = order;
         const facts = { modelId, version, memoryBytes, locality: "memory", adapterIds: [] } as const;
-        return this.order(`load ${modelId} ${version} ${order.fencingToken}`, () => {
+        return this.order(`load ${modelId} ${version} ${order.fencingToken}`, order.fencingToken, () => {
             this.models.set(modelId, { ...facts, state: "ready" });
         });
     }
 
     unload(order: UnloadOrder): ResultAsync<void, EngineError> {
-        return this.order(`unload ${order.modelId}`, () => void this.models.delete(order.modelId));
+        return this.order(`unload ${order.modelId}`, order.fencingToken, () => void this.models.delete(order.modelId));
     }
 
-    loadAdapter({ modelId, adapterId }: AdapterOrder): ResultAsync<void, EngineError> {
-        return this.order(`adapter ${modelId} ${adapterId}`, () => {
+    loadAdapter({ modelId, adapterId, fencingToken }: AdapterOrder): ResultAsync<void, EngineError> {
+        return this.order(`adapter ${modelId} ${adapterId}`, fencingToken, () => {
             const model = this.models.get(modelId);
             if (model !== undefined) {
                 this.models.set(modelId, { ...model, adapterIds: [...model.adapterIds, adapterId] });
@@ -78,9 +78,9 @@
         return this.journal.map(entry => entry.what).filter(what => what.startsWith(kind));
     }
 
-    private order(what: string, effect: () => void): ResultAsync<void, EngineError> {
+    private order(what: string, token: number, effect: () => void): ResultAsync<void, EngineError> {
         const run = async (): Promise<Result<void, EngineError>> => {
-            const error = await this.beforeOrder(what);
+            const error = await this.beforeOrder(what, token);
             if (error !== undefined) return err(error);
             effect();
             this.journal.push({ what, usedBytes: this.usedBytes });
--- a/test/agent/fakes/setup.ts
+++ b/test/agent/fakes/setup.ts
@@ -7,7 +7,7 @@
 import { MemoryKeyValueStore } from "../../support/memory-key-value-store.ts";
 import { FakeEngine } from "./fake-engine.ts";
 
-const KEY = "peer-key";
+export const PEER_KEY = "peer-key";
 
 export class FakeMembership implements Membership {
     entries: HostEntry[] = [];
@@ -73,16 +73,31 @@
     await putRecord(store, KEYS.grants(modelId), version, value);
 }
 
+type StartOptions = Partial<AgentOptions>;
+
 export class TestAgent {
     readonly store = new MemoryKeyValueStore();
     readonly engine = new FakeEngine();
     readonly hostList = new FakeMembership();
     agent!: Agent;
     peer!: PeerClient;
+    peerPort = 0;
     private requestPort = 0;
     private sentCount = 0;
 
-    async start(serviceId: "assistant" | "ledger", options: Partial<AgentOptions> = {}): Promise<void> {
+    async start(serviceId: "assistant" | "ledger", options: StartOptions = {}): Promise<void> {
+        const ports = (await this.tryStart(serviceId, options))._unsafeUnwrap();
+        this.requestPort = ports.requestPort;
+        this.peerPort = ports.peerPort;
+        this.peer = createPeerClient({
+            processId: toId("router-1"),
+            address: "127.0.0.1",
+            port: ports.peerPort,
+            keys: () => [PEER_KEY],
+        });
+    }
+
+    tryStart(serviceId: "assistant" | "ledger", options: StartOptions): ReturnType<Agent["start"]> {
         this.agent = createAgent({
             processId: toId("agent-1"),
             hostId: toId("host-server-1"),
@@ -91,23 +106,23 @@
             dataCentre: toId("dc-1"),
             requestListen: { host: "127.0.0.1", port: 0 },
             peerListen: { host: "127.0.0.1", port: 0 },
-            peerKeys: () => [KEY],
+            peerKeys: () => [PEER_KEY],
             store: this.store,
             hostList: this.hostList,
             engineControl: serviceId === "assistant" ? this.engine : undefined,
             backend: this.engine,
             logger: Logger.createLogger({ name: "test", level: Logger.FATAL + 1 }),
             ...options,
-            limits: { indexIntervalMs: 20, settleMs: 50, retryMinMs: 5, retryMaxMs: 20, ...options.limits },
-        });
-        const ports = (await this.agent.start())._unsafeUnwrap();
-        this.requestPort = ports.requestPort;
-        this.peer = createPeerClient({
-            processId: toId("router-1"),
-            address: "127.0.0.1",
-            port: ports.peerPort,
-            keys: () => [KEY],
+            limits: {
+                indexIntervalMs: 20,
+                settleMs: 50,
+                retryMinMs: 5,
+                retryMaxMs: 20,
+                lingerMs: 0,
+                ...options.limits,
+            },
         });
+        return this.agent.start();
     }
 
     async stop(): Promise<void> {
@@ -123,7 +138,7 @@
             body: "{}",
             ...init,
             headers: {
-                [HEADERS.peerKey]: KEY,
+                [HEADERS.peerKey]: PEER_KEY,
                 "content-type": "application/json",
                 [HEADERS.requestId]: `request-${id}`,
                 [HEADERS.attemptId]: `attempt-${id}`,
--- a/test/agent/replica-set.test.ts
+++ b/test/agent/replica-set.test.ts
@@ -145,6 +145,7 @@
             logger: silent,
             removeGrant: modelId => this.grants.delete(modelId),
             onOrderRefused: () => undefined,
+            wakeAfter: () => undefined,
         });
         const stamp = replicas.readIndex();
         replicas.applyIndex({ stamp, result: ok(this.wire.index()) }, this.nowMs);
