--- a/packages/control/src/node/placement-duty.ts
+++ b/packages/control/src/node/placement-duty.ts
@@ -1,7 +1,9 @@
 import { auditSection, createGrantChange, KEYS } from "@skylarkmill/config";
 import { createDutyLease, silentLogger, sleep } from "@skylarkmill/coordination";
 import { ConflictError } from "@skylarkmill/protocol";
-import { AuditLog } from "../runtime/audit-log.ts";
+import { Registry } from "prom-client";
+import { type AuditLog, auditLogOf } from "../runtime/audit-log.ts";
+import { PlacementMetrics } from "../runtime/control-metrics.ts";
 import { type GrantPlan, planGrants } from "../runtime/grant-planner.ts";
 import type {
     PlacementDuty,
@@ -21,6 +23,8 @@
     logger: silentLogger,
 };
 
+const AUDIT_CHECK_INTERVAL_MS = 15_000;
+
 const IDLE_ROUND: PlacementRound = { writtenCount: 0, conflictCount: 0, failedCount: 0, deferredCount: 0 };
 
 type WriteOutcome = "written" | "conflict" | "failed";
@@ -36,7 +40,7 @@
  * duty.start();
  */
 export function createPlacementDuty(options: PlacementDutyOptions): PlacementDuty {
-    const resolved = { ...DEFAULTS, ...options };
+    const resolved = { ...DEFAULTS, registry: new Registry(), ...options };
     const lease = options.lease ?? createDutyLease({
         store: resolved.store,
         key: KEYS.duty("placement"),
@@ -51,10 +55,14 @@
 class LeasedPlacementDuty implements PlacementDuty {
     private readonly abort = new AbortController();
     private readonly audit: AuditLog;
+    private readonly metrics: PlacementMetrics;
     private task: Promise<void> | undefined;
+    private nextAuditCheckAtMs = 0;
 
     constructor(private readonly options: ResolvedPlacementDutyOptions) {
-        this.audit = new AuditLog(options.store);
+        const { registry, records, config } = options;
+        this.audit = auditLogOf(options.store);
+        this.metrics = new PlacementMetrics({ registry, records, config, held: () => this.held });
     }
 
     get held(): boolean {
@@ -83,26 +91,40 @@
         }
         // Removals and revocations first: they free what the additions wait for.
         const plans = planGrants(this.options).sort((a, b) => Number(a.adds) - Number(b.adds));
-        return this.writeAll(plans);
+        const round = await this.writeAll(plans);
+        this.metrics.countRound(round);
+        return round;
     }
 
     private async run(): Promise<void> {
         const { signal } = this.abort;
         while (!signal.aborted) {
-            if (this.held) await this.runGuarded();
+            await this.runGuarded();
             await sleep(this.options.intervalMs, signal);
         }
     }
 
     private async runGuarded(): Promise<void> {
         try {
-            await this.runRound();
+            if (this.held) await this.runRound();
+            await this.restoreAudit();
         }
         catch (error) {
             this.options.logger.error({ step: "placement.round", peer: "local", err: error }, "placement round failed");
         }
     }
 
+    /** In every process, whether it holds the duty or not: each restores what it wrote. */
+    private async restoreAudit(): Promise<void> {
+        if (performance.now() < this.nextAuditCheckAtMs) return;
+        this.nextAuditCheckAtMs = performance.now() + AUDIT_CHECK_INTERVAL_MS;
+        const restoredCount = await this.audit.restoreLost();
+        this.metrics.countRestored(restoredCount);
+        if (restoredCount > 0) {
+            this.options.logger.warn({ step: "audit.restore", restoredCount }, "wrote lost audit entries back");
+        }
+    }
+
     private async writeAll(plans: readonly GrantPlan[]): Promise<PlacementRound> {
         const { maxWritesPerRound } = this.options;
         const counts = { written: 0, conflict: 0, failed: 0 };
@@ -131,7 +153,7 @@
                 { step: "placement.write", model: plan.modelId, version, reasons: plan.reasons },
                 "grants changed",
             );
-            void this.audit.prune("grants", auditSection("grants", plan.modelId), version);
+            void this.audit.written("grants", auditSection("grants", plan.modelId), version, change.extraPuts);
             return "written";
         }
         const { step, peer, message } = written.error;
