--- a/packages/agent/src/node/agent.ts
+++ b/packages/agent/src/node/agent.ts
@@ -130,7 +130,7 @@
     }
 
     private startRequestServer(): ResultAsync<RequestServer, SkylarkmillError> {
-        const { limits, requestListen, peerKeys } = this.options;
+        const { limits, requestListen, peerKeys, logger } = this.options;
         const handler = new RequestHandler({
             ...this.options,
             task: this.task,
@@ -146,6 +146,7 @@
             isReady: () => this.isReady,
             metrics: () => this.metrics.collect(),
             onRefused: refusal => this.metrics.refused(refusal),
+            logger,
         });
     }
 
--- a/packages/agent/src/node/request-handler.ts
+++ b/packages/agent/src/node/request-handler.ts
@@ -34,7 +34,16 @@
         const { head } = request;
         if (head.serviceId !== this.options.serviceId) return refusalAnswer(REFUSALS.wrongService());
         const decision = await this.submit(request);
-        return decision.kind === "refuse" ? refusalAnswer(decision.refusal) : this.createAttempt(request).run();
+        if (decision.kind === "refuse") return refusalAnswer(decision.refusal);
+        const attempt = this.createAttempt(request);
+        try {
+            return await attempt.run();
+        }
+        catch (error) {
+            const { requestId } = head;
+            this.options.logger.error({ requestId, step: "attempt", peer: "backend", err: error }, "attempt failed");
+            return attempt.abandon();
+        }
     }
 
     private createAttempt(request: RoutedRequest): Attempt {
--- a/packages/agent/src/node/request-server.ts
+++ b/packages/agent/src/node/request-server.ts
@@ -2,6 +2,7 @@
 import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
 import { acceptsKey } from "@skylarkmill/coordination";
 import { HEADERS, type Refusal, type SkylarkmillError, UnavailableError } from "@skylarkmill/protocol";
+import type Logger from "bunyan";
 import { type Context, Hono } from "hono";
 import { err, ok, type Result, ResultAsync } from "neverthrow";
 import { once } from "node:events";
@@ -42,6 +43,7 @@
     readonly isReady: () => boolean;
     readonly metrics: () => Promise<{ readonly contentType: string; readonly text: string; }>;
     readonly onRefused: (refusal: Refusal) => void;
+    readonly logger: Logger;
 }
 
 export interface RequestServer {
@@ -88,11 +90,19 @@
 
 async function handleRequest(context: AgentContext, options: RequestServerOptions): Promise<Response> {
     const { incoming, outgoing } = context.env;
-    const answer = await takeRequest(context, options);
-    if (answer.isOk()) return sendAnswer(answer.value, outgoing, options);
-    options.onRefused(answer.error);
-    if (!incoming.complete) outgoing.setHeader("connection", "close");
-    return sendAnswer(refusalAnswer(answer.error), outgoing, options);
+    try {
+        const answer = await takeRequest(context, options);
+        if (answer.isOk()) return sendAnswer(answer.value, outgoing, options);
+        options.onRefused(answer.error);
+        if (!incoming.complete) outgoing.setHeader("connection", "close");
+        return sendAnswer(refusalAnswer(answer.error), outgoing, options);
+    }
+    catch (error) {
+        options.logger.error({ step: "request.answer", peer: "router", err: error }, "answer could not be sent");
+        // The closed connection also ends what was dispatched for it.
+        outgoing.destroy();
+        return RESPONSE_ALREADY_SENT;
+    }
 }
 
 async function takeRequest(
--- a/packages/agent/src/runtime/attempt.ts
+++ b/packages/agent/src/runtime/attempt.ts
@@ -68,6 +68,12 @@
         return this.answerChecked(sent.value, request, numbering);
     }
 
+    /** Ends the attempt after a fault of this process. */
+    abandon(): AgentAnswer {
+        this.abort.abort();
+        return this.fail(REFUSALS.backendFailed("The agent could not relay the answer."));
+    }
+
     private readonly onRouterGone = (): void => {
         this.abort.abort();
         // Before the response head the attempt ends with the aborted send, after it with the body.
--- a/packages/agent/src/utils/request-head.ts
+++ b/packages/agent/src/utils/request-head.ts
@@ -17,7 +17,7 @@
     const requestId = header(HEADERS.requestId);
     const attemptId = header(HEADERS.attemptId);
     const serviceId = header(HEADERS.service);
-    const remainingMs = Number(header(HEADERS.deadlineMs) ?? Number.NaN);
+    const remainingMs = Number(header(HEADERS.deadlineMs) || Number.NaN);
     if (!requestId) return err(`Header ${HEADERS.requestId} is missing.`);
     if (!attemptId) return err(`Header ${HEADERS.attemptId} is missing.`);
     if (!serviceId) return err(`Header ${HEADERS.service} is missing.`);
