--- a/packages/coordination/src/runtime/permit-broker.ts
+++ b/packages/coordination/src/runtime/permit-broker.ts
@@ -50,7 +50,8 @@
     /** Milliseconds until a token is there; 0 when there is one. */
     refill(limit: PermitLimit, nowMs: number): number {
         if (limit.ratePerSecond === undefined) return 0;
-        const gained = ((nowMs - this.refilledAtMs) / 1000) * limit.ratePerSecond;
+        // The clock may have stepped back, or the state be newer than the caller's reading of it.
+        const gained = (Math.max(0, nowMs - this.refilledAtMs) / 1000) * limit.ratePerSecond;
         this.refilledAtMs = nowMs;
         // A burst beyond one token would exceed the rate of the weight store within that second.
         this.tokens = Math.min(1, this.tokens + gained);
