feat(router): forget loaded models after a minute and probe small fleets whole

A model that was unloaded since the last probe still drew requests, and routers with different memories split a burst. Reports older than 60 s no longer count, and all agents are probed while one round fits into 30 s. A stopping router gives up its duty first, and a router without configuration answers not_ready instead of model_not_found.

--- a/packages/router/src/node/router.ts
+++ b/packages/router/src/node/router.ts
@@ -161,11 +161,11 @@
 
     async stop(): Promise<void> {
         this.handler.stop();
-        await this.context.counts.untilIdle();
+        // Another router can take the duty over while the last answers are sent.
+        await Promise.all([this.placement.stop(), this.context.counts.untilIdle()]);
         await closeServer(this.callerServer);
         await closeServer(this.operatorServer);
         this.prober.stop();
-        await this.placement.stop();
         await this.claims.stop();
         for (const unsubscribe of this.unsubscribes) unsubscribe();
         this.directory.stop();
--- a/packages/router/src/runtime/prober.ts
+++ b/packages/router/src/runtime/prober.ts
@@ -13,6 +13,8 @@
 /** Budget that may be saved up, so that a start or a wave of failures is seen quickly. */
 const SAVED_BUDGET_SECONDS = 32;
 const MAX_IN_FLIGHT = 8;
+/** All servers are probed while the budget allows one round in this time. */
+const MAX_ROUND_SECONDS = 30;
 /** A report of this age needs no probe. */
 const FRESH_MS = 2000;
 /** An attempt that waits for so long without any sign from its agent is a reason to probe. */
@@ -37,6 +39,9 @@
     private readonly inFlight = new Set<ServerState>();
     private readonly probedAtMs = new WeakMap<ServerState, number>();
     private budgetBytes: number;
+    /** Moving average of what one probe costs. */
+    private probeBytes = PROBE_OVERHEAD_BYTES;
+    private affordsAll = false;
     private timer: NodeJS.Timeout | undefined;
 
     constructor(options: ProberOptions) {
@@ -60,6 +65,7 @@
         const savedBytes = this.bytesPerSecond * SAVED_BUDGET_SECONDS;
         this.budgetBytes = Math.min(savedBytes, this.budgetBytes + this.bytesPerSecond * TICK_MS / 1000);
         const now = nowMs();
+        this.affordsAll = this.serverCount() * this.probeBytes <= this.bytesPerSecond * MAX_ROUND_SECONDS;
         const due = this.dueServers(now);
         for (const server of due) {
             if (this.budgetBytes <= 0 || this.inFlight.size >= MAX_IN_FLIGHT) return;
@@ -69,6 +75,12 @@
         }
     }
 
+    private serverCount(): number {
+        let count = 0;
+        for (const _ of this.options.context.directory.all()) count += 1;
+        return count;
+    }
+
     /** Servers to probe, the most urgent first: silent ones, then those with the oldest report. */
     private dueServers(now: number): ServerState[] {
         const due: { server: ServerState; urgency: number; }[] = [];
@@ -90,7 +102,9 @@
     }
 
     private isWatched(server: ServerState, now: number): boolean {
-        if (this.options.probesAll() || server.outstandingCount > 0 || server.agentDraining) return true;
+        if (this.affordsAll || this.options.probesAll() || server.outstandingCount > 0 || server.agentDraining) {
+            return true;
+        }
         if (server.status === undefined) return true;
         return now - server.usedAtMs < RECENT_USE_MS;
     }
@@ -113,11 +127,14 @@
     }
 
     private accept(server: ServerState, status: ServerStatus): void {
-        this.budgetBytes -= toBinary(ServerStatusSchema, status).length;
+        const now = nowMs();
+        const sizeBytes = toBinary(ServerStatusSchema, status).length;
+        this.budgetBytes -= sizeBytes;
+        this.probeBytes += (PROBE_OVERHEAD_BYTES + sizeBytes - this.probeBytes) / 8;
         server.status = status;
-        server.statusAtMs = nowMs();
+        server.statusAtMs = now;
         server.missedProbeCount = 0;
-        this.options.context.directory.applyReport(server, readServerStatus(status), nowMs());
+        this.options.context.directory.applyReport(server, readServerStatus(status, now), now);
     }
 
     /** One missed probe proves nothing, since both processes may be busy; a refused one is a sign of life. */
--- a/packages/router/src/runtime/request-handler.ts
+++ b/packages/router/src/runtime/request-handler.ts
@@ -121,6 +121,10 @@
             this.refuse(exchange, refusals.shuttingDown());
             return undefined;
         }
+        if (this.context.config.services().size === 0) {
+            this.refuse(exchange, refusals.notReady());
+            return undefined;
+        }
         const options = readRequestOptions(exchange.incoming.headers);
         if (options.isErr()) {
             this.refuse(exchange, options.error);
--- a/packages/router/src/runtime/request-task.ts
+++ b/packages/router/src/runtime/request-task.ts
@@ -185,7 +185,7 @@
         }
         if (isInvalidRequest(error)) return this.refuse(refusals.malformed());
         directory.markUnreachable(attempt.server, nowMs());
-        this.moveOrFail(refusals.noServer(1000), true);
+        this.moveOrFail(refusals.noServer(), true);
     }
 
     onLateChunk(): void {
@@ -236,7 +236,7 @@
                 this.moveCount = 0;
                 if (this.state === "choosing") this.choose();
             },
-            () => this.state === "choosing" && this.refuse(this.lastRefusal ?? refusals.noServer(1000)),
+            () => this.state === "choosing" && this.refuse(this.lastRefusal ?? refusals.noServer()),
         );
         this.wait.arm();
     }
@@ -330,8 +330,9 @@
 
     private noteReport(attempt: Attempt, head: AnswerHead): void {
         const header = head.headers[HEADERS.load];
-        const report = typeof header === "string" ? parseLoadHeader(header) : undefined;
-        if (report !== undefined) this.context.directory.applyReport(attempt.server, report, nowMs());
+        const now = nowMs();
+        const report = typeof header === "string" ? parseLoadHeader(header, now) : undefined;
+        if (report !== undefined) this.context.directory.applyReport(attempt.server, report, now);
     }
 
     private recordFirstByte(attempt: Attempt): void {
@@ -346,7 +347,7 @@
     private rememberModel(attempt: Attempt): void {
         const { modelId, adapterId } = this.spec.target;
         if (modelId === undefined) return;
-        this.context.directory.noteAnswered(attempt.server, modelId, adapterId);
+        this.context.directory.noteAnswered(attempt.server, modelId, adapterId, nowMs());
         this.context.policies.affinity.record(
             attempt.server.serverId,
             modelId,
--- a/packages/router/src/runtime/server-directory.ts
+++ b/packages/router/src/runtime/server-directory.ts
@@ -78,12 +78,10 @@
     }
 
     /** An answer of the model came from this server, so the model is loaded there. */
-    noteAnswered(server: ServerState, modelId: ModelId, adapterId: AdapterId | undefined): void {
-        const known = server.models.get(modelId);
-        const knowsAdapter = adapterId === undefined || known?.adapterIds.includes(adapterId) === true;
-        if (known?.state === "ready" && knowsAdapter) return;
-        const adapterIds = knowsAdapter ? known?.adapterIds ?? [] : [...known?.adapterIds ?? [], adapterId];
-        server.models.set(modelId, { state: "ready", adapterIds });
+    noteAnswered(server: ServerState, modelId: ModelId, adapterId: AdapterId | undefined, seenAtMs: number): void {
+        const known = server.models.get(modelId)?.adapterIds ?? [];
+        const adapterIds = adapterId === undefined || known.includes(adapterId) ? known : [...known, adapterId];
+        server.models.set(modelId, { seenAtMs, state: "ready", adapterIds });
     }
 
     /** The agent does not answer although its port is bound; requests that may run twice go elsewhere. */
--- a/packages/router/src/runtime/server-views.ts
+++ b/packages/router/src/runtime/server-views.ts
@@ -4,12 +4,13 @@
 import type { ServerId } from "@skylarkmill/protocol";
 import type { RouterPolicies } from "../types/policies.ts";
 import type { RequestSpec, Target } from "../types/request.ts";
-import type { ServerState } from "../types/server.ts";
+import type { ModelReport, ServerState } from "../types/server.ts";
 import type { ServerDirectory } from "./server-directory.ts";
 
 /** Slots assumed for a backend server until it has reported. */
 const ASSUMED_SLOT_COUNT = 8;
 const SLOWNESS_AGE_MS = 10;
+const LOADED_AGE_MS = 60_000;
 
 interface Candidate {
     readonly server: ServerState;
@@ -61,7 +62,7 @@
             const server = this.options.directory.get(grant.serverId);
             if (server === undefined) continue;
             if (!grant.revoking) holders.push({ server, grantPosition: holders.length });
-            else if (isLoaded(server, modelId)) revoked.push({ server, grantPosition: undefined });
+            else if (server.models.get(modelId)?.state === "ready") revoked.push({ server, grantPosition: undefined });
         }
         return holders.length > 0 ? holders : revoked;
     }
@@ -97,7 +98,7 @@
         return {
             serverId: server.serverId,
             dataCentre: server.host.dataCentre,
-            loaded: modelId === undefined || loadedModel?.state === "ready",
+            loaded: modelId === undefined || isLoaded(loadedModel, nowMs),
             loading: loadedModel?.state === "loading",
             adapterLoaded: adapterId === undefined || loadedModel?.adapterIds.includes(adapterId) === true,
             grantPosition,
@@ -115,6 +116,7 @@
     }
 }
 
-function isLoaded(server: ServerState, modelId: string): boolean {
-    return server.models.get(modelId)?.state === "ready";
+/** A model that was not seen for long may have been unloaded; then all routers follow the order of the grants. */
+function isLoaded(model: ModelReport | undefined, nowMs: number): boolean {
+    return model?.state === "ready" && nowMs - model.seenAtMs < LOADED_AGE_MS;
 }
--- a/packages/router/src/types/server.ts
+++ b/packages/router/src/types/server.ts
@@ -14,6 +14,8 @@
 }
 
 export interface ModelReport {
+    /** Time of the report or answer that showed the state. */
+    readonly seenAtMs: number;
     readonly state: string;
     readonly adapterIds: readonly string[];
 }
--- a/packages/router/src/utils/refusals.ts
+++ b/packages/router/src/utils/refusals.ts
@@ -74,9 +74,10 @@
         ...failed(503, "unavailable_error", "not_ready", "This router has no configuration yet.", "not_run"),
         retryAfterMs: 1000,
     }),
-    noServer: (retryAfterMs: number): Refusal => ({
+    noServer: (): Refusal => ({
         ...failed(503, "unavailable_error", "no_server", "No backend server is available.", "not_run"),
-        retryAfterMs,
+        // The jitter keeps callers that were refused together from returning together.
+        retryAfterMs: Math.round(500 + 1000 * Math.random()),
     }),
     overloaded: (code: string, retryAfterMs: number): Refusal => ({
         ...failed(
--- a/packages/router/src/utils/server-report.ts
+++ b/packages/router/src/utils/server-report.ts
@@ -9,7 +9,7 @@
 
 type RawStatus = Partial<Omit<ServerStatus, "models">> & { readonly models?: readonly RawModel[]; };
 
-function toReport(status: RawStatus): ServerReport {
+function toReport(status: RawStatus, nowMs: number): ServerReport {
     return {
         queuedCount: status.queuedCount ?? 0,
         runningCount: status.runningCount ?? 0,
@@ -17,22 +17,22 @@
         backlogMs: status.backlogMs ?? 0,
         slowness: (status.slownessPermille ?? 1000) / 1000,
         draining: status.draining ?? false,
-        models: status.models === undefined ? undefined : toModels(status.models),
+        models: status.models === undefined ? undefined : toModels(status.models, nowMs),
     };
 }
 
-function toModels(models: readonly RawModel[]): ReadonlyMap<string, ModelReport> {
+function toModels(models: readonly RawModel[], seenAtMs: number): ReadonlyMap<string, ModelReport> {
     return new Map(
         models.map(model => [
             model.modelId ?? "",
-            { state: model.state ?? "absent", adapterIds: model.adapterIds ?? [] },
+            { seenAtMs, state: model.state ?? "absent", adapterIds: model.adapterIds ?? [] },
         ]),
     );
 }
 
 /** Converts the message of a probe's answer. */
-export function readServerStatus(status: ServerStatus): ServerReport {
-    return toReport(status);
+export function readServerStatus(status: ServerStatus, nowMs: number): ServerReport {
+    return toReport(status, nowMs);
 }
 
 /**
@@ -40,12 +40,12 @@
  * Returns undefined when it is not valid, since a report only informs choices.
  *
  * @example
- * parseLoadHeader("{\"queuedCount\":2}")?.queuedCount; // 2
+ * parseLoadHeader("{\"queuedCount\":2}", nowMs())?.queuedCount; // 2
  */
-export function parseLoadHeader(header: string): ServerReport | undefined {
+export function parseLoadHeader(header: string, nowMs: number): ServerReport | undefined {
     try {
         const status = JSON.parse(header) as unknown;
-        return typeof status === "object" && status ? toReport(status) : undefined;
+        return typeof status === "object" && status ? toReport(status, nowMs) : undefined;
     }
     catch {
         return undefined;
