--- a/test/router/relay.test.ts
+++ b/test/router/relay.test.ts
@@ -1,3 +1,4 @@
+import { KEYS } from "@skylarkmill/config";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { answerStream } from "./support/fake-agent.ts";
 import { Harness } from "./support/harness.ts";
@@ -33,6 +34,14 @@
         expect(reply.text.endsWith("data: [DONE]\n\n")).toBe(true);
     });
 
+    // Guards against "model not found" from a router that does not know any model yet.
+    it("refuses as not ready without a configuration", async () => {
+        harness.store.putRecord(KEYS.config("workshops"), { team: "workshops", services: {} }, 2);
+        while ((await harness.send("GET", "/readyz")).status === 200);
+        const reply = await harness.chat(chat);
+        expect(reply).toMatchObject({ status: 503, json: { error: { code: "not_ready", execution: "not_run" } } });
+    });
+
     it("passes method, path, query, headers and body to a plain service", async () => {
         const reply = await harness.send("PUT", "/services/parts-ledger/stock/7?x=1", "body", {
             "x-custom": "a",
