feat(router): judge servers by cancelled attempts too, limit failure logs and catch unforeseen errors

A straggler whose attempts always lost to a hedge kept its old mark. Failed attempts are logged at most 20 times a second, an error in the handling of a request ends that request only, and a replaced host that is listed beside its successor no longer resets what is known of the server.

Tests: test/router, 80 passed.

--- a/packages/router/src/node/caller-server.ts
+++ b/packages/router/src/node/caller-server.ts
@@ -43,12 +43,15 @@
     const { handler, context } = options;
     const app = new Hono<{ Bindings: HttpBindings; }>();
     const handleModel = (c: CallerContext) => {
-        void handler.handleModel(c.env.incoming, c.env.outgoing);
+        const { incoming, outgoing } = c.env;
+        handler.handleModel(incoming, outgoing).catch((error: unknown) => handler.fail(outgoing, error));
         return RESPONSE_ALREADY_SENT;
     };
     const handlePlain = (c: CallerContext) => {
-        const { serviceId, path } = splitServicePath(c.env.incoming.url!);
-        void handler.handlePlain(c.env.incoming, c.env.outgoing, serviceId, path);
+        const { incoming, outgoing } = c.env;
+        const { serviceId, path } = splitServicePath(incoming.url!);
+        handler.handlePlain(incoming, outgoing, serviceId, path)
+            .catch((error: unknown) => handler.fail(outgoing, error));
         return RESPONSE_ALREADY_SENT;
     };
     const refuse = (refusal: (c: CallerContext) => Refusal) => (c: CallerContext) => {
--- a/packages/router/src/node/router.ts
+++ b/packages/router/src/node/router.ts
@@ -42,11 +42,14 @@
     type RouterOptions,
     type RouterPorts,
 } from "../types/options.ts";
+import { LogLimiter } from "../utils/log-limiter.ts";
 import { createCallerServer } from "./caller-server.ts";
 import { type ControlOptions, createOperatorServer, createRouterPlacement } from "./control.ts";
 import { closeServer, listen } from "./listen.ts";
 import { createPeerHandlers } from "./peer-handlers.ts";
 
+const FAILURE_LINES_PER_SECOND = 20;
+
 /**
  * Creates a router. The host list must have been started.
  *
@@ -120,6 +123,7 @@
             counts,
             demand: new DemandTracker(),
             durations: new DurationBook(policies.estimator),
+            failureLog: new LogLimiter(FAILURE_LINES_PER_SECOND),
             newAttemptId: createAttemptIds(),
         };
         const keyed = new KeyedRequests(this.context, this.claims, new RouterRoster(this.peers));
--- a/packages/router/src/runtime/request-handler.ts
+++ b/packages/router/src/runtime/request-handler.ts
@@ -75,7 +75,7 @@
         }
         const target = toModelTarget(service, found.model, found.adapterId);
         const path = incoming.url!;
-        this.dispatch(exchange, this.toSpec(exchange, options, target, path, body, request.value));
+        await this.dispatch(exchange, this.toSpec(exchange, options, target, path, body, request.value));
     }
 
     /** Handles a request to a plain service; `path` is below the service. */
@@ -99,7 +99,7 @@
             model: undefined,
             adapterId: undefined,
         };
-        this.dispatch(exchange, this.toSpec(exchange, options, target, path, body, undefined));
+        await this.dispatch(exchange, this.toSpec(exchange, options, target, path, body, undefined));
     }
 
     /** Refuses a request that addresses nothing. */
@@ -107,6 +107,13 @@
         this.refuse(this.open(incoming, outgoing), refusal);
     }
 
+    /** Ends a request whose handling failed in an unforeseen way. */
+    fail(outgoing: ServerResponse, error: unknown): void {
+        this.context.logger.error({ step: "request.handle", peer: "local", err: error }, "request handling failed");
+        if (outgoing.headersSent) outgoing.destroy();
+        else new AnswerWriter(outgoing, () => true).refuse(refusals.internal());
+    }
+
     private open(incoming: IncomingMessage, outgoing: ServerResponse): Exchange {
         const { counts, metrics } = this.context;
         counts.open();
@@ -213,7 +220,7 @@
         return rankByRendezvous<ServerId>(idempotencyKey, live.map(server => server.serverId))[0];
     }
 
-    private dispatch(exchange: Exchange, spec: RequestSpec): void {
+    private async dispatch(exchange: Exchange, spec: RequestSpec): Promise<void> {
         const { counts } = this.context;
         const { serviceId } = spec.target;
         counts.enter(serviceId);
@@ -224,8 +231,7 @@
             this.countEnd(serviceId, exchange, exchange.writer.isLost ? "disconnected" : end.kind);
         };
         if (spec.idempotencyKey !== undefined && !spec.idempotent) {
-            void this.keyed.run(spec, exchange.writer, onEnded);
-            return;
+            return this.keyed.run(spec, exchange.writer, onEnded);
         }
         new RequestTask(this.context, spec, exchange.writer, onEnded).start();
     }
--- a/packages/router/src/runtime/request-task.ts
+++ b/packages/router/src/runtime/request-task.ts
@@ -117,10 +117,7 @@
         if (this.state !== "sent" || !this.attempts.has(first)) return;
         const now = nowMs();
         const { policies, views, directory } = this.context;
-        if (first.isWarm) {
-            const { serverId } = first.server;
-            policies.stragglers.recordWaiting(serverId, now - first.sentAtMs, first.expectedMs, now);
-        }
+        this.recordWaiting(first);
         // A server that would have to load the model first can't overtake the first attempt.
         const loaded = views.forRequest(this.spec, now).filter(view => view.loaded && !this.tried.has(view.serverId));
         const view = chooseView(this.context, this.spec, loaded, this.tried, now);
@@ -170,13 +167,7 @@
 
     onLost(attempt: Attempt, error: Error): void {
         this.attempts.delete(attempt);
-        const { logger, directory } = this.context;
-        logger.warn({
-            requestId: this.spec.requestId,
-            step: attempt.wasSent ? "agent.answer" : "agent.connect",
-            peer: attempt.server.serverId,
-            err: error,
-        }, "attempt failed");
+        this.logFailure(attempt, error);
         if (attempt === this.owner && this.relay?.isHeld === false) return this.breakOff(refusals.streamBroken());
         if (attempt === this.owner) this.owner = undefined;
         if (attempt.wasSent) {
@@ -184,7 +175,7 @@
             return this.moveOrFail(refusals.backendLost("unknown"), this.spec.idempotent && this.takeRetry());
         }
         if (isInvalidRequest(error)) return this.refuse(refusals.malformed());
-        directory.markUnreachable(attempt.server, nowMs());
+        this.context.directory.markUnreachable(attempt.server, nowMs());
         this.moveOrFail(refusals.noServer(), true);
     }
 
@@ -192,6 +183,18 @@
         this.context.metrics.lateChunks.inc();
     }
 
+    private logFailure(attempt: Attempt, error: Error): void {
+        const skippedCount = this.context.failureLog.take(nowMs());
+        if (skippedCount === undefined) return;
+        this.context.logger.warn({
+            requestId: this.spec.requestId,
+            step: attempt.wasSent ? "agent.answer" : "agent.connect",
+            peer: attempt.server.serverId,
+            skippedCount,
+            err: error,
+        }, "attempt failed");
+    }
+
     private onAnswerEnd(attempt: Attempt): void {
         const complete = this.relay!.end();
         const head = attempt.head!;
@@ -296,9 +299,18 @@
     private cancel(attempt: Attempt): void {
         this.attempts.delete(attempt);
         if (attempt.wasSent && !this.refusalBodies.has(attempt)) this.mayHaveRun = true;
+        this.recordWaiting(attempt);
         attempt.cancel();
     }
 
+    /** A cancelled attempt shows how slow its server is at least. */
+    private recordWaiting(attempt: Attempt): void {
+        if (!attempt.isWarm || attempt.head !== undefined) return;
+        const now = nowMs();
+        const { serverId } = attempt.server;
+        this.context.policies.stragglers.recordWaiting(serverId, now - attempt.sentAtMs, attempt.expectedMs, now);
+    }
+
     private step(event: AttemptEvent): void {
         const next = nextAttemptState(this.state, event);
         if (next === undefined) {
--- a/packages/router/src/runtime/server-directory.ts
+++ b/packages/router/src/runtime/server-directory.ts
@@ -104,11 +104,14 @@
     }
 
     private readHosts(): void {
-        const listed = new Set<ServerId>();
+        const listed = new Map<ServerId, HostEntry>();
         for (const host of this.hostList.hosts()) {
-            if (host.role !== "backend" || host.serverId === undefined || host.serviceId === undefined) continue;
-            listed.add(host.serverId);
-            this.applyHost(host, host.serverId, host.serviceId);
+            if (host.role !== "backend" || host.serverId === undefined) continue;
+            // A replaced host and its successor may be listed together.
+            if (listed.get(host.serverId)?.state !== "live") listed.set(host.serverId, host);
+        }
+        for (const [serverId, host] of listed) {
+            if (host.serviceId !== undefined) this.applyHost(host, serverId, host.serviceId);
         }
         for (const server of this.servers.values()) {
             const vanished = !listed.has(server.serverId) && this.hostList.isGone(server.host.hostId);
--- a/packages/router/src/types/context.ts
+++ b/packages/router/src/types/context.ts
@@ -8,6 +8,7 @@
 import type { RouterMetrics } from "../runtime/router-metrics.ts";
 import type { ServerDirectory } from "../runtime/server-directory.ts";
 import type { ServerViews } from "../runtime/server-views.ts";
+import type { LogLimiter } from "../utils/log-limiter.ts";
 import type { ResolvedRouterOptions } from "./options.ts";
 import type { RouterPolicies } from "./policies.ts";
 
@@ -24,5 +25,6 @@
     readonly counts: RequestCounts;
     readonly demand: DemandTracker;
     readonly durations: DurationBook;
+    readonly failureLog: LogLimiter;
     readonly newAttemptId: () => AttemptId;
 }
