--- a/packages/router/src/node/router.ts
+++ b/packages/router/src/node/router.ts
@@ -42,11 +42,14 @@
     type RouterOptions,
     type RouterPorts,
 } from "../types/options.ts";
+import { LogLimiter } from "../utils/log-limiter.ts";
 import { createCallerServer } from "./caller-server.ts";
 import { type ControlOptions, createOperatorServer, createRouterPlacement } from "./control.ts";
 import { closeServer, listen } from "./listen.ts";
 import { createPeerHandlers } from "./peer-handlers.ts";
 
+const FAILURE_LINES_PER_SECOND = 20;
+
 /**
  * Creates a router. The host list must have been started.
  *
@@ -120,6 +123,7 @@
             counts,
             demand: new DemandTracker(),
             durations: new DurationBook(policies.estimator),
+            failureLog: new LogLimiter(FAILURE_LINES_PER_SECOND),
             newAttemptId: createAttemptIds(),
         };
         const keyed = new KeyedRequests(this.context, this.claims, new RouterRoster(this.peers));
@@ -161,11 +165,11 @@
 
     async stop(): Promise<void> {
         this.handler.stop();
-        await this.context.counts.untilIdle();
+        // Another router can take the duty over while the last answers are sent.
+        await Promise.all([this.placement.stop(), this.context.counts.untilIdle()]);
         await closeServer(this.callerServer);
         await closeServer(this.operatorServer);
         this.prober.stop();
-        await this.placement.stop();
         await this.claims.stop();
         for (const unsubscribe of this.unsubscribes) unsubscribe();
         this.directory.stop();
