--- a/packages/stand-ins/src/runtime/weight-store.ts
+++ b/packages/stand-ins/src/runtime/weight-store.ts
@@ -28,7 +28,7 @@
     private readonly active = new Set<ActiveLoad>();
     private slowFactor = 1;
     private lastMs = 0;
-    private nextStartMs = 0;
+    private nextStartMs = -Infinity;
     private timer: NodeJS.Timeout | undefined;
     private adapterCount = 0;
 
