--- a/packages/skylarkmill/src/node/process-parts.ts
+++ b/packages/skylarkmill/src/node/process-parts.ts
@@ -1,6 +1,7 @@
 import { createEtcdKeyValueStore, createHttpHostList, createMembership } from "@skylarkmill/platform";
 import { type DataCentre, type HostId, type ProcessId, toId } from "@skylarkmill/protocol";
 import type bunyan from "bunyan";
+import nodeProcess from "node:process";
 import { openSecret, type SecretSource } from "../runtime/secret-source.ts";
 import type { processSettings } from "../settings/common.ts";
 import type { Role, RoleParts } from "../types/roles.ts";
@@ -84,9 +85,17 @@
     };
 }
 
+/** A process in an unknown state ends; the platform replaces it. */
+function logBeforeCrash(logger: bunyan): void {
+    nodeProcess.on("uncaughtExceptionMonitor", error => {
+        logger.fatal({ err: error, step: "crash" }, "unexpected error; the process ends");
+    });
+}
+
 /** Starts a role and runs it until a signal; resolves with the exit code. */
 export async function runRole(process: ProcessParts, role: Role<object>): Promise<number> {
     const { parts, logger } = process;
+    logBeforeCrash(logger);
     parts.hostList.start();
     const started = await role.start();
     if (started.isErr()) {
--- a/packages/stand-ins/src/runtime/engine-faults.ts
+++ b/packages/stand-ins/src/runtime/engine-faults.ts
@@ -15,6 +15,8 @@
     duplicated: count,
     /** One event left out. */
     skipped: count,
+    /** One event sent after the one that follows it. */
+    late: count,
     /** The connection breaks in the middle. */
     truncated: count,
     /** The stream ends cleanly without its last events. */
@@ -40,6 +42,7 @@
         crossed: 0,
         duplicated: 0,
         skipped: 0,
+        late: 0,
         truncated: 0,
         unfinished: 0,
         misaddressed: 0,
--- a/packages/stand-ins/src/runtime/engine-stream.ts
+++ b/packages/stand-ins/src/runtime/engine-stream.ts
@@ -14,6 +14,7 @@
     isAttachedOnce = false;
     private producedCount = 0;
     private sentCount = 0;
+    private lateEvent: string | undefined;
     private graceTimer: NodeJS.Timeout | undefined;
 
     constructor(request: EngineRequest, faults: EngineFaults) {
@@ -58,7 +59,11 @@
     private flush(): void {
         while (this.reader !== undefined && this.sentCount < this.producedCount) {
             const sequence = this.sentCount++;
+            const late = this.lateEvent;
             if (!this.sendFaulty(this.reader, sequence)) this.reader.write(this.event(sequence));
+            if (late === undefined) continue;
+            this.lateEvent = undefined;
+            this.reader?.write(late);
         }
         if (this.reader !== undefined && this.sentCount >= eventCount(this.request)) this.reader.end();
     }
@@ -85,6 +90,10 @@
             return false;
         }
         if (takeFault(this.faults, "skipped")) return true;
+        if (takeFault(this.faults, "late")) {
+            this.lateEvent = this.event(sequence);
+            return true;
+        }
         if (takeFault(this.faults, "truncated")) {
             const event = this.event(sequence);
             reader.write(event.slice(0, event.length / 2), () => reader.destroy());
--- a/test/stand-ins/engine.test.ts
+++ b/test/stand-ins/engine.test.ts
@@ -130,6 +130,7 @@
         { fault: "crossed", shows: (text: string) => text.includes("FOREIGN") },
         { fault: "duplicated", shows: (text: string) => text.match(/^id: 1$/gm)?.length === 2 },
         { fault: "skipped", shows: (text: string) => !/^id: 1$/m.test(text) },
+        { fault: "late", shows: (text: string) => text.indexOf("id: 1\n") > text.indexOf("id: 2\n") },
         { fault: "unfinished", shows: (text: string) => !text.includes("[DONE]") },
     ];
     it.each(faults)("shows the fault $fault once", async ({ fault, shows }) => {
