--- a/test/support/spawned-process.ts
+++ b/test/support/spawned-process.ts
@@ -1,11 +1,24 @@
 import { type ChildProcess, spawn } from "node:child_process";
-import { existsSync } from "node:fs";
+import { existsSync, readdirSync, statSync } from "node:fs";
 import { join } from "node:path";
 import { createInterface } from "node:readline";
 
-const bundle = join(import.meta.dirname, "../../dist/skylarkmill.cjs");
+const rootDir = join(import.meta.dirname, "../..");
+const bundle = join(rootDir, "dist/skylarkmill.cjs");
 const MAX_LINES = 5000;
 
+/** Tests of an outdated bundle would show faults that the sources no longer have, or hide new ones. */
+function checkBundle(): void {
+    if (!existsSync(bundle)) throw new Error("dist/skylarkmill.cjs is missing; run `npm run build`");
+    const builtMs = statSync(bundle).mtimeMs;
+    const newer = readdirSync(join(rootDir, "packages"), { recursive: true, encoding: "utf8" })
+        .filter(file => /\/src\/.*\.(ts|json)$/.test(file) && !file.includes("node_modules"))
+        .find(file => statSync(join(rootDir, "packages", file)).mtimeMs > builtMs);
+    if (newer !== undefined) throw new Error(`packages/${newer} is newer than the bundle; run \`npm run build\``);
+}
+
+let isBundleChecked = false;
+
 export interface ProcessSpec {
     readonly name: string;
     readonly args: readonly string[];
@@ -39,7 +52,8 @@
 
     /** Starts the process, again after it has ended. */
     start(): void {
-        if (!existsSync(bundle)) throw new Error("dist/skylarkmill.cjs is missing; run `npm run build`");
+        if (!isBundleChecked) checkBundle();
+        isBundleChecked = true;
         if (this.child !== undefined) throw new Error(`${this.spec.name} is running`);
         this.exitCode = undefined;
         const { PATH = "" } = process.env;
