fix(agent): refuse for a deadline only on learned durations

Cause: an agent held the assumed duration of a request class (expected tokens x the assumed time per token) against the deadline. A request with a 1 s deadline was refused as deadline_unreachable by an idle server, and since no request was answered, no real duration was ever learned. Ruled out: the load time (150 ms) and the router, which counts learned durations only. Change: the agent's admission counts the learned duration, 0 until one exists. Before: 16 of 16 requests of 7 tokens with a 1 s deadline refused by idle engines; after: test/failures/answers.test.ts gets whole answers.

--- a/packages/agent/src/runtime/backend-task.ts
+++ b/packages/agent/src/runtime/backend-task.ts
@@ -240,7 +240,8 @@
             serviceId: entry.head.serviceId,
             nowMs,
             deadlineAtMs: entry.deadlineAtMs,
-            expectedMs: entry.expectedMs,
+            // An assumed duration refuses nothing: without an answer the real one would never be learned.
+            expectedMs: this.options.durations.expectedMs(entry.group, 0),
             waitMs: this.waitMs(entry, nowMs),
             serviceCount: totalCount,
             totalCount,
