fix(router): count failures of one moment as one when pausing an agent

Cause: each of several requests that failed together doubled the pause of the agent, so that 8 failed connections led to the longest pause of 4 s. Change: a failure during a pause does not lengthen it.

--- a/packages/router/src/runtime/server-directory.ts
+++ b/packages/router/src/runtime/server-directory.ts
@@ -98,8 +98,9 @@
         server.agentDraining = true;
     }
 
-    /** A connection to the agent failed. */
+    /** A connection to the agent failed. Requests that fail together count as one failure. */
     markUnreachable(server: ServerState, nowMs: number): void {
+        if (server.unreachableUntilMs > nowMs) return;
         server.failureCount += 1;
         const pauseMs = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** (server.failureCount - 1));
         server.unreachableUntilMs = nowMs + pauseMs;
