fix(router): refuse connections while stopping instead of requests

Cause: a stopping router kept listening and answered further requests with 503 shutting_down, so that a replacement under load failed requests. Closing the server at once would also end kept connections on which a request may be on its way. Change: the listener closes first; a request on an open connection is still answered, with 'connection: close'; idle connections end after 500 ms.

--- a/packages/router/src/node/listen.ts
+++ b/packages/router/src/node/listen.ts
@@ -1,7 +1,7 @@
 import { UnavailableError } from "@skylarkmill/protocol";
 import { ResultAsync } from "neverthrow";
 import type { Server } from "node:http";
-import type { AddressInfo } from "node:net";
+import { type AddressInfo, Server as NetServer } from "node:net";
 import type { ListenAddress } from "../types/options.ts";
 
 /**
@@ -48,3 +48,30 @@
         });
     });
 }
+
+/** Time in which a kept connection may carry one further request, whose answer then closes it. */
+const KEPT_CONNECTION_MS = 500;
+
+/**
+ * Refuses new connections at once, and ends open ones when they carry nothing. Callers go to another router when a
+ * connection is refused, so a request that arrives on an open connection is still answered.
+ *
+ * @example
+ * await drainServer(server, () => counts.total === 0);
+ */
+export function drainServer(server: Server, isIdle: () => boolean): Promise<void> {
+    const startedAtMs = performance.now();
+    return new Promise(resolve => {
+        const check = setInterval(() => {
+            const ageMs = performance.now() - startedAtMs;
+            if (ageMs < KEPT_CONNECTION_MS) return;
+            server.closeIdleConnections();
+            if (ageMs >= CLOSE_GRACE_MS && isIdle()) server.closeAllConnections();
+        }, CLOSE_CHECK_MS);
+        // `close` of an HTTP server would also end kept connections, on which a request may be on its way.
+        NetServer.prototype.close.call(server, () => {
+            clearInterval(check);
+            resolve();
+        });
+    });
+}
--- a/packages/router/src/node/router.ts
+++ b/packages/router/src/node/router.ts
@@ -44,7 +44,7 @@
 } from "../types/options.ts";
 import { createCallerServer } from "./caller-server.ts";
 import { type ControlOptions, createOperatorServer, createRouterPlacement } from "./control.ts";
-import { closeServer, listen } from "./listen.ts";
+import { closeServer, drainServer, listen } from "./listen.ts";
 import { createPeerHandlers } from "./peer-handlers.ts";
 
 /**
@@ -161,8 +161,9 @@
 
     async stop(): Promise<void> {
         this.handler.stop();
-        await this.context.counts.untilIdle();
-        await closeServer(this.callerServer);
+        const { counts } = this.context;
+        await drainServer(this.callerServer, () => counts.total === 0);
+        await counts.untilIdle();
         await closeServer(this.operatorServer);
         this.prober.stop();
         await this.placement.stop();
--- a/packages/router/src/runtime/request-handler.ts
+++ b/packages/router/src/runtime/request-handler.ts
@@ -54,7 +54,7 @@
         return this.stopping;
     }
 
-    /** Refuses new requests from now on. */
+    /** Answers close their connections from now on. */
     stop(): void {
         this.stopping = true;
     }
@@ -117,10 +117,6 @@
     }
 
     private readOptions(exchange: Exchange): RequestOptions | undefined {
-        if (this.stopping) {
-            this.refuse(exchange, refusals.shuttingDown());
-            return undefined;
-        }
         const options = readRequestOptions(exchange.incoming.headers);
         if (options.isErr()) {
             this.refuse(exchange, options.error);
--- a/packages/router/src/types/options.ts
+++ b/packages/router/src/types/options.ts
@@ -72,7 +72,7 @@
 export interface Router {
     /** Binds the ports and starts the tasks. `UnavailableError`: a port can't be bound. */
     start(): ResultAsync<RouterPorts, SkylarkmillError>;
-    /** Refuses new requests, lets requests in progress finish, then closes. */
+    /** Refuses new connections, answers the requests on open ones, then closes. */
     stop(): Promise<void>;
 }
 
--- a/packages/router/src/utils/refusals.ts
+++ b/packages/router/src/utils/refusals.ts
@@ -66,10 +66,6 @@
         ),
         retryAfterMs: 2000,
     }),
-    shuttingDown: (): Refusal => ({
-        ...failed(503, "unavailable_error", "shutting_down", "This router is shutting down.", "not_run"),
-        retryAfterMs: 100,
-    }),
     notReady: (): Refusal => ({
         ...failed(503, "unavailable_error", "not_ready", "This router has no configuration yet.", "not_run"),
         retryAfterMs: 1000,
