--- /dev/null
+++ b/test/failures/requests.test.ts
@@ -0,0 +1,183 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import type { Link } from "../support/cluster-layout.ts";
+import { type Cluster, startCluster } from "../support/cluster.ts";
+import { eventually } from "../support/eventually.ts";
+import { Callers, type SentRequest } from "./support-requests/callers.ts";
+import { ENGINE_FLAGS, sectionsOf } from "./support-requests/sections.ts";
+
+const routers = ["router-1", "router-2"];
+const agents = ["agent-1", "agent-2", "agent-3"];
+const servers = ["engine-1", "engine-2", "ledger-1"];
+const toAgents: readonly Link[] = routers.flatMap(from => agents.map(to => ({ from, to })));
+const toStore: readonly Link[] = [...routers, ...agents].map(from => ({ from, to: "kv" }));
+const REQUEST_COUNT = 36;
+
+let cluster: Cluster;
+const callers = new Callers();
+let requestCount = 0;
+
+type Inject = () => unknown;
+const proxies = (links: readonly Link[], faults: Parameters<Cluster["fault"]>[1]): Inject => () =>
+    Promise.all(links.map(link => cluster.fault(link, faults)));
+const signal = (names: readonly string[], name: NodeJS.Signals): Inject => () => {
+    for (const member of names) cluster.process(member).signal(name);
+};
+const kill = (names: readonly string[]): Inject => () =>
+    Promise.all(names.map(member => cluster.process(member).end()));
+const engineFaults = (faults: object): Inject => () =>
+    Promise.all(["engine-1", "engine-2"].map(name => cluster.control(name, "faults", faults)));
+const both = (...injects: readonly Inject[]): Inject => () => Promise.all(injects.map(inject => inject()));
+
+interface Case {
+    readonly name: string;
+    readonly inject: Inject;
+    /** Model that requests name beside the loaded one; its load falls under the fault. */
+    readonly coldModel?: string;
+}
+
+const cases: readonly Case[] = [
+    { name: "one agent killed", inject: kill(["agent-1"]) },
+    { name: "all agents killed", inject: kill(agents) },
+    { name: "one agent frozen", inject: signal(["agent-1"], "SIGSTOP") },
+    { name: "all agents frozen", inject: signal(agents, "SIGSTOP") },
+    { name: "all agents cut off from the routers", inject: proxies(toAgents, { mode: "cut" }) },
+    { name: "agents' connections hung", inject: proxies(toAgents, { mode: "hang" }) },
+    { name: "agents' connections delayed", inject: proxies(toAgents, { delayMs: 250 }) },
+    { name: "engines killed", inject: kill(["engine-1", "engine-2"]) },
+    { name: "engines and ledger frozen", inject: signal(servers, "SIGSTOP") },
+    { name: "loads never answered", inject: engineFaults({ hungLoads: 100 }), coldModel: "cold-a" },
+    { name: "weight store ten times slower", inject: engineFaults({ loadSlowFactor: 10 }), coldModel: "cold-b" },
+    { name: "loads failing", inject: engineFaults({ failLoads: 100 }), coldModel: "cold-c" },
+    { name: "key-value service refusing", inject: () => cluster.control("kv", "faults", { outage: "refuse" }) },
+    { name: "key-value service hung", inject: () => cluster.control("kv", "faults", { outage: "hang" }) },
+    {
+        name: "one agent killed and the host list hung",
+        inject: both(kill(["agent-1"]), () => cluster.control("hosts", "outage", { mode: "hang" })),
+    },
+    {
+        name: "one agent frozen and the key-value service hung",
+        inject: both(signal(["agent-2"], "SIGSTOP"), proxies(toStore, { mode: "hang" })),
+    },
+    {
+        name: "one engine killed and the other ten times slower",
+        inject: both(kill(["engine-1"]), () => cluster.control("engine-2", "faults", { slowFactor: 10 })),
+    },
+];
+
+beforeAll(async () => {
+    const cold = Object.fromEntries(["cold-a", "cold-b", "cold-c"].map(id => [id, { memoryBytes: 500_000_000 }]));
+    cluster = await startCluster({
+        sections: sectionsOf({ diagnosis: { maxReplicas: 2 }, ...cold }),
+        engineCount: 2,
+        ledgerCount: 1,
+        links: [...toAgents, ...toStore],
+        engineFlags: ENGINE_FLAGS,
+    });
+    await cluster.waitForGrants(["diagnosis", ...Object.keys(cold)]);
+    await healthy();
+}, 60_000);
+
+afterAll(async () => {
+    await callers.close();
+    await cluster.close();
+});
+
+/** Sends one request; every kind, deadline and router comes up, and some callers leave early. */
+function send(router: string, coldModel: string | undefined, timeoutMs?: number): Promise<SentRequest> {
+    const index = requestCount++;
+    const requestId = `request-${index}`;
+    const kind = (["whole", "stream", "cold", "stock", "order", "keyed"] as const)[index % 6]!;
+    const url = (path: string): string => `${cluster.url(router)}${path}`;
+    const common = {
+        requestId,
+        timeoutMs: timeoutMs ?? [250, 500, 800, 1200][index % 4]!,
+        leaveAfterMs: index % 11 === 0 && timeoutMs === undefined ? 120 : undefined,
+    };
+    if (kind === "stock") {
+        return callers.send({ ...common, method: "GET", url: url("/services/parts-ledger/stock/hub") });
+    }
+    if (kind === "order" || kind === "keyed") {
+        const headers: Record<string, string> = kind === "keyed" ? { "idempotency-key": requestId } : {};
+        return callers.send({
+            ...common,
+            url: url("/services/parts-ledger/orders"),
+            body: { note: requestId },
+            headers,
+        });
+    }
+    const model = kind === "cold" ? coldModel ?? "diagnosis" : "diagnosis";
+    const messages = [{ role: "user", content: requestId }];
+    const body = { model, stream: kind === "stream", max_tokens: 16, messages };
+    return callers.send({ ...common, url: url("/v1/chat/completions"), body });
+}
+
+/** Resolves once each router has a request of each kind answered. */
+async function healthy(): Promise<void> {
+    await Promise.all(routers.map(router =>
+        eventually(`answers of ${router}`, async () => {
+            const sent = await Promise.all(Array.from({ length: 6 }, () => send(router, undefined, 5000)));
+            const other = sent.find(({ outcome }) => outcome.kind !== "answer");
+            if (other !== undefined) throw new Error(JSON.stringify(other));
+            return true;
+        }, 20_000)
+    ));
+    callers.reset();
+}
+
+async function heal(): Promise<void> {
+    const pass = { mode: "pass", direction: "both", delayMs: 0, resetAfterBytes: 0 } as const;
+    await proxies([...toAgents, ...toStore], pass)();
+    for (const name of [...servers, ...agents, ...routers]) {
+        const member = cluster.process(name);
+        member.signal("SIGCONT");
+        if (!member.isRunning) member.start();
+    }
+    await cluster.control("kv", "faults", { outage: "none" });
+    await cluster.control("hosts", "outage", { mode: "none" });
+    const normal = { hungLoads: 0, failLoads: 0, loadSlowFactor: 1, slowFactor: 1 };
+    await eventually("the engines' answer", engineFaults(normal) as () => Promise<unknown>);
+    await healthy();
+}
+
+/** Sends requests steadily; the fault falls into their midst. */
+async function sendUnder(inject: Inject, coldModel: string | undefined): Promise<readonly SentRequest[]> {
+    const sending: Promise<SentRequest>[] = [];
+    let injected: unknown;
+    for (let count = 0; count < REQUEST_COUNT; count++) {
+        if (count === REQUEST_COUNT / 4) injected = inject();
+        sending.push(send(routers[count % 2]!, coldModel));
+        await sleep(10);
+    }
+    await injected;
+    return Promise.all(sending);
+}
+
+// Guards against a request that hangs beyond its deadline, or that ends without an answer or a refusal.
+describe("every request is answered or refused in time", () => {
+    it.each(cases)("$name", async ({ inject, coldModel }) => {
+        callers.reset();
+        const sent = await sendUnder(inject, coldModel);
+        const [late, lost] = [callers.lateOnes(), callers.lostOnes()];
+        await heal();
+        expect(sent).toHaveLength(REQUEST_COUNT);
+        expect(late).toEqual([]);
+        expect(lost).toEqual([]);
+    }, 60_000);
+
+    // Guards against callers that a lost router takes down beyond the connections that broke.
+    it("a router killed: the next try at another router is answered", async () => {
+        callers.reset();
+        const sending = Array.from({ length: 12 }, () => send("router-1", undefined, 1200));
+        await eventually("a first end", () => callers.sent.length > 0 ? true : undefined);
+        await cluster.process("router-1").end();
+        const first = [...await Promise.all(sending), await send("router-1", undefined, 1200)];
+        const broken = first.filter(({ outcome }) => outcome.kind === "broken");
+        expect(broken.length).toBeGreaterThan(0);
+        const second = await Promise.all(broken.map(() => send("router-2", undefined, 1200)));
+        const [late, answered] = [callers.lateOnes(), second.filter(({ outcome }) => outcome.kind === "answer")];
+        await heal();
+        expect(late).toEqual([]);
+        expect(answered).toHaveLength(second.length);
+    }, 60_000);
+});
--- /dev/null
+++ b/test/failures/shutdown.test.ts
@@ -0,0 +1,81 @@
+import { afterAll, afterEach, beforeAll, beforeEach, describe, expect, it } from "vitest";
+import { type Cluster, startCluster } from "../support/cluster.ts";
+import { eventually } from "../support/eventually.ts";
+import { BalancedCallers, mixedAsks } from "./support-requests/balancer.ts";
+import { ENGINE_FLAGS, sectionsOf } from "./support-requests/sections.ts";
+
+const MODEL = "diagnosis";
+const routers = ["router-1", "router-2"];
+const agents = ["agent-1", "agent-2", "agent-3", "agent-4"];
+
+let cluster: Cluster;
+let callers: BalancedCallers;
+
+beforeAll(async () => {
+    cluster = await startCluster({
+        sections: sectionsOf({ [MODEL]: { maxReplicas: 2 } }),
+        engineCount: 2,
+        ledgerCount: 2,
+        engineFlags: ENGINE_FLAGS,
+        ledgerFlags: ["--work-ms=20"],
+    });
+    await cluster.waitForGrants([MODEL]);
+    await cluster.chat({ model: MODEL });
+}, 60_000);
+
+beforeEach(async () => {
+    callers = new BalancedCallers({
+        routers: routers.map(name => cluster.url(name)),
+        callerCount: 10,
+        nextAsk: mixedAsks(MODEL),
+    });
+    await moreAnswers();
+});
+
+afterEach(() => callers.stop());
+
+afterAll(() => cluster.close());
+
+/** Resolves once the load has got further answers. */
+async function moreAnswers(): Promise<void> {
+    const wanted = callers.answeredCount + 40;
+    await eventually(
+        "further answers",
+        () => callers.answeredCount >= wanted || callers.failures.length > 0 || undefined,
+    );
+}
+
+async function replace(name: string): Promise<void> {
+    const member = cluster.process(name);
+    await member.end("SIGTERM");
+    expect([name, member.exitCode]).toEqual([name, 0]);
+    member.start();
+    await cluster.waitUntilReady(name);
+    if (routers.includes(name)) callers.rejoin(cluster.url(name));
+    await moreAnswers();
+}
+
+// Guards against a stop that cuts requests in progress, or that loses those on their way.
+describe("graceful shutdown under steady load", () => {
+    it.each(["router-1", "agent-1", "agent-3"])("SIGTERM on %s fails no request", async name => {
+        await replace(name);
+        await callers.stop();
+        expect(callers.failures).toEqual([]);
+        if (name === "router-1") expect(callers.refusedCount).toBeGreaterThan(0);
+    });
+
+    it("the replacement of every router and agent, one after another, fails no request", async () => {
+        for (const name of [...routers, ...agents]) await replace(name);
+        await callers.stop();
+        expect(callers.failures).toEqual([]);
+    }, 60_000);
+
+    it("an order without a key ran once for each answer", async () => {
+        await callers.stop();
+        const events = await cluster.journal("ledger-1", "ledger-2");
+        const notes = events.filter(event => event.kind === "execution_finished" && event.path === "/orders")
+            .map(event => (event.order as { note: string; }).note);
+        expect(notes.length).toBeGreaterThan(0);
+        expect(callers.failures).toEqual([]);
+    });
+});
--- /dev/null
+++ b/test/failures/support-requests/balancer.ts
@@ -0,0 +1,119 @@
+import { Client } from "undici";
+import { judgeAnswer, type Outcome, toOutcome } from "./outcome.ts";
+
+/** What one caller asks for, and how it recognizes its own whole answer. */
+export interface Ask {
+    readonly method: "GET" | "POST";
+    readonly path: string;
+    readonly body?: unknown;
+    readonly isWhole: (outcome: Outcome) => boolean;
+}
+
+export interface BalancedCallersOptions {
+    /** Base URLs of the routers. */
+    readonly routers: readonly string[];
+    readonly callerCount: number;
+    readonly nextAsk: () => Ask;
+}
+
+/**
+ * Callers that ask without a pause, each over one kept connection, as a balancer sends them: a router that
+ * refuses connections is left out until it is ready again. Nothing else is tried again.
+ */
+export class BalancedCallers {
+    readonly failures: string[] = [];
+    answeredCount = 0;
+    /** Connections that were refused, after which the caller went to the next router. */
+    refusedCount = 0;
+    private readonly options: BalancedCallersOptions;
+    private readonly left = new Set<string>();
+    private readonly loops: Promise<void>[];
+    private stopping = false;
+
+    constructor(options: BalancedCallersOptions) {
+        this.options = options;
+        this.loops = Array.from({ length: options.callerCount }, (_, index) => this.run(index));
+    }
+
+    /** The router answers again, so callers return to it. */
+    rejoin(router: string): void {
+        this.left.delete(router);
+    }
+
+    async stop(): Promise<void> {
+        this.stopping = true;
+        await Promise.all(this.loops);
+    }
+
+    private async run(index: number): Promise<void> {
+        const clients = new Map(this.options.routers.map(router => [router, newClient(router)]));
+        while (!this.stopping) {
+            const ask = this.options.nextAsk();
+            const outcome = await this.askRouters(ask, index, clients);
+            if (ask.isWhole(outcome)) this.answeredCount += 1;
+            else this.failures.push(`${ask.path}: ${JSON.stringify(outcome).slice(0, 300)}`);
+        }
+        await Promise.all([...clients.values()].map(client => client.destroy()));
+    }
+
+    private async askRouters(ask: Ask, index: number, clients: ReadonlyMap<string, Client>): Promise<Outcome> {
+        const { routers } = this.options;
+        let outcome: Outcome = { kind: "broken", code: "no router", begun: false };
+        for (let turn = 0; turn < routers.length; turn++) {
+            const router = routers[(index + turn) % routers.length]!;
+            if (this.left.has(router)) continue;
+            outcome = await exchange(clients.get(router)!, ask);
+            if (outcome.kind !== "broken" || outcome.code !== "ECONNREFUSED") return outcome;
+            this.refusedCount += 1;
+            this.left.add(router);
+        }
+        return outcome;
+    }
+}
+
+function newClient(router: string): Client {
+    return new Client(router, { pipelining: 1, keepAliveTimeout: 60_000, headersTimeout: 0, bodyTimeout: 0 });
+}
+
+async function exchange(client: Client, { method, path, body }: Ask): Promise<Outcome> {
+    let begun = false;
+    try {
+        const response = await client.request({
+            method,
+            path,
+            headers: { "content-type": "application/json", "x-request-timeout-ms": "10000" },
+            ...(body === undefined ? {} : { body: JSON.stringify(body) }),
+        });
+        begun = true;
+        return toOutcome(response, await response.body.text());
+    }
+    catch (cause) {
+        return { kind: "broken", code: (cause as NodeJS.ErrnoException).code ?? String(cause), begun };
+    }
+}
+
+/** Asks in turn for whole and streamed answers of a model, stock, and orders without a key. */
+export function mixedAsks(model: string): () => Ask {
+    let count = 0;
+    return () => {
+        const index = count++;
+        const note = `mixed-${index}`;
+        const contains = (text: string) => (outcome: Outcome) =>
+            outcome.kind === "answer" && outcome.text.includes(text);
+        if (index % 4 === 0) {
+            return { method: "GET", path: "/services/parts-ledger/stock/hub", isWhole: contains('"in_stock"') };
+        }
+        if (index % 4 === 1) {
+            const path = "/services/parts-ledger/orders";
+            return { method: "POST", path, body: { note }, isWhole: contains(`"note":"${note}"`) };
+        }
+        const stream = index % 4 === 2;
+        const tokenCount = stream ? 40 : 12;
+        return {
+            method: "POST",
+            path: "/v1/chat/completions",
+            body: { model, stream, max_tokens: tokenCount, messages: [{ role: "user", content: note }] },
+            isWhole: outcome => judgeAnswer(outcome, { model, message: note, tokenCount, stream }) === "whole",
+        };
+    };
+}
--- /dev/null
+++ b/test/failures/support-requests/callers.ts
@@ -0,0 +1,108 @@
+import { monitorEventLoopDelay } from "node:perf_hooks";
+import { Agent, request } from "undici";
+import { type Outcome, toOutcome } from "./outcome.ts";
+
+/** Time after the deadline within which a request must have ended. */
+export const GRACE_MS = 100;
+/** Time after the deadline from which a request counts as dropped. */
+const DROPPED_AFTER_MS = 3000;
+
+export interface SendOptions {
+    readonly method?: "GET" | "POST";
+    readonly url: string;
+    readonly requestId: string;
+    readonly timeoutMs: number;
+    readonly body?: unknown;
+    readonly headers?: Readonly<Record<string, string>>;
+    /** The caller disconnects after this time. */
+    readonly leaveAfterMs?: number | undefined;
+}
+
+export interface SentRequest {
+    readonly requestId: string;
+    readonly url: string;
+    readonly timeoutMs: number;
+    readonly elapsedMs: number;
+    readonly outcome: Outcome;
+}
+
+/** Callers of one test; each request has a connection of its own. */
+export class Callers {
+    readonly sent: SentRequest[] = [];
+    private readonly dispatcher = new Agent({ connections: 512, pipelining: 1, headersTimeout: 0, bodyTimeout: 0 });
+    private readonly loopDelay = monitorEventLoopDelay({ resolution: 5 });
+
+    constructor() {
+        this.loopDelay.enable();
+    }
+
+    async send(options: SendOptions): Promise<SentRequest> {
+        const startMs = performance.now();
+        const outcome = await this.exchange(options);
+        const { requestId, url, timeoutMs } = options;
+        const sent = { requestId, url, timeoutMs, outcome, elapsedMs: performance.now() - startMs };
+        this.sent.push(sent);
+        return sent;
+    }
+
+    /** Requests that ended later than their deadline allows, described; a delayed event loop of this process is named. */
+    lateOnes(): readonly string[] {
+        const maxDelayMs = Math.round(this.loopDelay.max / 1e6);
+        const late = this.sent.filter(({ outcome, elapsedMs, timeoutMs }) =>
+            outcome.kind !== "gone" && elapsedMs > timeoutMs + GRACE_MS
+        );
+        return late.map(({ requestId, timeoutMs, elapsedMs, outcome }) =>
+            `${requestId}: deadline ${timeoutMs} ms, ended after ${Math.round(elapsedMs)} ms with `
+            + `${JSON.stringify(outcome).slice(0, 200)}; largest event-loop delay of the test ${maxDelayMs} ms`
+        );
+    }
+
+    /** Requests that were neither answered nor refused, and whose callers did not leave. */
+    lostOnes(): readonly string[] {
+        const isAccounted = ({ outcome }: SentRequest): boolean =>
+            outcome.kind === "answer" || outcome.kind === "refusal" || outcome.kind === "gone";
+        return this.sent.filter(sent => !isAccounted(sent)).map(sent => JSON.stringify(sent).slice(0, 300));
+    }
+
+    /** Forgets what was sent, for the next case. */
+    reset(): void {
+        this.sent.length = 0;
+        this.loopDelay.reset();
+    }
+
+    async close(): Promise<void> {
+        this.loopDelay.disable();
+        await this.dispatcher.destroy();
+    }
+
+    private async exchange(options: SendOptions): Promise<Outcome> {
+        const { method = "POST", url, requestId, timeoutMs, body, headers, leaveAfterMs } = options;
+        const endMs = leaveAfterMs ?? timeoutMs + DROPPED_AFTER_MS;
+        const abort = new AbortController();
+        const timer = setTimeout(() => abort.abort(), endMs);
+        let begun = false;
+        try {
+            const response = await request(url, {
+                method,
+                dispatcher: this.dispatcher,
+                headers: {
+                    "content-type": "application/json",
+                    "x-request-id": requestId,
+                    "x-request-timeout-ms": String(timeoutMs),
+                    ...headers,
+                },
+                ...(body === undefined ? {} : { body: JSON.stringify(body) }),
+                signal: abort.signal,
+            });
+            begun = true;
+            return toOutcome(response, await response.body.text());
+        }
+        catch (cause) {
+            if (abort.signal.aborted) return { kind: leaveAfterMs === undefined ? "dropped" : "gone" };
+            return { kind: "broken", code: (cause as NodeJS.ErrnoException).code ?? String(cause), begun };
+        }
+        finally {
+            clearTimeout(timer);
+        }
+    }
+}
--- /dev/null
+++ b/test/failures/support-requests/outcome.ts
@@ -0,0 +1,89 @@
+import type { Dispatcher } from "undici";
+
+export type Execution = "not_run" | "unknown";
+
+/** How one request ended, as its caller saw it. */
+export type Outcome =
+    | { readonly kind: "answer"; readonly status: number; readonly text: string; }
+    | { readonly kind: "refusal"; readonly status: number; readonly code: string; readonly execution: Execution; }
+    /** A success status without a complete body, or an answer in no documented form. */
+    | { readonly kind: "unclear"; readonly status: number; readonly text: string; }
+    /** The connection failed; `begun` says whether the head of an answer had arrived. */
+    | { readonly kind: "broken"; readonly code: string; readonly begun: boolean; }
+    /** The caller itself disconnected. */
+    | { readonly kind: "gone"; }
+    /** Nothing came long after the deadline. */
+    | { readonly kind: "dropped"; };
+
+export function toOutcome(response: Dispatcher.ResponseData, text: string): Outcome {
+    const { statusCode: status } = response;
+    if (status < 400) return { kind: "answer", status, text };
+    const error = parseError(text);
+    if (error === undefined) return { kind: "unclear", status, text };
+    return { kind: "refusal", status, ...error };
+}
+
+function parseError(text: string): { readonly code: string; readonly execution: Execution; } | undefined {
+    try {
+        const { error } = JSON.parse(text) as { error?: { code?: unknown; execution?: unknown; }; };
+        const isExecution = error?.execution === "not_run" || error?.execution === "unknown";
+        if (typeof error?.code !== "string" || !isExecution) return undefined;
+        return { code: error.code, execution: error.execution as Execution };
+    }
+    catch {
+        return undefined;
+    }
+}
+
+/** What an answer of the engine stand-in is worth to its caller. */
+export type Verdict = "whole" | "clear error" | `wrong: ${string}`;
+
+interface Expected {
+    readonly model: string;
+    readonly message: string;
+    readonly tokenCount: number;
+    readonly stream: boolean;
+}
+
+/** Judges an outcome against the only complete answer to its own request. */
+export function judgeAnswer(outcome: Outcome, expected: Expected): Verdict {
+    if (outcome.kind === "refusal") return "clear error";
+    // A length or chunked coding that is cut shows itself as a broken connection.
+    if (outcome.kind === "broken") return "clear error";
+    if (outcome.kind !== "answer") return `wrong: ${outcome.kind}`;
+    return expected.stream ? judgeStream(outcome.text, expected) : judgeWhole(outcome.text, expected);
+}
+
+function textOf({ model, message, tokenCount }: Expected): string {
+    const rest = Array.from({ length: tokenCount - 1 }, (_, index) => ` t${index + 1}`);
+    return [`${model} answers: ${message}`, ...rest].join("");
+}
+
+function judgeWhole(text: string, expected: Expected): Verdict {
+    const answer = JSON.parse(text) as { choices: { message: { content: string; }; }[]; };
+    const content = answer.choices[0]?.message.content;
+    return content === textOf(expected) ? "whole" : `wrong: whole answer ${JSON.stringify(content)}`;
+}
+
+interface Chunk {
+    readonly id?: string;
+    readonly error?: { readonly code?: string; readonly execution?: string; };
+    readonly choices?: readonly { readonly delta?: { readonly content?: string; }; readonly finish_reason?: string; }[];
+}
+
+function judgeStream(text: string, expected: Expected): Verdict {
+    const data = text.split("\n").filter(line => line.startsWith("data: ")).map(line => line.slice("data: ".length));
+    const isEnded = data.at(-1) === "[DONE]";
+    const chunks = data.filter(line => line !== "[DONE]").map(line => JSON.parse(line) as Chunk);
+    const ids = new Set(chunks.flatMap(chunk => chunk.id ?? []));
+    if (ids.size > 1) return `wrong: chunks of ${[...ids].join(" and ")}`;
+    const content = chunks.map(chunk => chunk.choices?.[0]?.delta?.content ?? "").join("");
+    const error = chunks.at(-1)?.error;
+    if (error !== undefined) {
+        if (isEnded) return "wrong: an end mark after an error";
+        if (!textOf(expected).startsWith(content)) return `wrong: stream ${JSON.stringify(content)} before an error`;
+        return error.execution === "unknown" ? "clear error" : `wrong: error ${JSON.stringify(error)}`;
+    }
+    if (!isEnded) return `wrong: a stream without end mark or error: ...${text.slice(-200)}`;
+    return content === textOf(expected) ? "whole" : `wrong: stream ${JSON.stringify(content)}`;
+}
--- /dev/null
+++ b/test/failures/support-requests/sections.ts
@@ -0,0 +1,29 @@
+const GIGABYTE = 1_000_000_000;
+
+/** Model loads are short, so that the time of a case goes into its fault. */
+export const ENGINE_FLAGS = ["--load-remote-ms=150", "--load-disk-ms=100", "--load-memory-ms=50"];
+
+interface ModelChoice {
+    readonly maxReplicas?: number;
+    readonly memoryBytes?: number;
+}
+
+/** Configuration sections of a model service and of a plain service with non-idempotent orders. */
+export function sectionsOf(models: Readonly<Record<string, ModelChoice>>): Readonly<Record<string, object>> {
+    const entries = Object.entries(models).map(([modelId, choice]) => [modelId, {
+        memoryBytes: choice.memoryBytes ?? GIGABYTE,
+        maxReplicas: choice.maxReplicas ?? 1,
+        expectedLoadMs: 150,
+        adapters: [],
+    }]);
+    return {
+        workshops: {
+            team: "workshops",
+            services: { "workshop-assistant": { kind: "model", models: Object.fromEntries(entries) } },
+        },
+        ledger: {
+            team: "ledger",
+            services: { "parts-ledger": { kind: "plain", nonIdempotent: [{ method: "POST", path: "/orders" }] } },
+        },
+    };
+}
