fix(agent): give up on orders that stay without an answer

Cause: a load whose answer never came held its permit, and with it the agent's static share, for 600 s, although the index showed the model ready. Change: an order that the index settles is no longer awaited; one that the index does not show begun after 5 s counts as unanswered. Tests run the agent against the stand-in engine with each of its faults, with and without fencing.

--- a/packages/agent/src/node/agent.ts
+++ b/packages/agent/src/node/agent.ts
@@ -227,6 +227,7 @@
             fencing: this.fencing,
             isStillWanted: (modelId, kind, urgency) => this.replicas?.isStillWanted(modelId, kind, urgency) ?? false,
             orderTimeoutMs: limits.orderTimeoutMs,
+            onSent: orderId => this.task.mailbox.post({ kind: "order-sent", orderId }),
             onOrder: (orderId, result) => this.task.mailbox.post({ kind: "order", orderId, result }),
             onIndex: read => this.task.mailbox.post({ kind: "index", read }),
         });
--- a/packages/agent/src/node/engine-orders.ts
+++ b/packages/agent/src/node/engine-orders.ts
@@ -12,6 +12,7 @@
     /** Checked again after the wait for a permit. */
     readonly isStillWanted: (modelId: ModelId, kind: "load" | "adapter", urgency: number) => boolean;
     readonly orderTimeoutMs: number;
+    readonly onSent: (orderId: number) => void;
     readonly onOrder: (orderId: number, result: OrderResult) => void;
     readonly onIndex: (read: IndexRead) => void;
 }
@@ -21,12 +22,18 @@
     readonly kind: PermitKind;
     readonly urgency: number;
     readonly isWanted: () => boolean;
+    readonly timeoutMs: number;
     readonly send: (fencingToken: number, signal: AbortSignal) => ResultAsync<void, EngineError>;
 }
 
+/** Adapters load within milliseconds. */
+const ADAPTER_TIMEOUT_MS = 10_000;
+const TOKEN_TIMEOUT_MS = 2000;
+
 /** Sends orders under permits; at most one read of the index is in progress. */
 export class EngineOrders implements EnginePort {
     private readonly abort = new AbortController();
+    private readonly waits = new Map<number, AbortController>();
     private readingIndex = false;
     private nextStamp: number | undefined;
 
@@ -44,6 +51,7 @@
             kind: "model_load",
             urgency,
             isWanted: () => isStillWanted(modelId, "load", urgency),
+            timeoutMs: this.options.orderTimeoutMs,
             send: (fencingToken, signal) => control.load({ modelId, version, memoryBytes, fencingToken }, signal),
         });
     }
@@ -56,13 +64,15 @@
             kind: "adapter_load",
             urgency,
             isWanted: () => isStillWanted(modelId, "adapter", urgency),
+            timeoutMs: ADAPTER_TIMEOUT_MS,
             send: (fencingToken, signal) => control.loadAdapter({ modelId, adapterId, fencingToken }, signal),
         });
     }
 
     unload(orderId: number, modelId: ModelId): void {
-        const { control, fencing } = this.options;
-        void this.report(orderId, control.unload({ modelId, fencingToken: fencing.token }, this.signal()));
+        const { control, fencing, orderTimeoutMs } = this.options;
+        const order = { modelId, fencingToken: fencing.token };
+        void this.report(orderId, orderTimeoutMs, signal => control.unload(order, signal));
     }
 
     fence(orderId: number, modelId: ModelId): void {
@@ -72,10 +82,15 @@
     /** Shows the engine the current token by unloading a model that is absent; a refusal counts as seen. */
     showToken(modelId: ModelId): ResultAsync<void, EngineError> {
         const { control, fencing } = this.options;
-        return control.unload({ modelId, fencingToken: fencing.token }, this.signal())
+        const signal = AbortSignal.any([this.abort.signal, AbortSignal.timeout(TOKEN_TIMEOUT_MS)]);
+        return control.unload({ modelId, fencingToken: fencing.token }, signal)
             .orElse(error => (error instanceof RefusedError ? ok(undefined) : err(error)));
     }
 
+    abandon(orderId: number): void {
+        this.waits.get(orderId)?.abort();
+    }
+
     raiseToken(): void {
         this.options.fencing.raiseLocally();
     }
@@ -103,19 +118,23 @@
                 onOrder(order.orderId, err({ kind: "not_sent" }));
                 return;
             }
-            await this.report(order.orderId, order.send(fencing.token, this.signal()));
+            this.options.onSent(order.orderId);
+            await this.report(order.orderId, order.timeoutMs, signal => order.send(fencing.token, signal));
         }
         finally {
             permit?.release();
         }
     }
 
-    private async report(orderId: number, answer: ResultAsync<void, EngineError>): Promise<void> {
-        const result = await answer;
+    private async report(
+        orderId: number,
+        timeoutMs: number,
+        send: (signal: AbortSignal) => ResultAsync<void, EngineError>,
+    ): Promise<void> {
+        const wait = new AbortController();
+        this.waits.set(orderId, wait);
+        const result = await send(AbortSignal.any([this.abort.signal, wait.signal, AbortSignal.timeout(timeoutMs)]));
+        this.waits.delete(orderId);
         this.options.onOrder(orderId, result.isOk() ? ok(undefined) : err({ kind: "engine", error: result.error }));
     }
-
-    private signal(): AbortSignal {
-        return AbortSignal.any([this.abort.signal, AbortSignal.timeout(this.options.orderTimeoutMs)]);
-    }
 }
--- a/packages/agent/src/runtime/backend-task.ts
+++ b/packages/agent/src/runtime/backend-task.ts
@@ -23,6 +23,7 @@
     | { readonly kind: "expire"; readonly requestId: RequestId; }
     | { readonly kind: "finished"; readonly attemptId: AttemptId; readonly outcome: RunOutcome; }
     | { readonly kind: "order"; readonly orderId: number; readonly result: OrderResult; }
+    | { readonly kind: "order-sent"; readonly orderId: number; }
     | { readonly kind: "index"; readonly read: IndexRead; }
     /** Records have changed or the time for a retry has come. */
     | { readonly kind: "wake"; }
@@ -155,6 +156,8 @@
                 return this.finish(toId(message.attemptId), message.outcome, nowMs);
             case "order":
                 return replicas?.applyOrderResult(message.orderId, message.result, nowMs);
+            case "order-sent":
+                return replicas?.noteSent(message.orderId, nowMs);
             case "index":
                 replicas?.applyIndex(message.read, nowMs);
                 return this.endIndexWaits(message.read.stamp, message.read.result.map(() => undefined));
--- a/packages/agent/src/runtime/index-facts.ts
+++ b/packages/agent/src/runtime/index-facts.ts
@@ -10,7 +10,12 @@
     readonly settleMs: number;
     readonly checksFencing: boolean;
     /** The model left memory, or never reached it; `failed` after a load that did not succeed. */
+    /** An order that is under way for longer without effect is abandoned. */
+    readonly orderLostMs: number;
+    readonly onLostOrder: (replica: Replica) => void;
     readonly onGone: (replica: Replica, failed: boolean) => void;
+    /** The index has settled an order that is not answered yet. */
+    readonly onSettledOrder: (orderId: number) => void;
     /** A load order may still arrive: sends the engine a higher token. */
     readonly onFence: (replica: Replica) => void;
 }
@@ -26,18 +31,20 @@
     if (context.stamp <= replica.orderStamp) return;
     context.ledger.account(replica.modelId, found.memoryBytes);
     replica.absentSinceMs = undefined;
-    if (found.state === "ready") applyReady(replica, found, context.nowMs);
+    if (found.state === "ready") applyReady(replica, found, context);
     if (found.state === "loading" && replica.state !== "unloading") replica.send("FOUND_LOADING");
     if (found.state === "unloading") replica.send("FOUND_UNLOADING");
 }
 
-function applyReady(replica: Replica, found: EngineModel, nowMs: number): void {
+function applyReady(replica: Replica, found: EngineModel, context: IndexContext): void {
     if (replica.state === "unloading") {
         replica.needsUnloadOrder = replica.orderId === undefined;
+        checkLostOrder(replica, context);
         return;
     }
     replica.takeFacts(found);
-    replica.becomeReady(nowMs);
+    const { orderId } = replica;
+    if (replica.becomeReady(context.nowMs) && orderId !== undefined) context.onSettledOrder(orderId);
 }
 
 /** Takes over that the index does not show a model which the agent counts as present. */
@@ -47,13 +54,19 @@
         context.onGone(replica, false);
         return;
     }
-    // The order is on its way or waits for a permit.
-    if (replica.orderId !== undefined) return;
+    if (replica.orderId !== undefined) return checkLostOrder(replica, context);
     if (!replica.mayArriveLate) context.onGone(replica, true);
     else if (context.checksFencing) fenceOff(replica, context);
     else if (isSettled(replica, context)) context.onGone(replica, true);
 }
 
+/** An order that has arrived shows in the index at once, long before its answer. */
+function checkLostOrder(replica: Replica, context: IndexContext): void {
+    const { orderId, orderSentAtMs } = replica;
+    if (orderId === undefined || orderSentAtMs === undefined) return;
+    if (context.nowMs - orderSentAtMs >= context.orderLostMs) context.onLostOrder(replica);
+}
+
 function fenceOff(replica: Replica, context: IndexContext): void {
     if (context.nowMs >= replica.retryAtMs) context.onFence(replica);
 }
--- a/packages/agent/src/runtime/order-book.ts
+++ b/packages/agent/src/runtime/order-book.ts
@@ -32,6 +32,10 @@
         return this.lastOrderId;
     }
 
+    get(orderId: number): Order | undefined {
+        return this.orders.get(orderId);
+    }
+
     end(orderId: number): Order | undefined {
         const order = this.orders.get(orderId);
         this.orders.delete(orderId);
--- a/packages/agent/src/runtime/replica-set.ts
+++ b/packages/agent/src/runtime/replica-set.ts
@@ -183,8 +183,11 @@
             stamp,
             settleMs: this.options.limits.settleMs,
             checksFencing: this.checksFencing(),
+            orderLostMs: this.options.limits.orderLostMs,
+            onLostOrder: replica => this.abandonOrder(replica.orderId),
+            onSettledOrder: orderId => this.abandonOrder(orderId),
             onGone: (replica, failed) => this.markGone(replica, failed, nowMs),
-            onFence: replica => this.orderFence(replica),
+            onFence: replica => this.orderFence(replica, nowMs),
         };
         const present = new Map<ModelId, EngineModel>();
         for (const found of index.models) {
@@ -200,10 +203,10 @@
     applyOrderResult(orderId: number, result: OrderResult, nowMs: number): void {
         const order = this.orders.end(orderId);
         if (order === undefined) return;
+        // The index has settled this order, or it was abandoned.
+        if (order.kind !== "adapter" && order.replica.orderId !== orderId) return;
         if (result.isErr()) this.noteFailure(order, result.error);
         if (order.kind === "adapter") return this.adapterLoads.apply(order, orderId, result, nowMs);
-        // The index or a later order has settled this one.
-        if (order.replica.orderId !== orderId) return;
         this.orders.touch(order.replica);
         order.replica.orderId = undefined;
         if (order.kind === "load") this.applyLoadResult(order.replica, result, nowMs);
@@ -248,7 +251,7 @@
         }
         if (replica.state === "unloading" && replica.needsUnloadOrder && nowMs >= replica.retryAtMs) {
             replica.needsUnloadOrder = false;
-            this.options.engine.unload(this.beginOrder(replica, "unload"), replica.modelId);
+            this.options.engine.unload(this.beginOrder(replica, "unload", nowMs), replica.modelId);
         }
     }
 
@@ -282,19 +285,30 @@
         replica.version = model.version;
         replica.loadStartedAtMs = nowMs;
         replica.send("LOAD");
-        const orderId = this.beginOrder(replica, "load");
+        const orderId = this.beginOrder(replica, "load", undefined);
         this.options.engine.load(orderId, replica.modelId, model.version, model.memoryBytes, urgency);
         return true;
     }
 
-    private orderFence(replica: Replica): void {
-        this.options.engine.fence(this.beginOrder(replica, "fence"), replica.modelId);
+    private orderFence(replica: Replica, nowMs: number): void {
+        this.options.engine.fence(this.beginOrder(replica, "fence", nowMs), replica.modelId);
     }
 
-    private beginOrder(replica: Replica, kind: "load" | "unload" | "fence"): number {
+    /** A load order has its permit and leaves now. */
+    noteSent(orderId: number, nowMs: number): void {
+        const order = this.orders.get(orderId);
+        if (order?.replica.orderId === orderId) order.replica.orderSentAtMs = nowMs;
+    }
+
+    private abandonOrder(orderId: number | undefined): void {
+        if (orderId !== undefined) this.options.engine.abandon(orderId);
+    }
+
+    private beginOrder(replica: Replica, kind: "load" | "unload" | "fence", sentAtMs: number | undefined): number {
         const orderId = this.orders.begin({ replica, kind });
         this.orders.touch(replica);
         replica.orderId = orderId;
+        replica.orderSentAtMs = sentAtMs;
         return orderId;
     }
 
@@ -331,6 +345,7 @@
     }
 
     private markGone(replica: Replica, failed: boolean, nowMs: number): void {
+        this.abandonOrder(replica.orderId);
         this.orders.touch(replica);
         replica.send("GONE");
         replica.clear();
--- a/packages/agent/src/runtime/replica.ts
+++ b/packages/agent/src/runtime/replica.ts
@@ -51,6 +51,8 @@
     needsUnloadOrder = false;
     /** The order whose answer is awaited. */
     orderId: number | undefined;
+    /** When the order left; undefined while it waits for a permit. */
+    orderSentAtMs: number | undefined;
     /** Index reads that began at or before this stamp say nothing about the last order. */
     orderStamp = 0;
     /** The order may still reach the engine although its connection broke. */
--- a/packages/agent/src/types/engine-port.ts
+++ b/packages/agent/src/types/engine-port.ts
@@ -16,6 +16,8 @@
     loadAdapter(orderId: number, modelId: ModelId, adapterId: AdapterId): void;
     /** An unload order whose purpose is to show the engine the current token. */
     fence(orderId: number, modelId: ModelId): void;
+    /** Stops waiting for an order's answer, which then comes back as unknown; the engine may still carry it out. */
+    abandon(orderId: number): void;
     /** Raises the token of all later orders. */
     raiseToken(): void;
     /** Reads the index; the answer comes back as a message with the stamp. */
--- a/packages/agent/src/types/options.ts
+++ b/packages/agent/src/types/options.ts
@@ -29,6 +29,8 @@
     readonly settleMs: number;
     /** Time limit of one order to the engine. @default 600000 */
     readonly orderTimeoutMs: number;
+    /** An order that the index does not show begun after this time counts as unanswered. @default 5000 */
+    readonly orderLostMs: number;
     /** First delay before a failed step or order is repeated. @default 100 */
     readonly retryMinMs: number;
     /** Longest delay before a failed step or order is repeated. @default 5000 */
--- a/packages/agent/src/utils/resolve-options.ts
+++ b/packages/agent/src/utils/resolve-options.ts
@@ -16,6 +16,7 @@
     indexIntervalMs: 1000,
     settleMs: 2000,
     orderTimeoutMs: 600_000,
+    orderLostMs: 5000,
     retryMinMs: 100,
     retryMaxMs: 5000,
     bindTimeoutMs: 10_000,
--- a/test/agent/fakes/engine-wire.ts
+++ b/test/agent/fakes/engine-wire.ts
@@ -38,6 +38,7 @@
 
 /** What the wire hands to the agent. */
 export interface Receiver {
+    sent(orderId: number): void;
     order(orderId: number, result: Result<void, EngineError>): void;
     index(stamp: number, result: Result<EngineIndex, EngineError>): void;
 }
@@ -47,6 +48,7 @@
     readonly models = new Map<ModelId, LoadedModel>();
     readonly faults: string[] = [];
     private orders: WireOrder[] = [];
+    private readonly abandoned: WireOrder[] = [];
     private reads: WireRead[] = [];
     private newestToken = 0;
     private tokenCount = 0;
@@ -66,6 +68,7 @@
     // The agent's side.
     load(orderId: number, modelId: ModelId, _version: string, memoryBytes: number): void {
         this.send("load", orderId, modelId, memoryBytes);
+        this.receiver.sent(orderId);
     }
     unload(orderId: number, modelId: ModelId): void {
         this.send("unload", orderId, modelId, 0);
@@ -76,6 +79,10 @@
     loadAdapter(orderId: number, modelId: ModelId): void {
         this.send("adapter", orderId, modelId, 0);
     }
+    abandon(orderId: number): void {
+        const order = this.orders.find(candidate => candidate.orderId === orderId && candidate.start === this.start);
+        if (order !== undefined && order.abandonedAtMs === undefined) this.abandoned.push(order);
+    }
     raiseToken(): void {
         this.tokenCount += 1;
     }
@@ -116,7 +123,11 @@
     /** Breaks an order's connection; an order that was sent may still arrive. */
     lose(pick: number, nowMs: number): void {
         const order = choose(this.orders.filter(candidate => candidate.abandonedAtMs === undefined), pick);
-        if (order === undefined) return;
+        if (order !== undefined) this.breakOff(order, nowMs);
+    }
+
+    private breakOff(order: WireOrder, nowMs: number): void {
+        if (order.abandonedAtMs !== undefined) return;
         order.abandonedAtMs = nowMs;
         const result = err(new OutcomeUnknownError("lost", CONTEXT));
         if (order.start === this.start) this.receiver.order(order.orderId, result);
@@ -140,6 +151,11 @@
         if (read.start === this.start) this.receiver.index(read.stamp, ok(read.index!));
     }
 
+    /** Hands back the orders that the agent has abandoned since the last call. */
+    endAbandoned(nowMs: number): void {
+        for (const order of this.abandoned.splice(0)) this.breakOff(order, nowMs);
+    }
+
     restartEngine(): void {
         this.models.clear();
         this.newestToken = 0;
--- a/test/agent/replica-set.test.ts
+++ b/test/agent/replica-set.test.ts
@@ -80,6 +80,7 @@
         else if (kind === "wait") this.nowMs += SETTLE_MS;
         else if (kind === "read") this.read();
         else this.tick();
+        this.wire.endAbandoned(this.nowMs);
         this.replicas.reconcile(this.demand, this.nowMs);
         this.check();
     }
@@ -155,6 +156,7 @@
 
     private receiver(): Receiver {
         return {
+            sent: orderId => this.replicas.noteSent(orderId, this.nowMs),
             order: (orderId, result) =>
                 this.replicas.applyOrderResult(
                     orderId,
