fix(router): keep refusals of malformed input out of answers; end all parts after a failed start

Bytes that are not HTTP behind a request got a raw refusal into the stream in progress. Such a connection is destroyed now. A start that can't bind a port ends what it had started, a request that lost its server waits anew instead of counting from its receipt, and unparsed requests are counted.

--- a/packages/router/src/node/caller-server.ts
+++ b/packages/router/src/node/caller-server.ts
@@ -31,14 +31,27 @@
         autoCleanupIncoming: false,
         serverOptions: { maxHeaderSize: maxHeaderBytes, keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS, noDelay: true },
     }) as Server;
+    const answering = trackAnswers(server);
     server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
-        if (!socket.writable || error.code === "ECONNRESET") return socket.destroy();
+        // A refusal in the middle of an answer would become a part of it.
+        if (!socket.writable || error.code === "ECONNRESET" || answering(socket)) return socket.destroy();
         const tooLarge = error.code === "HPE_HEADER_OVERFLOW";
+        options.handler.countUnparsed();
         socket.end(toRawRefusal(tooLarge ? refusals.headersTooLarge(maxHeaderBytes) : refusals.malformed()));
     });
     return server;
 }
 
+/** Returns a function that says whether an answer is in progress on a connection. */
+function trackAnswers(server: Server): (socket: Socket) => boolean {
+    const counts = new WeakMap<Socket, number>();
+    server.prependListener("request", ({ socket }, response) => {
+        counts.set(socket, (counts.get(socket) ?? 0) + 1);
+        response.once("close", () => counts.set(socket, counts.get(socket)! - 1));
+    });
+    return socket => (counts.get(socket) ?? 0) > 0;
+}
+
 function createCallerApp(options: CallerServerOptions): Hono<{ Bindings: HttpBindings; }> {
     const { handler, context } = options;
     const app = new Hono<{ Bindings: HttpBindings; }>();
--- a/packages/router/src/node/router.ts
+++ b/packages/router/src/node/router.ts
@@ -18,7 +18,7 @@
     type SkylarkmillError,
     toId,
 } from "@skylarkmill/protocol";
-import type { ResultAsync } from "neverthrow";
+import { errAsync, ResultAsync } from "neverthrow";
 import { randomBytes } from "node:crypto";
 import type { Server } from "node:http";
 import { AgentPools } from "../runtime/agent-pools.ts";
@@ -144,6 +144,12 @@
     }
 
     start(): ResultAsync<RouterPorts, SkylarkmillError> {
+        return this.startAll().orElse(error =>
+            ResultAsync.fromSafePromise(this.stop()).andThen(() => errAsync<RouterPorts, SkylarkmillError>(error))
+        );
+    }
+
+    private startAll(): ResultAsync<RouterPorts, SkylarkmillError> {
         this.unsubscribes.push(
             this.records.subscribe(KEYS.configPrefix, record => {
                 this.lastChangeMs = Math.max(0, Date.now() - record.writtenAtMs);
--- a/packages/router/src/runtime/request-handler.ts
+++ b/packages/router/src/runtime/request-handler.ts
@@ -114,6 +114,14 @@
         else new AnswerWriter(outgoing, () => true).refuse(refusals.internal());
     }
 
+    /** Counts a request that was refused because it can't be parsed. */
+    countUnparsed(): void {
+        const { metrics } = this.context;
+        metrics.received.inc();
+        metrics.refusals.inc({ execution: "not_run" });
+        metrics.countOutcome("none", "refused", 0);
+    }
+
     private open(incoming: IncomingMessage, outgoing: ServerResponse): Exchange {
         const { counts, metrics } = this.context;
         counts.open();
--- a/packages/router/src/runtime/request-task.ts
+++ b/packages/router/src/runtime/request-task.ts
@@ -172,7 +172,8 @@
         if (attempt === this.owner) this.owner = undefined;
         if (attempt.wasSent) {
             this.mayHaveRun = true;
-            return this.moveOrFail(refusals.backendLost("unknown"), this.spec.idempotent && this.takeRetry());
+            this.lastRefusal = refusals.backendLost("unknown");
+            return this.moveOrFail(this.lastRefusal, this.spec.idempotent && this.takeRetry());
         }
         if (isInvalidRequest(error)) return this.refuse(refusals.malformed());
         this.context.directory.markUnreachable(attempt.server, nowMs());
@@ -234,7 +235,7 @@
         this.tried.clear();
         this.wait ??= new ServerWait(
             this.context.directory,
-            this.spec.startedAtMs + this.context.options.limits.serverWaitMs,
+            nowMs() + this.context.options.limits.serverWaitMs,
             () => {
                 this.moveCount = 0;
                 if (this.state === "choosing") this.choose();
--- a/test/router/peers.test.ts
+++ b/test/router/peers.test.ts
@@ -76,6 +76,20 @@
         expect(results.some(result => result.status === "rejected")).toBe(true);
     });
 
+    // Guards against a failed start that leaves ports bound or tasks running.
+    it("ends all its parts when one port is taken", async () => {
+        const second = new Harness();
+        const { agents: { "ledger-2": agent }, ports } = harness;
+        await agent!.stop();
+        const options = {
+            listen: { host: "127.0.0.1", port: ports.port },
+            operatorListen: { host: "127.0.0.1", port: agent!.port },
+        };
+        await expect(second.start(options)).rejects.toMatchObject({ step: "caller.listen" });
+        await agent!.start();
+        await second.stop();
+    });
+
     it("serves the operators' interface", async () => {
         const response = await fetch(`http://127.0.0.1:${harness.ports.operatorPort}/operator/config`);
         expect(response.status).toBe(401);
--- a/test/router/streams.test.ts
+++ b/test/router/streams.test.ts
@@ -71,6 +71,26 @@
         await expect(harness.send("GET", "/services/parts-ledger/stock")).rejects.toThrow();
     });
 
+    // Guards against a refusal that is written into an answer in progress.
+    it("breaks off when the caller sends what is not HTTP after its request", async () => {
+        harness.agents["engine-1"]!.behave = streamThen(() => undefined);
+        const body = JSON.stringify({ model: "bench-diagnosis", stream: true });
+        const socket = connect(Number(new URL(harness.url).port), "127.0.0.1");
+        let received = "";
+        const closed = new Promise(resolve => socket.once("close", resolve));
+        socket.on("error", () => undefined);
+        socket.on("data", chunk => {
+            received += chunk.toString();
+            if (received.includes(EVENT)) socket.write("HELLO\r\n\r\n");
+        });
+        socket.write(
+            `POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\ncontent-length: ${body.length}\r\n\r\n${body}`,
+        );
+        await closed;
+        expect(received.match(/HTTP\/1.1/g)).toHaveLength(1);
+        await harness.agents["engine-1"]!.closedEarly(1);
+    });
+
     // Guards against one slow caller that holds up memory or other callers.
     it("cuts off a caller that stops reading, at its deadline, and serves others meanwhile", async () => {
         const flood: AgentBehaviour = (_request, response) => {
--- a/test/router/support/harness.ts
+++ b/test/router/support/harness.ts
@@ -111,7 +111,9 @@
             ...options,
             limits: { probeBytesPerSecond: 0, ...options.limits },
         });
-        this.ports = (await this.router.start())._unsafeUnwrap();
+        const started = await this.router.start();
+        if (started.isErr()) throw started.error;
+        this.ports = started.value;
         this.url = `http://127.0.0.1:${this.ports.port}`;
         await this.untilReady();
         return this;
