--- /dev/null
+++ b/test/policy/budgets.test.ts
@@ -0,0 +1,50 @@
+import { createHedgePolicy, createRetryBudget } from "@skylarkmill/policy";
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+
+const SEED = 20_260;
+
+// Guards against retries or hedges that amplify an outage: more second attempts than the share of the requests.
+describe("budgets", () => {
+    const cases = [
+        { name: "hedges", initialTokens: 0, create: (share: number) => createHedgePolicy({ share }) },
+        {
+            name: "retries",
+            initialTokens: 3,
+            create: (share: number) => createRetryBudget({ share, initialTokens: 3 }),
+        },
+    ];
+    it.each(cases)("never exceed the share of the requests: $name", ({ create, initialTokens }) => {
+        console.log(`seed ${SEED}`);
+        const commands = fc.array(fc.boolean(), { maxLength: 2_000 });
+        fc.assert(
+            fc.property(commands, fc.double({ min: 0, max: 1, noNaN: true }), (isRequest, share) => {
+                const budget = create(share);
+                let requests = 0;
+                let taken = 0;
+                for (const request of isRequest) {
+                    if (request) {
+                        budget.recordRequest(0);
+                        requests += 1;
+                    }
+                    else if (budget.tryTake(0)) {
+                        taken += 1;
+                    }
+                    expect(taken).toBeLessThanOrEqual(initialTokens + share * requests + 1e-6);
+                }
+            }),
+            { seed: SEED },
+        );
+    });
+
+    // Guards against a budget that rounding errors keep one token short.
+    it("gives one hedge per twenty requests", () => {
+        const hedges = createHedgePolicy();
+        let taken = 0;
+        for (let request = 0; request < 2_000; request += 1) {
+            hedges.recordRequest(0);
+            if (hedges.tryTake(0)) taken += 1;
+        }
+        expect(taken).toBe(100);
+    });
+});
--- /dev/null
+++ b/test/policy/residency.test.ts
@@ -0,0 +1,88 @@
+import { createResidencyPolicy, type ResidentModel } from "@skylarkmill/policy";
+import { type ModelId, toId } from "@skylarkmill/protocol";
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+
+const SEED = 20_262;
+const NAMES = ["keep-warm", "fixed-idle", "cost"] as const;
+
+function resident(id: string, fields: Partial<ResidentModel> = {}): ResidentModel {
+    return {
+        modelId: toId<ModelId>(id),
+        memoryBytes: 10,
+        inUseCount: 0,
+        lastUsedAtMs: 0,
+        loadedAtMs: 0,
+        reloadMs: 1_000,
+        arrivalsAtMs: [],
+        ...fields,
+    };
+}
+
+const residentFields = fc.record({
+    memoryBytes: fc.integer({ min: 1, max: 100 }),
+    inUseCount: fc.integer({ min: 0, max: 2 }),
+    lastUsedAtMs: fc.integer({ min: 0, max: 1_000_000 }),
+    reloadMs: fc.integer({ min: 1, max: 60_000 }),
+    arrivalsAtMs: fc.array(fc.integer({ min: 0, max: 1_000_000 }), { maxLength: 16 })
+        .map(list => list.sort((a, b) => a - b)),
+});
+
+describe.each(NAMES)("residency %s", name => {
+    const policy = createResidencyPolicy({ name });
+
+    // Guards against overcommitted memory and against unloading a model that answers requests.
+    it("evicts enough, nothing in use, nothing needless, and gives up only when it must", () => {
+        console.log(`seed ${SEED}`);
+        const sizes = fc.integer({ min: 0, max: 300 });
+        fc.assert(
+            fc.property(fc.array(residentFields, { maxLength: 12 }), sizes, sizes, (list, freeBytes, neededBytes) => {
+                const models = list.map((fields, index) => resident(`m${index}`, fields));
+                const evictable = models.filter(model => model.inUseCount === 0);
+                const bytes = (chosen: readonly ResidentModel[]) =>
+                    chosen.reduce((total, model) => total + model.memoryBytes, 0);
+                const evicted = policy.evictions(models, freeBytes, neededBytes, 1_000_000);
+                if (evicted === undefined) {
+                    expect(freeBytes + bytes(evictable)).toBeLessThan(neededBytes);
+                    return;
+                }
+                const chosen = evictable.filter(model => evicted.includes(model.modelId));
+                expect(chosen.length).toBe(evicted.length);
+                expect(freeBytes + bytes(chosen)).toBeGreaterThanOrEqual(neededBytes);
+                for (const model of chosen) {
+                    expect(freeBytes + bytes(chosen) - model.memoryBytes).toBeLessThan(neededBytes);
+                }
+            }),
+            { seed: SEED },
+        );
+    });
+
+    // Guards against unloading a model while it answers requests, however long ago the last one arrived.
+    it("never unloads a model in use for being idle", () => {
+        console.log(`seed ${SEED}`);
+        fc.assert(
+            fc.property(fc.array(residentFields, { maxLength: 12 }), list => {
+                const models = list.map((fields, index) => resident(`m${index}`, fields));
+                const idle = policy.idleModels(models, 10_000_000);
+                expect(models.filter(model => model.inUseCount > 0 && idle.includes(model.modelId))).toEqual([]);
+            }),
+            { seed: SEED },
+        );
+    });
+});
+
+// Guards against an unload between two requests of an active model, and against a model that stays for ever.
+describe("cost residency", () => {
+    const steady = Array.from({ length: 16 }, (_, index) => index * 8_000);
+    const cases = [
+        { name: "active model in a normal gap", idleMs: 20_000, arrivalsAtMs: steady, unloads: false },
+        { name: "active model after many gaps", idleMs: 300_000, arrivalsAtMs: steady, unloads: true },
+        { name: "single request long ago", idleMs: 300_000, arrivalsAtMs: [0], unloads: true },
+    ];
+    it.each(cases)("$name: unloads $unloads", ({ idleMs, arrivalsAtMs, unloads }) => {
+        const lastUsedAtMs = arrivalsAtMs.at(-1) ?? 0;
+        const model = resident("m", { lastUsedAtMs, arrivalsAtMs });
+        const idle = createResidencyPolicy().idleModels([model], lastUsedAtMs + idleMs);
+        expect(idle.length === 1).toBe(unloads);
+    });
+});
