feat(policy): keep hedges and new work away from stragglers

Cause: hedges went to the other straggler, a straggler whose attempts were hedged early returned to normal by decay alone, and a failed hedge spent a token.

--- a/bench/shared/bench-router.ts
+++ b/bench/shared/bench-router.ts
@@ -114,11 +114,10 @@
         const highMs = estimator.highMs(`${pending.request.requestClass.name}/high`, expectedFirstMs);
         const afterMs = hedge.hedgeAfterMs(expectedFirstMs, highMs, slowness);
         if (afterMs === undefined || this.events.nowMs - sentAtMs < afterMs) return;
-        if (!hedge.tryTake(this.events.nowMs)) return;
-        if (this.send(pending)) pending.hedgeCount += 1;
+        if (this.send(pending, true)) pending.hedgeCount += 1;
     }
 
-    private send(pending: Pending): boolean {
+    private send(pending: Pending, hedge = false): boolean {
         const { request } = pending;
         const nowMs = this.events.nowMs;
         const expectedMs = this.expectedMs(request);
@@ -131,10 +130,13 @@
             expectedMs,
             remainingMs: request.deadlineAtMs - nowMs,
             tried: pending.tried,
+            hedge,
         };
         const view = this.settings.chooser.choose(choice, views);
         const server = this.settings.servers.find(other => other.serverId === view?.serverId);
         if (view === undefined || server === undefined || !this.admits(request, view, expectedMs)) return false;
+        // The budget is asked last, so that a hedge without a server to go to costs nothing.
+        if (hedge && !this.settings.hedge.tryTake(nowMs)) return false;
         pending.tried.add(server.serverId);
         this.dispatch(pending, server, view, expectedMs);
         return true;
--- a/packages/policy/src/server-choice/expected-completion-chooser.ts
+++ b/packages/policy/src/server-choice/expected-completion-chooser.ts
@@ -21,7 +21,8 @@
     choose(request: ChoiceRequest, servers: readonly ServerView[]): ServerView | undefined {
         const eligible = eligibleServers(request, servers);
         const loaded = this.bestLoaded(request, eligible.filter(server => server.loaded));
-        const cold = firstCold(eligible);
+        // A hedge that has to load the model first would arrive after the attempt that it is to overtake.
+        const cold = request.hedge === true ? undefined : firstCold(eligible);
         if (loaded === undefined || cold === undefined) return loaded ?? cold;
         return this.costMs(request, cold) < this.costMs(request, loaded) ? cold : loaded;
     }
@@ -40,10 +41,12 @@
 
     private bestLoaded(request: ChoiceRequest, loaded: readonly ServerView[]): ServerView | undefined {
         const steady = loaded.filter(server => server.slowness < this.options.stragglerSlowness);
-        if (steady.length === loaded.length) return this.leastOfSample(request, loaded);
+        if (steady.length === loaded.length || request.hedge === true) return this.leastOfSample(request, steady);
         const slow = loaded.filter(server => server.slowness >= this.options.stragglerSlowness);
-        const probing = steady.length === 0 || this.random.fraction() < this.options.probeShare;
-        return this.leastOfSample(request, probing ? slow : steady);
+        if (this.random.fraction() < this.options.probeShare) return this.leastOfSample(request, slow);
+        if (steady.length >= this.options.choices) return this.leastOfSample(request, steady);
+        // The only normal server can be so crowded that a slow one is done sooner.
+        return leastBy(loaded, server => this.costMs(request, server));
     }
 
     private leastOfSample(request: ChoiceRequest, servers: readonly ServerView[]): ServerView | undefined {
--- a/packages/policy/src/stragglers/straggler-detectors.ts
+++ b/packages/policy/src/stragglers/straggler-detectors.ts
@@ -71,7 +71,11 @@
     recordWaiting(serverId: ServerId, waitedMs: number, expectedMs: number, nowMs: number): void {
         if (!(expectedMs > 0)) return;
         const ratio = waitedMs / expectedMs;
-        if (ratio > this.ratio(serverId, nowMs)) this.keep(serverId, ratio, nowMs);
+        const current = this.ratio(serverId, nowMs);
+        // A late attempt at a straggler shows that it has not recovered, so the decay starts again from the full ratio.
+        const stillSlow = ratio > 1 && current >= this.options.threshold;
+        const knownRatio = stillSlow ? this.observations.get(serverId)?.ratio ?? current : current;
+        if (ratio > current || stillSlow) this.keep(serverId, Math.max(ratio, knownRatio), nowMs);
     }
 
     slowness(serverId: ServerId, nowMs: number): number {
--- a/packages/policy/src/types/policies.ts
+++ b/packages/policy/src/types/policies.ts
@@ -35,6 +35,8 @@
     readonly remainingMs: number;
     /** Servers that this request was already sent to. */
     readonly tried: ReadonlySet<ServerId>;
+    /** A second attempt while another is in progress; it is not sent to a straggler. @default false */
+    readonly hedge?: boolean;
 }
 
 /** Chooses the backend server of a request. */
