--- a/bench/sockets/control-cost.ts
+++ b/bench/sockets/control-cost.ts
@@ -148,7 +148,8 @@
                 revoking: false,
             };
         });
-        await put(`/skylarkmill/grants/${modelId}`, { modelId, grants });
+        const decided = { replicas: 2, section: "models", sectionVersion: 1 };
+        await put(`/skylarkmill/grants/${modelId}`, { modelId, grants, decided });
     }
     await store.close();
 }
--- a/packages/platform/src/node/http-host-list.ts
+++ b/packages/platform/src/node/http-host-list.ts
@@ -7,7 +7,7 @@
     UnavailableError,
 } from "@skylarkmill/protocol";
 import { err, ok, type Result, ResultAsync } from "neverthrow";
-import { interceptors, Pool } from "undici";
+import { Pool } from "undici";
 import { z } from "zod";
 import { callJson, parseJson } from "../runtime/json-peer.ts";
 import { trackSend } from "../runtime/tracked-dispatch.ts";
@@ -63,7 +63,7 @@
     const url = new URL(options.url);
     const timeoutMs = options.timeoutMs ?? 2000;
     const pool = new Pool(url.origin, { connections: 1, pipelining: 1 });
-    const dispatcher = pool.compose(trackSend, interceptors.decompress());
+    const dispatcher = pool.compose(trackSend);
     const context = { step: "hosts.read", peer: url.host };
 
     let last: { readonly etag: string; readonly hosts: readonly HostEntry[]; } | undefined;
--- a/packages/platform/src/runtime/json-peer.ts
+++ b/packages/platform/src/runtime/json-peer.ts
@@ -1,5 +1,7 @@
 import { OutcomeUnknownError, ProtocolError, UnavailableError } from "@skylarkmill/protocol";
 import { err, ok, type Result } from "neverthrow";
+import { pipeline } from "node:stream";
+import { createGunzip } from "node:zlib";
 import type { Dispatcher } from "undici";
 import type { z } from "zod";
 import { readBounded } from "./bounded-body.ts";
@@ -54,7 +56,9 @@
     };
     try {
         const response = await dispatcher.request(options);
-        const text = await readBounded(response.body, call.maxBodyBytes, { step: call.step, peer });
+        const isCompressed = response.headers["content-encoding"] === "gzip";
+        const body = isCompressed ? pipeline(response.body, createGunzip(), () => undefined) : response.body;
+        const text = await readBounded(body, call.maxBodyBytes, { step: call.step, peer });
         return ok({ status: response.statusCode, text, headers: response.headers });
     }
     catch (cause) {
