fix(control): accept chunked bodies on the operators' interface

A request without content-length got 500: hono's bodyLimit builds a new Request, which fails on the one of @hono/node-server while the global Request is left alone. A test with real processes met it when it ended a drain. The body is now read with a bound of its own.

--- a/packages/control/src/node/operator-app.ts
+++ b/packages/control/src/node/operator-app.ts
@@ -2,7 +2,6 @@
 import { silentLogger } from "@skylarkmill/coordination";
 import { type EditId, type TeamId, toId } from "@skylarkmill/protocol";
 import { type Context, Hono } from "hono";
-import { bodyLimit } from "hono/body-limit";
 import { randomUUID } from "node:crypto";
 import { type Counter, Registry } from "prom-client";
 import { type AuditLog, auditLogOf } from "../runtime/audit-log.ts";
@@ -14,6 +13,7 @@
 import { toConfigStatus } from "../utils/config-status.ts";
 import { toFleetStatus } from "../utils/fleet-status.ts";
 import { refuse, unavailable } from "../utils/operator-answers.ts";
+import { readJsonBody } from "../utils/read-json-body.ts";
 import { readAuditQuery, readEditId, readHostId, readIfMatch, readSectionName } from "../utils/request-input.ts";
 import { findTeam } from "../utils/team-tokens.ts";
 
@@ -23,9 +23,6 @@
 
 type OperatorContext = Context<Env>;
 
-/** A section takes at most 1 MB as stored; indented text is longer. */
-const MAX_BODY_BYTES = 4 * 1024 * 1024;
-
 const DEFAULTS = { peerTimeoutMs: 1_000, maxConcurrentCalls: 32, logger: silentLogger };
 
 /**
@@ -48,13 +45,6 @@
         context.set("team", team);
         return next();
     });
-    app.use(
-        "/operator/*",
-        bodyLimit({
-            maxSize: MAX_BODY_BYTES,
-            onError: context => send(context, refuse(413, "too_large", `The body is over ${MAX_BODY_BYTES} bytes.`)),
-        }),
-    );
     app.onError((error, context) => {
         resolved.logger.error({ step: "operator", path: context.req.path, err: error }, "operator request failed");
         return send(context, refuse(500, "internal", "The request failed; the router's log has the cause."));
@@ -79,15 +69,6 @@
     return (body as { readonly outcome?: string; }).outcome ?? "not_accepted";
 }
 
-async function readJson(context: OperatorContext): Promise<{ readonly value: unknown; } | undefined> {
-    try {
-        return { value: await context.req.json<unknown>() };
-    }
-    catch {
-        return undefined;
-    }
-}
-
 function addConfigRoutes(
     app: Hono<Env>,
     options: ResolvedOperatorOptions,
@@ -136,8 +117,8 @@
         const editId = readEditId(context.req.header("x-edit-id"));
         const ifMatch = readIfMatch(context.req.header("if-match"));
         for (const input of [section, editId, ifMatch]) if (input.isErr()) return send(context, input.error);
-        const body = await readJson(context);
-        if (body === undefined) return send(context, refuse(400, "invalid_json", "The body is not JSON."));
+        const body = await readJsonBody(context.req.raw);
+        if (body.isErr()) return send(context, body.error);
         const answer = await editor.edit({
             team: context.get("team"),
             section: section._unsafeUnwrap(),
--- a/test/control/operator-commands.test.ts
+++ b/test/control/operator-commands.test.ts
@@ -2,6 +2,8 @@
 import { runOperatorCommand } from "@skylarkmill/control";
 import { createServer, type Server } from "node:net";
 import type { AddressInfo } from "node:net";
+import { Readable } from "node:stream";
+import { request } from "undici";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { type Operator, OperatorWorld, plainSection, TOKENS } from "./operator-fixture.ts";
 
@@ -18,7 +20,7 @@
     ) => new Promise<void>(resolve => (server.listening ? resolve() : server.once("listening", resolve)));
 
     async function listen(fetch: Operator["fetch"]): Promise<string> {
-        const server = serve({ fetch, port: 0, hostname: "127.0.0.1" });
+        const server = serve({ fetch, port: 0, hostname: "127.0.0.1", overrideGlobalObjects: false });
         servers.push(server);
         await listening(server);
         return `127.0.0.1:${(server.address() as AddressInfo).port}`;
@@ -139,6 +141,23 @@
         expect((await operator.call("GET", "/operator/config/parts")).body["version"]).toBe(1);
     });
 
+    // Guards against clients that send a body in chunks, for which the size is not known beforehand.
+    const chunked = [
+        { method: "PUT", path: "config/parts", chunk: JSON.stringify(edited(5_000)), count: 1, status: 200 },
+        { method: "PUT", path: "config/parts", chunk: " ".repeat(1_000_000), count: 5, status: 413 },
+        { method: "PUT", path: "config/parts", chunk: "", count: 0, status: 400 },
+        { method: "DELETE", path: "drains/host-a", chunk: "", count: 0, status: 200 },
+    ] as const;
+    it.each(chunked)("$method $path in $count chunks: $status", async ({ method, path, chunk, count, status }) => {
+        const router = await listen(request => operator.fetch(request));
+        const response = await request(`http://${router}/operator/${path}`, {
+            method,
+            headers: { "authorization": `Bearer ${TOKENS.parts}`, "if-match": "1", "x-edit-id": "chunked" },
+            body: Readable.from(Array.from({ length: count }, () => chunk)),
+        });
+        expect(response.statusCode, await response.body.text()).toBe(status);
+    });
+
     // Guards against a command that gives up although another router answers.
     it("goes on to the next router", async () => {
         const router = await listen(request => operator.fetch(request));
