--- a/packages/agent/src/runtime/backend-task.ts
+++ b/packages/agent/src/runtime/backend-task.ts
@@ -23,8 +23,10 @@
     | { readonly kind: "expire"; readonly requestId: RequestId; }
     | { readonly kind: "finished"; readonly attemptId: AttemptId; readonly outcome: RunOutcome; }
     | { readonly kind: "order"; readonly orderId: number; readonly result: OrderResult; }
+    | { readonly kind: "order-sent"; readonly orderId: number; }
     | { readonly kind: "index"; readonly read: IndexRead; }
-    | { readonly kind: "records"; }
+    /** Records have changed or the time for a retry has come. */
+    | { readonly kind: "wake"; }
     | { readonly kind: "allow-orders"; readonly allowed: boolean; }
     | { readonly kind: "read-index"; readonly resolve?: IndexWaiter["resolve"]; }
     | { readonly kind: "drain"; readonly draining: boolean; }
@@ -154,10 +156,12 @@
                 return this.finish(toId(message.attemptId), message.outcome, nowMs);
             case "order":
                 return replicas?.applyOrderResult(message.orderId, message.result, nowMs);
+            case "order-sent":
+                return replicas?.noteSent(message.orderId, nowMs);
             case "index":
                 replicas?.applyIndex(message.read, nowMs);
                 return this.endIndexWaits(message.read.stamp, message.read.result.map(() => undefined));
-            case "records":
+            case "wake":
                 return;
             case "read-index":
                 return this.beginIndexRead(message.resolve);
@@ -212,7 +216,7 @@
             priority: catalog.requestClass(head.requestClass).priority,
             enqueuedAtMs: nowMs,
             deadlineAtMs: head.deadlineAtMs,
-            expectedMs: durations.expectedMs(group, fallbackDurationMs(catalog, head)),
+            expectedMs: durations.expectedMs(group, fallbackDurationMs(catalog, head, nowMs)),
             group,
         };
     }
@@ -240,7 +244,8 @@
             serviceId: entry.head.serviceId,
             nowMs,
             deadlineAtMs: entry.deadlineAtMs,
-            expectedMs: entry.expectedMs,
+            // An assumed duration refuses nothing: without an answer the real one would never be learned.
+            expectedMs: this.options.durations.expectedMs(entry.group, 0),
             waitMs: this.waitMs(entry, nowMs),
             serviceCount: totalCount,
             totalCount,
--- a/packages/control/src/node/operator-app.ts
+++ b/packages/control/src/node/operator-app.ts
@@ -13,7 +13,7 @@
 import { toConfigStatus } from "../utils/config-status.ts";
 import { toFleetStatus } from "../utils/fleet-status.ts";
 import { refuse, unavailable } from "../utils/operator-answers.ts";
-import { readJsonBody } from "../utils/read-json-body.ts";
+import { readJson } from "../utils/read-json.ts";
 import { readAuditQuery, readEditId, readHostId, readIfMatch, readSectionName } from "../utils/request-input.ts";
 import { findTeam } from "../utils/team-tokens.ts";
 
@@ -23,6 +23,9 @@
 
 type OperatorContext = Context<Env>;
 
+/** A section takes at most 1 MB as stored; indented text is longer. */
+const MAX_BODY_BYTES = 4 * 1024 * 1024;
+
 const DEFAULTS = { peerTimeoutMs: 1_000, maxConcurrentCalls: 32, logger: silentLogger };
 
 /**
@@ -117,7 +120,7 @@
         const editId = readEditId(context.req.header("x-edit-id"));
         const ifMatch = readIfMatch(context.req.header("if-match"));
         for (const input of [section, editId, ifMatch]) if (input.isErr()) return send(context, input.error);
-        const body = await readJsonBody(context.req.raw);
+        const body = await readJson(context.req.raw, MAX_BODY_BYTES);
         if (body.isErr()) return send(context, body.error);
         const answer = await editor.edit({
             team: context.get("team"),
--- a/packages/coordination/src/node/service-reader.ts
+++ b/packages/coordination/src/node/service-reader.ts
@@ -15,11 +15,15 @@
     readonly writer: RecordWriter;
     readonly logger: Logger;
     readonly refreshIntervalMs: number;
+    readonly revisionIntervalMs: number;
     readonly retryDelayMs: number;
     /** Whether this process watches the service now. */
     readonly isReader: () => boolean;
 }
 
+/** No key starts with it, so that a read costs a few bytes and tells the service's revision. */
+const NO_KEYS_PREFIX = "/revision-only/";
+
 /** Reads the records from the key-value service and, in a reader process, watches them. */
 export class ServiceReader {
     private hasReadOnce = false;
@@ -59,10 +63,10 @@
 
     /** Runs until the signal aborts. A process that is no reader only reads until it succeeded once. */
     async run(signal: AbortSignal): Promise<void> {
-        const { retryDelayMs, refreshIntervalMs, logger } = this.context;
+        const { retryDelayMs, revisionIntervalMs, logger } = this.context;
         while (!signal.aborted) {
             if (this.hasReadOnce && !this.context.isReader()) {
-                await sleep(refreshIntervalMs, signal);
+                await sleep(revisionIntervalMs, signal);
                 continue;
             }
             const revisions = await this.refresh();
@@ -76,18 +80,37 @@
         }
     }
 
-    /** Watches until the refresh interval is over: a silent restore of older data is only seen by a new read. */
+    /** Watches until a watch breaks, the service's revision goes back, or the refresh interval is over. */
     private async watchOnce(revisions: ReadonlyMap<string, number>, signal: AbortSignal): Promise<void> {
         const round = new AbortController();
         const stop = () => round.abort();
         signal.addEventListener("abort", stop, { once: true });
         const watches = [...revisions].map(([prefix, revision]) => this.watchPrefix(prefix, revision, round.signal));
-        await Promise.race([sleep(this.context.refreshIntervalMs, round.signal), ...watches]);
+        await Promise.race([
+            sleep(this.context.refreshIntervalMs, round.signal),
+            this.watchRevision(Math.max(...revisions.values()), round.signal),
+            ...watches,
+        ]);
         round.abort();
         signal.removeEventListener("abort", stop);
         await Promise.allSettled(watches);
     }
 
+    /**
+     * Ends when the revision went back, since the service then holds older data that a watch may not report,
+     * or when this process is no reader any more.
+     */
+    private async watchRevision(fromRevision: number, signal: AbortSignal): Promise<void> {
+        let highest = fromRevision;
+        while (!signal.aborted && this.context.isReader()) {
+            await sleep(this.context.revisionIntervalMs, signal);
+            const read = await this.context.store.range(NO_KEYS_PREFIX, { limit: 1 });
+            if (read.isErr()) continue;
+            if (read.value.revision < highest) return;
+            highest = read.value.revision;
+        }
+    }
+
     private async watchPrefix(prefix: string, revision: number, signal: AbortSignal): Promise<void> {
         try {
             for await (const events of this.context.store.watch(prefix, revision + 1, signal)) {
--- a/packages/router/src/runtime/request-handler.ts
+++ b/packages/router/src/runtime/request-handler.ts
@@ -54,7 +54,7 @@
         return this.stopping;
     }
 
-    /** Refuses new requests from now on. */
+    /** Answers close their connections from now on. */
     stop(): void {
         this.stopping = true;
     }
@@ -75,7 +75,7 @@
         }
         const target = toModelTarget(service, found.model, found.adapterId);
         const path = incoming.url!;
-        this.dispatch(exchange, this.toSpec(exchange, options, target, path, body, request.value));
+        await this.dispatch(exchange, this.toSpec(exchange, options, target, path, body, request.value));
     }
 
     /** Handles a request to a plain service; `path` is below the service. */
@@ -99,7 +99,7 @@
             model: undefined,
             adapterId: undefined,
         };
-        this.dispatch(exchange, this.toSpec(exchange, options, target, path, body, undefined));
+        await this.dispatch(exchange, this.toSpec(exchange, options, target, path, body, undefined));
     }
 
     /** Refuses a request that addresses nothing. */
@@ -107,6 +107,21 @@
         this.refuse(this.open(incoming, outgoing), refusal);
     }
 
+    /** Ends a request whose handling failed in an unforeseen way. */
+    fail(outgoing: ServerResponse, error: unknown): void {
+        this.context.logger.error({ step: "request.handle", peer: "local", err: error }, "request handling failed");
+        if (outgoing.headersSent) outgoing.destroy();
+        else new AnswerWriter(outgoing, () => true).refuse(refusals.internal());
+    }
+
+    /** Counts a request that was refused because it can't be parsed. */
+    countUnparsed(): void {
+        const { metrics } = this.context;
+        metrics.received.inc();
+        metrics.refusals.inc({ execution: "not_run" });
+        metrics.countOutcome("none", "refused", 0);
+    }
+
     private open(incoming: IncomingMessage, outgoing: ServerResponse): Exchange {
         const { counts, metrics } = this.context;
         counts.open();
@@ -117,8 +132,8 @@
     }
 
     private readOptions(exchange: Exchange): RequestOptions | undefined {
-        if (this.stopping) {
-            this.refuse(exchange, refusals.shuttingDown());
+        if (this.context.config.services().size === 0) {
+            this.refuse(exchange, refusals.notReady());
             return undefined;
         }
         const options = readRequestOptions(exchange.incoming.headers);
@@ -209,7 +224,7 @@
         return rankByRendezvous<ServerId>(idempotencyKey, live.map(server => server.serverId))[0];
     }
 
-    private dispatch(exchange: Exchange, spec: RequestSpec): void {
+    private async dispatch(exchange: Exchange, spec: RequestSpec): Promise<void> {
         const { counts } = this.context;
         const { serviceId } = spec.target;
         counts.enter(serviceId);
@@ -220,8 +235,7 @@
             this.countEnd(serviceId, exchange, exchange.writer.isLost ? "disconnected" : end.kind);
         };
         if (spec.idempotencyKey !== undefined && !spec.idempotent) {
-            void this.keyed.run(spec, exchange.writer, onEnded);
-            return;
+            return this.keyed.run(spec, exchange.writer, onEnded);
         }
         new RequestTask(this.context, spec, exchange.writer, onEnded).start();
     }
--- a/packages/router/src/runtime/server-directory.ts
+++ b/packages/router/src/runtime/server-directory.ts
@@ -78,12 +78,10 @@
     }
 
     /** An answer of the model came from this server, so the model is loaded there. */
-    noteAnswered(server: ServerState, modelId: ModelId, adapterId: AdapterId | undefined): void {
-        const known = server.models.get(modelId);
-        const knowsAdapter = adapterId === undefined || known?.adapterIds.includes(adapterId) === true;
-        if (known?.state === "ready" && knowsAdapter) return;
-        const adapterIds = knowsAdapter ? known?.adapterIds ?? [] : [...known?.adapterIds ?? [], adapterId];
-        server.models.set(modelId, { state: "ready", adapterIds });
+    noteAnswered(server: ServerState, modelId: ModelId, adapterId: AdapterId | undefined, seenAtMs: number): void {
+        const known = server.models.get(modelId)?.adapterIds ?? [];
+        const adapterIds = adapterId === undefined || known.includes(adapterId) ? known : [...known, adapterId];
+        server.models.set(modelId, { seenAtMs, state: "ready", adapterIds });
     }
 
     /** The agent does not answer although its port is bound; requests that may run twice go elsewhere. */
@@ -98,19 +96,23 @@
         server.agentDraining = true;
     }
 
-    /** A connection to the agent failed. */
+    /** A connection to the agent failed. Requests that fail together count as one failure. */
     markUnreachable(server: ServerState, nowMs: number): void {
+        if (server.unreachableUntilMs > nowMs) return;
         server.failureCount += 1;
         const pauseMs = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** (server.failureCount - 1));
         server.unreachableUntilMs = nowMs + pauseMs;
     }
 
     private readHosts(): void {
-        const listed = new Set<ServerId>();
+        const listed = new Map<ServerId, HostEntry>();
         for (const host of this.hostList.hosts()) {
-            if (host.role !== "backend" || host.serverId === undefined || host.serviceId === undefined) continue;
-            listed.add(host.serverId);
-            this.applyHost(host, host.serverId, host.serviceId);
+            if (host.role !== "backend" || host.serverId === undefined) continue;
+            // A replaced host and its successor may be listed together.
+            if (listed.get(host.serverId)?.state !== "live") listed.set(host.serverId, host);
+        }
+        for (const [serverId, host] of listed) {
+            if (host.serviceId !== undefined) this.applyHost(host, serverId, host.serviceId);
         }
         for (const server of this.servers.values()) {
             const vanished = !listed.has(server.serverId) && this.hostList.isGone(server.host.hostId);
--- a/packages/router/src/utils/refusals.ts
+++ b/packages/router/src/utils/refusals.ts
@@ -66,17 +66,14 @@
         ),
         retryAfterMs: 2000,
     }),
-    shuttingDown: (): Refusal => ({
-        ...failed(503, "unavailable_error", "shutting_down", "This router is shutting down.", "not_run"),
-        retryAfterMs: 100,
-    }),
     notReady: (): Refusal => ({
         ...failed(503, "unavailable_error", "not_ready", "This router has no configuration yet.", "not_run"),
         retryAfterMs: 1000,
     }),
-    noServer: (retryAfterMs: number): Refusal => ({
+    noServer: (): Refusal => ({
         ...failed(503, "unavailable_error", "no_server", "No backend server is available.", "not_run"),
-        retryAfterMs,
+        // The jitter keeps callers that were refused together from returning together.
+        retryAfterMs: Math.round(500 + 1000 * Math.random()),
     }),
     overloaded: (code: string, retryAfterMs: number): Refusal => ({
         ...failed(
