feat(agent): load a model for later requests when one is refused for the load time

Cause: requests whose deadline is shorter than the expected load were refused at once, so the model was never loaded and the expectation never corrected; short requests were refused for the backlog of long ones. Change: such a refusal marks the model as asked for during two load times; a short request's wait counts the short backlog only; a request whose deadline passed while the process was paused is refused instead of dispatched. Conclusion: a pessimistic expectedLoadMs costs one refusal and not the model.

--- a/packages/agent/src/runtime/backend-task.ts
+++ b/packages/agent/src/runtime/backend-task.ts
@@ -16,6 +16,9 @@
 const DEFAULT_MAX_IN_FLIGHT = 16;
 const SLOWNESS_WEIGHT = 0.2;
 const MAX_SLOWNESS = 100;
+/** How long a model stays asked for after a request was refused for its load time. */
+const WISH_LOADS = 2;
+const MIN_WISH_MS = 5000;
 
 export type BackendMessage =
     | { readonly kind: "arrive"; readonly head: RequestHead; readonly decide: (decision: Decision) => void; }
@@ -95,9 +98,7 @@
     /** Sum of the expected durations of the queued requests and of what remains of the running ones. */
     backlogMs(nowMs: number): number {
         let sumMs = this.waiting.expectedMs;
-        for (const { entry, startedAtMs } of this.running.values()) {
-            sumMs += Math.max(0, entry.expectedMs - (nowMs - startedAtMs));
-        }
+        for (const running of this.running.values()) sumMs += remainingMs(running, nowMs);
         return sumMs;
     }
 
@@ -195,6 +196,7 @@
         const entry = this.createEntry(head, decide, nowMs);
         const refusal = this.checkArrival(entry, nowMs);
         if (refusal !== undefined) {
+            if (refusal.code === "deadline_unreachable") this.wishFor(head, nowMs);
             this.refuse(entry, refusal);
             return;
         }
@@ -206,6 +208,14 @@
         this.waiting.push(entry, nowMs);
     }
 
+    /** Loads a model that is not ready in time for a request, for those that come after it. */
+    private wishFor({ modelId }: RequestHead, nowMs: number): void {
+        const { replicas } = this.options;
+        if (modelId === undefined || replicas === undefined || replicas.isReady(modelId, undefined)) return;
+        replicas.recordArrival(modelId, nowMs);
+        this.waiting.wish(modelId, nowMs, WISH_LOADS * replicas.expectedLoadMs(modelId, nowMs) + MIN_WISH_MS);
+    }
+
     private createEntry(head: RequestHead, decide: (decision: Decision) => void, nowMs: number): WaitingRequest {
         const { catalog, durations } = this.options;
         const group = durationGroup(head);
@@ -257,13 +267,24 @@
     /** Expected time until a slot is free for the request and its model is loaded. */
     private waitMs(entry: WaitingRequest, nowMs: number): number {
         const { replicas } = this.options;
-        const slotCount = Math.max(1, this.slotCount);
-        const busy = this.waiting.size + this.running.size >= slotCount;
-        const queueMs = busy ? this.backlogMs(nowMs) / slotCount : 0;
+        const busy = this.waiting.size + this.running.size >= this.slotCount;
+        const queueMs = busy ? this.queueMs(entry, nowMs) : 0;
         const loadMs = entry.head.modelId === undefined ? 0 : replicas?.expectedLoadMs(entry.head.modelId, nowMs) ?? 0;
         return Math.max(queueMs, loadMs);
     }
 
+    /** The queue order keeps slots free of long requests, so a short one does not wait for them. */
+    private queueMs(entry: WaitingRequest, nowMs: number): number {
+        if (this.waiting.isLong(entry.expectedMs)) return this.backlogMs(nowMs) / Math.max(1, this.slotCount);
+        let sumMs = this.waiting.expectedShortMs;
+        let longCount = 0;
+        for (const running of this.running.values()) {
+            if (this.waiting.isLong(running.entry.expectedMs)) longCount += 1;
+            else sumMs += remainingMs(running, nowMs);
+        }
+        return sumMs / Math.max(1, this.slotCount - longCount);
+    }
+
     private cancel(requestId: RequestId): void {
         const entry = this.waiting.remove(requestId);
         if (entry !== undefined) this.forgetOnce(entry);
@@ -271,7 +292,10 @@
 
     private expire(requestId: RequestId): void {
         const entry = this.waiting.remove(requestId);
-        if (entry === undefined) return;
+        if (entry !== undefined) this.refuseLate(entry);
+    }
+
+    private refuseLate(entry: WaitingRequest): void {
         this.forgetOnce(entry);
         const { modelId, adapterId } = entry.head;
         const cause = modelId === undefined ? undefined : this.options.replicas?.waitCause(modelId, adapterId);
@@ -314,6 +338,7 @@
         for (const modelId of [...this.waiting.demand.keys()]) {
             const refusal = replicas.blockedBy(modelId);
             if (refusal === undefined) continue;
+            this.waiting.dropWish(modelId);
             for (const entry of this.waiting.removeWhere(candidate => candidate.head.modelId === modelId)) {
                 this.forgetOnce(entry);
                 this.refuse(entry, refusal);
@@ -328,6 +353,11 @@
         while (this.waiting.size > 0 && this.running.size < this.slotCount) {
             const entry = this.waiting.next(nowMs, this.runningWork(), ready);
             if (entry === undefined) return;
+            // After a pause of the process, requests may come before the messages of their timers.
+            if (nowMs >= entry.deadlineAtMs) {
+                this.refuseLate(entry);
+                continue;
+            }
             this.running.set(entry.requestId, { entry, startedAtMs: nowMs });
             if (entry.head.modelId !== undefined) replicas?.beginUse(entry.head.modelId);
             entry.decide({ kind: "start" });
@@ -352,6 +382,10 @@
     }
 }
 
+function remainingMs({ entry, startedAtMs }: Running, nowMs: number): number {
+    return Math.max(0, entry.expectedMs - (nowMs - startedAtMs));
+}
+
 function stopped(): UnavailableError {
     return new UnavailableError("The agent has stopped.", { step: "engine.index", peer: "local" });
 }
--- a/packages/agent/src/runtime/waiting-room.ts
+++ b/packages/agent/src/runtime/waiting-room.ts
@@ -12,7 +12,8 @@
 export class WaitingRoom {
     private readonly timers = new Map<RequestId, NodeJS.Timeout>();
     private readonly models = new Map<ModelId, ModelDemand>();
-    private expectedSumMs = 0;
+    private readonly wishes = new Map<ModelId, NodeJS.Timeout>();
+    private readonly expectedSumMs = { short: 0, long: 0 };
 
     constructor(
         private readonly order: QueueOrder<WaitingRequest>,
@@ -25,7 +26,12 @@
 
     /** Sum of the expected durations. */
     get expectedMs(): number {
-        return this.expectedSumMs;
+        return this.expectedSumMs.short + this.expectedSumMs.long;
+    }
+
+    /** Sum of the expected durations of the requests that are not long. */
+    get expectedShortMs(): number {
+        return this.expectedSumMs.short;
     }
 
     get demand(): Demand {
@@ -42,7 +48,7 @@
 
     push(entry: WaitingRequest, nowMs: number): void {
         this.order.push(entry);
-        this.expectedSumMs += entry.expectedMs;
+        this.expectedSumMs[this.lengthOf(entry)] += entry.expectedMs;
         const delayMs = Math.max(0, entry.deadlineAtMs - nowMs);
         this.timers.set(entry.requestId, setTimeout(() => this.onDeadline(entry.requestId), delayMs));
         this.count(entry, 1);
@@ -69,10 +75,31 @@
         return this.order.entries().filter(matches).flatMap(entry => this.remove(entry.requestId) ?? []);
     }
 
+    /** Counts a model as asked for although no request waits for it, until the time is over. */
+    wish(modelId: ModelId, nowMs: number, durationMs: number): void {
+        this.dropWish(modelId);
+        this.wishes.set(modelId, setTimeout(() => this.dropWish(modelId), durationMs).unref());
+        if (!this.models.has(modelId)) this.models.set(modelId, newDemand(nowMs));
+    }
+
+    dropWish(modelId: ModelId): void {
+        clearTimeout(this.wishes.get(modelId));
+        this.wishes.delete(modelId);
+        this.dropUnwanted(modelId);
+    }
+
+    private lengthOf(entry: WaitingRequest): "short" | "long" {
+        return this.order.isLong(entry.expectedMs) ? "long" : "short";
+    }
+
+    private dropUnwanted(modelId: ModelId): void {
+        if (this.models.get(modelId)?.count === 0 && !this.wishes.has(modelId)) this.models.delete(modelId);
+    }
+
     private forget(entry: WaitingRequest): void {
         clearTimeout(this.timers.get(entry.requestId));
         this.timers.delete(entry.requestId);
-        this.expectedSumMs -= entry.expectedMs;
+        this.expectedSumMs[this.lengthOf(entry)] -= entry.expectedMs;
         this.count(entry, -1);
     }
 
@@ -87,7 +114,7 @@
             if (count > 0) demand.adapters.set(adapterId, count);
             else demand.adapters.delete(adapterId);
         }
-        if (demand.count === 0) this.models.delete(modelId);
+        this.dropUnwanted(modelId);
     }
 }
 
--- a/test/agent/lifecycle.test.ts
+++ b/test/agent/lifecycle.test.ts
@@ -165,6 +165,29 @@
         expect(error.message).toMatch(/load/);
     });
 
+    // Guards against a model that is never loaded because each request is refused for its load time.
+    it("loads a model for later requests when one can't wait for the load", async () => {
+        await putRecord(test.store, KEYS.config("models"), 2, modelSection({ m1: { expectedLoadMs: 60_000 } }));
+        await test.start("assistant");
+        await test.accepting();
+        expect(await code(await test.request(MODEL))).toBe("deadline_unreachable");
+        await until(() => test.engine.orders("load m1").length === 1);
+        expect((await test.request(MODEL)).status).toBe(200);
+    });
+
+    // Guards against operators who can't see what an agent does.
+    it("reports its status and its metrics", async () => {
+        await test.start("assistant");
+        await test.accepting();
+        await test.request(MODEL);
+        const status = await test.peer.calls.getStatus({});
+        expect(status).toMatchObject({ role: "agent", ready: true, draining: false, problems: [] });
+        expect(status.server?.models).toMatchObject([{ modelId: "m1", modelVersion: "1", state: "ready" }]);
+        expect(status.versions.map(version => version.key)).toContain(KEYS.config("models"));
+        const metrics = await (await test.get("/metrics")).text();
+        expect(metrics).toContain('skylarkmill_agent_attempts_total{result="answered"} 1');
+    });
+
     const signals = [
         {
             name: "the host list",
