refactor(agent): take admission, running requests and index waits out of the backend task

Change: ArrivalCheck, RunningSet and IndexWaits in files of their own; no change in behaviour. Conclusion: the task handles messages and delegates the rest.

--- a/packages/agent/src/runtime/backend-task.ts
+++ b/packages/agent/src/runtime/backend-task.ts
@@ -1,16 +1,19 @@
 import { Mailbox } from "@skylarkmill/coordination";
 import type { EngineError } from "@skylarkmill/platform";
 import type { AdmissionPolicy, DurationEstimator } from "@skylarkmill/policy";
-import { type AttemptId, type Refusal, type RequestId, toId, UnavailableError } from "@skylarkmill/protocol";
-import { err, ok, type Result, ResultAsync } from "neverthrow";
+import { type AttemptId, type Refusal, type RequestId, toId } from "@skylarkmill/protocol";
+import { err, ok, ResultAsync } from "neverthrow";
 import type { IndexRead, OrderResult } from "../types/engine-port.ts";
 import type { AgentLimits } from "../types/options.ts";
 import type { Decision, RequestHead, RunOutcome, WaitingRequest } from "../types/request.ts";
 import type { Catalog } from "../utils/catalog.ts";
 import { durationGroup, fallbackDurationMs } from "../utils/expectations.ts";
 import { REFUSALS } from "../utils/refusals.ts";
+import { ArrivalCheck } from "./arrival-check.ts";
+import { agentStopped, type IndexResolve, IndexWaits } from "./index-waits.ts";
 import type { OnceMemory } from "./once-memory.ts";
 import type { ReplicaSet } from "./replica-set.ts";
+import { RunningSet } from "./running-set.ts";
 import type { WaitingRoom } from "./waiting-room.ts";
 
 const DEFAULT_MAX_IN_FLIGHT = 16;
@@ -31,7 +34,7 @@
     /** Records have changed or the time for a retry has come. */
     | { readonly kind: "wake"; }
     | { readonly kind: "allow-orders"; readonly allowed: boolean; }
-    | { readonly kind: "read-index"; readonly resolve?: IndexWaiter["resolve"]; }
+    | { readonly kind: "read-index"; readonly resolve?: IndexResolve; }
     | { readonly kind: "drain"; readonly draining: boolean; }
     | { readonly kind: "settle"; readonly resolve: () => void; }
     | { readonly kind: "tick"; };
@@ -50,29 +53,27 @@
     readonly onPaused: () => void;
 }
 
-interface IndexWaiter {
-    readonly stamp: number;
-    readonly resolve: (result: Result<void, EngineError>) => void;
-}
-
-interface Running {
-    readonly entry: WaitingRequest;
-    readonly startedAtMs: number;
-}
-
 /** The task that owns the queue, the running requests and the replicas of one backend server. */
 export class BackendTask {
     readonly mailbox = new Mailbox<BackendMessage>();
     private readonly waiting: WaitingRoom;
-    private readonly running = new Map<RequestId, Running>();
+    private readonly running = new RunningSet();
+    private readonly arrivals: ArrivalCheck;
+    private readonly indexWaits = new IndexWaits();
     private draining = false;
     private handledAtMs = Infinity;
     private slownessValue = 1;
-    private indexWaiters: IndexWaiter[] = [];
     private settleWaiters: (() => void)[] = [];
 
     constructor(private readonly options: BackendTaskOptions) {
         this.waiting = options.createWaitingRoom(requestId => this.mailbox.post({ kind: "expire", requestId }));
+        this.arrivals = new ArrivalCheck({
+            ...options,
+            waiting: this.waiting,
+            running: this.running,
+            maxQueuedCount: options.limits.maxQueuedCount,
+            slotCount: () => this.slotCount,
+        });
     }
 
     get queuedCount(): number {
@@ -97,16 +98,14 @@
 
     /** Sum of the expected durations of the queued requests and of what remains of the running ones. */
     backlogMs(nowMs: number): number {
-        let sumMs = this.waiting.expectedMs;
-        for (const running of this.running.values()) sumMs += remainingMs(running, nowMs);
-        return sumMs;
+        return this.arrivals.backlogMs(nowMs);
     }
 
     /** Reads the engine's index; resolves once its facts have been taken over. */
     readIndex(): ResultAsync<void, EngineError> {
         return new ResultAsync(
             new Promise(resolve => {
-                if (!this.mailbox.post({ kind: "read-index", resolve })) resolve(err(stopped()));
+                if (!this.mailbox.post({ kind: "read-index", resolve })) resolve(err(agentStopped()));
             }),
         );
     }
@@ -121,7 +120,7 @@
     /** Handles messages until the mailbox closes. */
     async run(): Promise<void> {
         for await (const message of this.mailbox) this.handle(message, Date.now());
-        this.endIndexWaits(Infinity, err(stopped()));
+        this.indexWaits.stop();
     }
 
     /** Handles one message and starts what has become possible. */
@@ -161,7 +160,7 @@
                 return replicas?.noteSent(message.orderId, nowMs);
             case "index":
                 replicas?.applyIndex(message.read, nowMs);
-                return this.endIndexWaits(message.read.stamp, message.read.result.map(() => undefined));
+                return this.indexWaits.end(message.read.stamp, message.read.result.map(() => undefined));
             case "wake":
                 return;
             case "read-index":
@@ -179,22 +178,15 @@
         }
     }
 
-    private beginIndexRead(resolve: IndexWaiter["resolve"] | undefined): void {
+    private beginIndexRead(resolve: IndexResolve | undefined): void {
         const stamp = this.options.replicas?.readIndex();
-        if (resolve === undefined) return;
-        if (stamp === undefined) resolve(ok(undefined));
-        else this.indexWaiters.push({ stamp, resolve });
-    }
-
-    /** A read that began before a waiter asked says nothing to it. */
-    private endIndexWaits(stamp: number, result: Result<void, EngineError>): void {
-        for (const waiter of this.indexWaiters) if (waiter.stamp <= stamp) waiter.resolve(result);
-        this.indexWaiters = this.indexWaiters.filter(waiter => waiter.stamp > stamp);
+        if (stamp === undefined) resolve?.(ok(undefined));
+        else if (resolve !== undefined) this.indexWaits.add(stamp, resolve);
     }
 
     private arrive(head: RequestHead, decide: (decision: Decision) => void, nowMs: number): void {
         const entry = this.createEntry(head, decide, nowMs);
-        const refusal = this.checkArrival(entry, nowMs);
+        const refusal = this.draining ? REFUSALS.draining() : this.arrivals.refusal(entry, nowMs);
         if (refusal !== undefined) {
             if (refusal.code === "deadline_unreachable") this.wishFor(head, nowMs);
             this.refuse(entry, refusal);
@@ -231,60 +223,6 @@
         };
     }
 
-    private checkArrival(entry: WaitingRequest, nowMs: number): Refusal | undefined {
-        const { replicas, limits } = this.options;
-        const { modelId } = entry.head;
-        if (this.draining) return REFUSALS.draining();
-        if (this.waiting.has(entry.requestId) || this.running.has(entry.requestId)) return REFUSALS.alreadyDispatched();
-        if (nowMs >= entry.deadlineAtMs) return REFUSALS.deadline("not_run", "before the request arrived");
-        if (replicas !== undefined) {
-            if (modelId === undefined) return REFUSALS.badHead("A request to a model service must name its model.");
-            const blocked = replicas.blockedBy(modelId);
-            if (blocked !== undefined) return blocked;
-        }
-        if (this.waiting.size >= limits.maxQueuedCount) {
-            return REFUSALS.overloaded("queue_full", this.waitMs(entry, nowMs));
-        }
-        return this.checkAdmission(entry, nowMs);
-    }
-
-    private checkAdmission(entry: WaitingRequest, nowMs: number): Refusal | undefined {
-        const totalCount = this.waiting.size + this.running.size;
-        const decision = this.options.admission.decide({
-            serviceId: entry.head.serviceId,
-            nowMs,
-            deadlineAtMs: entry.deadlineAtMs,
-            expectedMs: entry.expectedMs,
-            waitMs: this.waitMs(entry, nowMs),
-            serviceCount: totalCount,
-            totalCount,
-            weight: 1,
-            totalWeight: 1,
-        });
-        return decision.admitted ? undefined : REFUSALS.overloaded(decision.code, decision.retryAfterMs);
-    }
-
-    /** Expected time until a slot is free for the request and its model is loaded. */
-    private waitMs(entry: WaitingRequest, nowMs: number): number {
-        const { replicas } = this.options;
-        const busy = this.waiting.size + this.running.size >= this.slotCount;
-        const queueMs = busy ? this.queueMs(entry, nowMs) : 0;
-        const loadMs = entry.head.modelId === undefined ? 0 : replicas?.expectedLoadMs(entry.head.modelId, nowMs) ?? 0;
-        return Math.max(queueMs, loadMs);
-    }
-
-    /** The queue order keeps slots free of long requests, so a short one does not wait for them. */
-    private queueMs(entry: WaitingRequest, nowMs: number): number {
-        if (this.waiting.isLong(entry.expectedMs)) return this.backlogMs(nowMs) / Math.max(1, this.slotCount);
-        let sumMs = this.waiting.expectedShortMs;
-        let longCount = 0;
-        for (const running of this.running.values()) {
-            if (this.waiting.isLong(running.entry.expectedMs)) longCount += 1;
-            else sumMs += remainingMs(running, nowMs);
-        }
-        return sumMs / Math.max(1, this.slotCount - longCount);
-    }
-
     private cancel(requestId: RequestId): void {
         const entry = this.waiting.remove(requestId);
         if (entry !== undefined) this.forgetOnce(entry);
@@ -303,10 +241,8 @@
     }
 
     private finish(requestId: RequestId, outcome: RunOutcome, nowMs: number): void {
-        const running = this.running.get(requestId);
-        if (running === undefined) return;
-        this.running.delete(requestId);
-        const { entry } = running;
+        const entry = this.running.end(requestId);
+        if (entry === undefined) return;
         if (entry.head.modelId !== undefined) this.options.replicas?.endUse(entry.head.modelId, nowMs);
         if (outcome.result === "not_run") this.forgetOnce(entry);
         if (outcome.result === "answered") this.options.durations.record(entry.group, outcome.durationMs);
@@ -358,17 +294,14 @@
                 this.refuseLate(entry);
                 continue;
             }
-            this.running.set(entry.requestId, { entry, startedAtMs: nowMs });
+            this.running.start(entry, nowMs);
             if (entry.head.modelId !== undefined) replicas?.beginUse(entry.head.modelId);
             entry.decide({ kind: "start" });
         }
     }
 
     private runningWork() {
-        let runningLongCount = 0;
-        for (const { entry } of this.running.values()) {
-            if (this.waiting.isLong(entry.expectedMs)) runningLongCount += 1;
-        }
+        const runningLongCount = this.running.count(entry => this.waiting.isLong(entry.expectedMs));
         return { slotCount: this.slotCount, runningCount: this.running.size, runningLongCount };
     }
 
@@ -382,14 +315,6 @@
     }
 }
 
-function remainingMs({ entry, startedAtMs }: Running, nowMs: number): number {
-    return Math.max(0, entry.expectedMs - (nowMs - startedAtMs));
-}
-
-function stopped(): UnavailableError {
-    return new UnavailableError("The agent has stopped.", { step: "engine.index", peer: "local" });
-}
-
 function onceNames(head: RequestHead): string[] {
     const names = [`request:${head.requestId}`];
     if (head.idempotencyKey !== undefined) names.push(`key:${head.idempotencyKey}`);
