--- /dev/null
+++ b/packages/router/src/node/caller-server.ts
@@ -0,0 +1,100 @@
+import { createAdaptorServer, type HttpBindings } from "@hono/node-server";
+import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
+import { type Refusal, toRefusalBody, toRefusalHeaders } from "@skylarkmill/protocol";
+import { type Context, Hono } from "hono";
+import { type Server, STATUS_CODES } from "node:http";
+import type { Socket } from "node:net";
+import type { RequestHandler } from "../runtime/request-handler.ts";
+import type { RouterContext } from "../types/context.ts";
+import { listModels } from "../utils/model-list.ts";
+import { refusals } from "../utils/refusals.ts";
+import { splitServicePath } from "../utils/service-path.ts";
+
+type CallerContext = Context<{ Bindings: HttpBindings; }>;
+
+/** Longer than the usual idle time of load balancers, so that they close idle connections first. */
+const KEEP_ALIVE_TIMEOUT_MS = 75_000;
+
+export interface CallerServerOptions {
+    readonly context: RouterContext;
+    readonly handler: RequestHandler;
+    readonly isReady: () => boolean;
+}
+
+/** Builds the server of the callers' interface; it is not listening yet. */
+export function createCallerServer(options: CallerServerOptions): Server {
+    const { maxHeaderBytes } = options.context.options.limits;
+    const app = createCallerApp(options);
+    const server = createAdaptorServer({
+        fetch: app.fetch,
+        overrideGlobalObjects: false,
+        autoCleanupIncoming: false,
+        serverOptions: { maxHeaderSize: maxHeaderBytes, keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS, noDelay: true },
+    }) as Server;
+    const answering = trackAnswers(server);
+    server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
+        // A refusal in the middle of an answer would become a part of it.
+        if (!socket.writable || error.code === "ECONNRESET" || answering(socket)) return socket.destroy();
+        const tooLarge = error.code === "HPE_HEADER_OVERFLOW";
+        options.handler.countUnparsed();
+        socket.end(toRawRefusal(tooLarge ? refusals.headersTooLarge(maxHeaderBytes) : refusals.malformed()));
+    });
+    return server;
+}
+
+/** Returns a function that says whether an answer is in progress on a connection. */
+function trackAnswers(server: Server): (socket: Socket) => boolean {
+    const counts = new WeakMap<Socket, number>();
+    server.prependListener("request", ({ socket }, response) => {
+        counts.set(socket, (counts.get(socket) ?? 0) + 1);
+        response.once("close", () => counts.set(socket, counts.get(socket)! - 1));
+    });
+    return socket => (counts.get(socket) ?? 0) > 0;
+}
+
+function createCallerApp(options: CallerServerOptions): Hono<{ Bindings: HttpBindings; }> {
+    const { handler, context } = options;
+    const app = new Hono<{ Bindings: HttpBindings; }>();
+    const handleModel = (c: CallerContext) => {
+        const { incoming, outgoing } = c.env;
+        handler.handleModel(incoming, outgoing).catch((error: unknown) => handler.fail(outgoing, error));
+        return RESPONSE_ALREADY_SENT;
+    };
+    const handlePlain = (c: CallerContext) => {
+        const { incoming, outgoing } = c.env;
+        const { serviceId, path } = splitServicePath(incoming.url!);
+        handler.handlePlain(incoming, outgoing, serviceId, path)
+            .catch((error: unknown) => handler.fail(outgoing, error));
+        return RESPONSE_ALREADY_SENT;
+    };
+    const refuse = (refusal: (c: CallerContext) => Refusal) => (c: CallerContext) => {
+        handler.refuseUnknown(c.env.incoming, c.env.outgoing, refusal(c));
+        return RESPONSE_ALREADY_SENT;
+    };
+    const notAllowed = refuse(c => refusals.methodNotAllowed(c.req.method));
+    app.post("/v1/chat/completions", handleModel).all(notAllowed);
+    app.post("/v1/completions", handleModel).all(notAllowed);
+    app.all("/services/:service", handlePlain);
+    app.all("/services/:service/*", handlePlain);
+    app.get("/v1/models", c => c.json(listModels(context.config)));
+    app.get("/healthz", c => c.json({ status: "ok" }));
+    app.get("/readyz", c => options.isReady() ? c.json({ status: "ready" }) : c.json({ status: "not_ready" }, 503));
+    app.get("/metrics", async c => {
+        const { registry } = context.metrics;
+        return c.text(await registry.metrics(), 200, { "content-type": registry.contentType });
+    });
+    app.notFound(refuse(c => refusals.unknownPath(c.req.path)));
+    return app;
+}
+
+/** A connection whose request can't be parsed has no response object to write to. */
+function toRawRefusal(refusal: Refusal): string {
+    const body = JSON.stringify(toRefusalBody(refusal));
+    const headers = {
+        ...toRefusalHeaders(refusal),
+        "content-length": String(Buffer.byteLength(body)),
+        "connection": "close",
+    };
+    const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join("");
+    return `HTTP/1.1 ${refusal.status} ${STATUS_CODES[refusal.status] ?? ""}\r\n${lines}\r\n${body}`;
+}
