fix(platform): survive the error of a discarded answer body

Cause: an agent that discards the answer of its engine, such as the 404 of an engine that lost the model in a restart, destroys the body unread; undici emits an error on it, and without a listener the process ends with code 1. Ruled out: the fault proxy (the agent's own stack trace names answerChecked) and the engine stand-in. Change: the backend client listens for the error of every body; readers still get it from their iterator. Before: after a restart of both engines the agents died, no request to the model was answered in 20 s (test/failures/requests.test.ts, 'engines killed'); after: answered 2.6 s after the start of the case.

--- a/packages/platform/src/node/backend-client.ts
+++ b/packages/platform/src/node/backend-client.ts
@@ -53,7 +53,10 @@
             ...(body === undefined ? {} : { body }),
         };
         try {
-            return ok(await dispatcher.request(requestOptions));
+            const response = await dispatcher.request(requestOptions);
+            // A body that is discarded or aborted unread emits an error, which would end the process.
+            response.body.on("error", () => undefined);
+            return ok(response);
         }
         catch (cause) {
             const message = `${method} ${path} failed: ${cause instanceof Error ? cause.message : String(cause)}`;
