fix(agent): start the requests of a loaded model before its memory is taken

With more models wanted than fit, a model that waited longer than two load times took the memory of one that had just become ready and had not started its own waiting requests: models loaded and unloaded in turn and no request ran. Slow answers (150 ms) to orders were enough. Waiting requests now start before other models are considered. Before: 24 callers of 8 models at an engine for 3 waited until their 25 s deadline. After: the case ends after 5 s.

--- a/packages/agent/src/runtime/backend-task.ts
+++ b/packages/agent/src/runtime/backend-task.ts
@@ -125,6 +125,8 @@
     handle(message: BackendMessage, nowMs: number): void {
         this.checkPause(nowMs);
         this.apply(message, nowMs);
+        // A model that has just been loaded starts its requests before another one may take its memory.
+        this.dispatch(nowMs);
         this.options.replicas?.reconcile(this.waiting.demand, nowMs);
         this.refuseBlocked();
         this.dispatch(nowMs);
