--- a/bench/sockets/bundle-process.ts
+++ b/bench/sockets/bundle-process.ts
@@ -41,6 +41,12 @@
         return this;
     }
 
+    /** Port that the line about listening names. */
+    listeningPort(): number {
+        const line = this.lines.find(candidate => candidate.includes("listening")) ?? "{}";
+        return (JSON.parse(line) as { readonly port: number; }).port;
+    }
+
     /** Resident memory in bytes. */
     residentBytes(): number {
         const match = /^VmRSS:\s+(\d+) kB$/m.exec(readFileSync(`/proc/${this.child.pid}/status`, "utf8"));
--- /dev/null
+++ b/bench/sockets/closed-loop.ts
@@ -0,0 +1,35 @@
+import { Pool } from "undici";
+import { percentile } from "../bench-measure.ts";
+
+export interface LoopResult {
+    readonly requestsPerSecond: number;
+    readonly p50Ms: number;
+}
+
+const BODY = JSON.stringify({ model: "model-0", messages: [{ role: "user", content: "squeaky hub" }] });
+
+/** Sends requests from `concurrency` callers, each one after the other, for the given time. */
+export async function runClosedLoop(port: number, concurrency: number, durationMs: number): Promise<LoopResult> {
+    const pool = new Pool(`http://127.0.0.1:${port}`, { connections: concurrency });
+    const latenciesMs: number[] = [];
+    const startMs = performance.now();
+    const endMs = startMs + durationMs;
+    const caller = async () => {
+        while (performance.now() < endMs) {
+            const sentMs = performance.now();
+            const answer = await pool.request({
+                method: "POST",
+                path: "/v1/chat/completions",
+                headers: { "content-type": "application/json" },
+                body: BODY,
+            });
+            const text = await answer.body.text();
+            if (answer.statusCode !== 200) throw new Error(`status ${answer.statusCode}: ${text}`);
+            latenciesMs.push(performance.now() - sentMs);
+        }
+    };
+    await Promise.all(Array.from({ length: concurrency }, caller));
+    const elapsedMs = performance.now() - startMs;
+    await pool.destroy();
+    return { requestsPerSecond: (latenciesMs.length / elapsedMs) * 1000, p50Ms: percentile(latenciesMs, 0.5) };
+}
--- a/bench/sockets/control-cost.ts
+++ b/bench/sockets/control-cost.ts
@@ -1,10 +1,8 @@
-import { encodeStoredRecord } from "@skylarkmill/coordination";
-import { createEtcdKeyValueStore } from "@skylarkmill/platform";
-import { type EditId, toId } from "@skylarkmill/protocol";
 import { createHostListStandIn, createKeyValueStandIn } from "@skylarkmill/stand-ins";
 import { BundleProcess } from "./bundle-process.ts";
 import { type CountingProxy, createCountingProxy } from "./counting-proxy.ts";
 import { createFakePeer } from "./fake-peer.ts";
+import { seedRecords } from "./seed-records.ts";
 
 export interface FleetSize {
     readonly routerCount: number;
@@ -43,7 +41,7 @@
         createHostListStandIn({ listen }),
         createFakePeer(PEER_KEY, modelIds),
     ]);
-    await seed(store.url, size, modelIds);
+    await seedRecords(store.url, size, modelIds);
     hosts.setHosts(createHosts(size, peer.port));
     const router = await measureNode("router", store.port, hosts.port, peer.port, size);
     const agent = await measureNode("agent", store.port, hosts.port, peer.port, size);
@@ -116,44 +114,6 @@
     ];
 }
 
-async function seed(url: string, size: FleetSize, modelIds: readonly string[]): Promise<void> {
-    const store = createEtcdKeyValueStore({ endpoints: [url] });
-    const put = async (key: string, value: unknown) => {
-        const record = {
-            key,
-            version: 1,
-            nonce: "0",
-            editId: toId<EditId>("seed"),
-            writtenAtMs: 0,
-            previousEditIds: [],
-            value,
-        };
-        (await store.commit({ compare: [], puts: [{ key, value: encodeStoredRecord(record) }] }))._unsafeUnwrap();
-    };
-    const adaptersPerModel = Math.ceil(size.adapterCount / size.modelCount);
-    const models = Object.fromEntries(modelIds.map((modelId, index) => [modelId, {
-        memoryBytes: 1_000_000_000,
-        maxReplicas: 2,
-        adapters: Array.from({ length: adaptersPerModel }, (_, adapter) => `adapter-${index}-${adapter}`),
-    }]));
-    await put("/skylarkmill/config/models", { team: "bench", services: { assistant: { kind: "model", models } } });
-    await put("/skylarkmill/config/ledger", { team: "bench", services: { "parts-ledger": { kind: "plain" } } });
-    for (const [index, modelId] of modelIds.entries()) {
-        const grants = [0, 1].map(replica => {
-            const server = (index * 2 + replica) % size.agentCount;
-            return {
-                grantId: `g-${index}-${replica}`,
-                serverId: `server-${server}`,
-                hostId: `host-a-${server}`,
-                revoking: false,
-            };
-        });
-        const decided = { replicas: 2, section: "models", sectionVersion: 1 };
-        await put(`/skylarkmill/grants/${modelId}`, { modelId, grants, decided });
-    }
-    await store.close();
-}
-
 function createHosts(size: FleetSize, peerPort: number) {
     const common = { state: "live" as const, address: "127.0.0.1", peerPort, requestPort: peerPort };
     const dataCentre = (index: number) => `dc-${index % 5}`;
--- a/packages/router/src/runtime/prober.ts
+++ b/packages/router/src/runtime/prober.ts
@@ -64,6 +64,7 @@
     private tick(): void {
         const savedBytes = this.bytesPerSecond * SAVED_BUDGET_SECONDS;
         this.budgetBytes = Math.min(savedBytes, this.budgetBytes + this.bytesPerSecond * TICK_MS / 1000);
+        if (this.budgetBytes <= 0) return;
         const now = nowMs();
         this.affordsAll = this.serverCount() * this.probeBytes <= this.bytesPerSecond * MAX_ROUND_SECONDS;
         const due = this.dueServers(now);
--- a/packages/router/src/types/options.ts
+++ b/packages/router/src/types/options.ts
@@ -54,7 +54,7 @@
     readonly maxBufferedBytes: number;
     /** Backend servers considered per plain service. @default 16 */
     readonly maxServersPerService: number;
-    /** Traffic that probes of backend servers may cause. @default 1000 */
+    /** Traffic that probes of backend servers may cause. @default 700 */
     readonly probeBytesPerSecond: number;
 }
 
@@ -86,7 +86,7 @@
     serverWaitMs: 5000,
     maxBufferedBytes: 1024 * 1024,
     maxServersPerService: 16,
-    probeBytesPerSecond: 1000,
+    probeBytesPerSecond: 700,
 };
 
 /**
