--- a/packages/router/src/runtime/choice.ts
+++ b/packages/router/src/runtime/choice.ts
@@ -7,13 +7,14 @@
 /** Age up to which a server's report is taken for its present state. */
 const FRESH_REPORT_MS = 2000;
 
-/** Chooses among the views: the preferred server while it has not been tried, else by the policy. */
+/** Chooses among the views, for a first attempt or a hedge: the preferred server while it has not been tried, else by the policy. */
 export function chooseView(
     context: RouterContext,
     spec: RequestSpec,
     views: readonly ServerView[],
     tried: ReadonlySet<ServerId>,
     nowMs: number,
+    hedge = false,
 ): ServerView | undefined {
     const preferred = spec.preferredServerId;
     if (preferred !== undefined && !tried.has(preferred)) {
@@ -28,6 +29,7 @@
         expectedMs: spec.expectedMs,
         remainingMs: spec.deadlineAtMs - nowMs,
         tried,
+        hedge,
     }, views);
 }
 
--- a/packages/router/src/runtime/request-task.ts
+++ b/packages/router/src/runtime/request-task.ts
@@ -120,7 +120,7 @@
         this.recordWaiting(first);
         // A server that would have to load the model first can't overtake the first attempt.
         const loaded = views.forRequest(this.spec, now).filter(view => view.loaded && !this.tried.has(view.serverId));
-        const view = chooseView(this.context, this.spec, loaded, this.tried, now);
+        const view = chooseView(this.context, this.spec, loaded, this.tried, now, true);
         if (view === undefined || !policies.hedges.tryTake(now)) return;
         this.send(directory.get(view.serverId)!, view, "HEDGE");
     }
