test(failures): answer in the midst of a hedge's stream; take a model from its engine

Without the cancel of the overtaken attempt the hedge case passed, since the attempt answered after the end of the request; its stream now outlasts the delay. An engine that loses its model is a case of its own, since a killed engine shows the crash of its agent only now and then.

--- a/test/failures/answers.test.ts
+++ b/test/failures/answers.test.ts
@@ -103,7 +103,8 @@
             await ask(true, ++tokenCount);
             const [engine] = await startsOf(tokenCount);
             await cluster.control(engine!, "faults", { delayMs: 800 });
-            const asked = await Promise.all([true, false].map(stream => ask(stream, ++tokenCount)));
+            // The stream lasts longer than the delay, so that the overtaken attempt answers in its midst.
+            const asked = await Promise.all([ask(true, 300 + ++tokenCount), ask(false, ++tokenCount)]);
             await cluster.control(engine!, "faults", { delayMs: 0 });
             expect([...before, ...asked].filter(({ verdict }) => verdict !== "whole")).toEqual([]);
             const engineCounts = await Promise.all(
--- a/test/failures/requests.test.ts
+++ b/test/failures/requests.test.ts
@@ -1,7 +1,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { afterAll, beforeAll, describe, expect, it } from "vitest";
 import type { Link } from "../support/cluster-layout.ts";
-import { type Cluster, startCluster } from "../support/cluster.ts";
+import { call, type Cluster, startCluster } from "../support/cluster.ts";
 import { eventually } from "../support/eventually.ts";
 import { Callers, type SentRequest } from "./support-requests/callers.ts";
 import { crashedProcesses } from "./support-requests/crashed-processes.ts";
@@ -30,6 +30,10 @@
     Promise.all(["engine-1", "engine-2"].map(name => cluster.control(name, "faults", faults)));
 const both = (...injects: readonly Inject[]): Inject => () => Promise.all(injects.map(inject => inject()));
 
+/** Unloads the model behind the agent's back, as a restart of the engine does. */
+const loseModel = (engine: string): Promise<unknown> =>
+    call(`${cluster.url(engine)}/v2/repository/models/diagnosis/unload`, { method: "POST", body: {} });
+
 interface Case {
     readonly name: string;
     readonly inject: Inject;
@@ -46,6 +50,7 @@
     { name: "agents' connections hung", inject: proxies(toAgents, { mode: "hang" }) },
     { name: "agents' connections delayed", inject: proxies(toAgents, { delayMs: 250 }) },
     { name: "engines killed", inject: kill(["engine-1", "engine-2"]) },
+    { name: "engines without their models", inject: () => Promise.all(["engine-1", "engine-2"].map(loseModel)) },
     { name: "engines and ledger frozen", inject: signal(servers, "SIGSTOP") },
     { name: "loads never answered", inject: engineFaults({ hungLoads: 100 }), coldModel: "cold-a" },
     { name: "weight store ten times slower", inject: engineFaults({ loadSlowFactor: 10 }), coldModel: "cold-b" },
