fix(router): keep unknown for an attempt whose refusal has only begun

Change: only a head that says not_run counts so. Before: an order whose agent sent the head of a 502 with execution unknown and hung in its body was refused as not_run (new case in test/router/outcomes.test.ts, red without the change); after: unknown.

--- a/packages/router/src/runtime/request-task.ts
+++ b/packages/router/src/runtime/request-task.ts
@@ -299,7 +299,8 @@
 
     private cancel(attempt: Attempt): void {
         this.attempts.delete(attempt);
-        if (attempt.wasSent && !this.refusalBodies.has(attempt)) this.mayHaveRun = true;
+        const saidNotRun = attempt.head !== undefined && executionOf(attempt.head) === "not_run";
+        if (attempt.wasSent && !saidNotRun) this.mayHaveRun = true;
         this.recordWaiting(attempt);
         attempt.cancel();
     }
--- a/test/router/outcomes.test.ts
+++ b/test/router/outcomes.test.ts
@@ -100,6 +100,18 @@
             runs: 1,
             timeoutMs: "150",
         },
+        {
+            name: "an order whose refusal as unknown never ends is unknown",
+            request: order,
+            first: (_request, response) => {
+                response.writeHead(502, { "x-skylarkmill-execution": "unknown", "content-length": "100" });
+                response.write("{");
+            },
+            status: 504,
+            execution: "unknown",
+            runs: 1,
+            timeoutMs: "150",
+        },
     ];
     it.each(cases)("$name", async ({ request, first, status, execution, runs, timeoutMs }) => {
         for (const serverId of ["engine-1", "ledger-1"]) harness.agents[serverId]!.behave = first;
