--- /dev/null
+++ b/test/failures/replicas.test.ts
@@ -0,0 +1,284 @@
+import type { JournalEvent } from "@skylarkmill/stand-ins";
+import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import { type Answer, type Cluster, startCluster } from "../support/cluster.ts";
+import { eventually } from "../support/eventually.ts";
+import { enginesWith, eventsOf, findViolations, type Limits } from "./support/engine-history.ts";
+import {
+    createSections,
+    editModel,
+    grantHolders,
+    placeOf,
+    restart,
+    serveEventually,
+    settle,
+    waitForEvent,
+    waitForHolders,
+} from "./support/fixture.ts";
+
+const ENGINES = ["engine-1", "engine-2"];
+const ROUTERS = ["router-1", "router-2", "router-3"];
+const routerLinks = ["agent-1", "agent-2"].map(to => ({ from: "router-1", to }));
+const agentLinks = ["agent-1", "agent-2"].flatMap(from => [
+    { from, to: from.replace("agent", "engine") },
+    { from, to: "kv" },
+]);
+
+let cluster: Cluster;
+const decided: Record<string, Limits["replicas"][string]> = {};
+
+function start(models: Parameters<typeof createSections>[0], checksFencing: boolean): () => Promise<void> {
+    return async () => {
+        for (const [name, model] of Object.entries(models)) decided[name] = model.replicas ?? 1;
+        cluster = await startCluster({
+            sections: createSections(models, checksFencing),
+            routerCount: 3,
+            links: [...agentLinks, ...routerLinks],
+            engineFlags: ["--memory-size-bytes=60000000000", "--load-remote-ms=300", "--slot-count=8"]
+                .concat(checksFencing ? ["--checks-fencing"] : []),
+        });
+        await cluster.waitForGrants(Object.keys(models));
+    };
+}
+
+const journal = (): Promise<readonly JournalEvent[]> => cluster.journal(...ENGINES);
+
+async function expectNoViolations(): Promise<readonly JournalEvent[]> {
+    const events = await journal();
+    expect(findViolations(events, { replicas: decided })).toEqual([]);
+    return events;
+}
+
+const drain = (method: "PUT" | "DELETE", agent: string) =>
+    cluster.operator(method, `drains/${cluster.hostId(agent)}`, { router: "router-2" });
+
+/** Stops a process for longer than the lease of a duty, shown by another process holding the lease. */
+async function freezeBeyondLease(agent: string): Promise<() => void> {
+    const holder = await eventually("a holder of the duty", () => cluster.readKey("/skylarkmill/duties/placement"));
+    const router = ROUTERS.find(name => holder.includes(name)) ?? "router-1";
+    const frozen = [cluster.process(agent), cluster.process(router)];
+    for (const spawned of frozen) spawned.signal("SIGSTOP");
+    await eventually("another holder of the duty", async () => {
+        const next = await cluster.readKey("/skylarkmill/duties/placement");
+        return next !== undefined && next !== holder ? true : undefined;
+    }, 30_000);
+    return () => frozen.forEach(spawned => spawned.signal("SIGCONT"));
+}
+
+const AGENT_FAULTS = {
+    "the agent is killed": {
+        begin: (agent: string) => cluster.process(agent).end(),
+        end: (agent: string) => restart(cluster, agent),
+    },
+    "the agent is cut off from its engine": {
+        begin: (agent: string) => cluster.fault({ from: agent, to: agent.replace("agent", "engine") }, { mode: "cut" }),
+        end: (agent: string) => cluster.fault({ from: agent, to: agent.replace("agent", "engine") }, { mode: "pass" }),
+    },
+    "the agent is cut off from the key-value service": {
+        begin: (agent: string) => cluster.fault({ from: agent, to: "kv" }, { mode: "cut" }),
+        end: (agent: string) => cluster.fault({ from: agent, to: "kv" }, { mode: "pass" }),
+    },
+    "the agent is killed while the key-value service is down": {
+        begin: async (agent: string) => {
+            await cluster.control("kv", "faults", { outage: "refuse" });
+            await restart(cluster, agent);
+        },
+        end: () => cluster.control("kv", "faults", { outage: "none" }),
+    },
+};
+
+type AgentFault = keyof typeof AGENT_FAULTS;
+const ALL_FAULTS = Object.keys(AGENT_FAULTS) as AgentFault[];
+
+/** Guards against a second replica while the first load is in progress or its outcome is unknown. */
+async function checkFaultInLoad(model: string, fault: AgentFault): Promise<void> {
+    const { engine, agent } = await placeOf(cluster, model);
+    await cluster.control(engine, "faults", { loadSlowFactor: 5 });
+    const first = settle(cluster.chat({ model }));
+    await waitForEvent(cluster, engine, "load_started", model);
+    await AGENT_FAULTS[fault].begin(agent);
+    const others = ROUTERS.map(router => settle(cluster.chat({ router, model })));
+    await waitForEvent(cluster, engine, "load_finished", model);
+    await AGENT_FAULTS[fault].end(agent);
+    await cluster.waitUntilReady(agent);
+    await serveEventually(cluster, model, "router-3");
+    await Promise.all([first, ...others]);
+    await cluster.control(engine, "faults", { loadSlowFactor: 1 });
+    const events = await expectNoViolations();
+    expect(eventsOf(events, "load_started", { modelId: model })).toHaveLength(1);
+}
+
+/** Guards against a replica at the new place while the old one is still in memory. */
+async function checkMove(model: string, fault: (agent: string) => Promise<() => unknown>): Promise<void> {
+    const { engine, agent, other } = await placeOf(cluster, model);
+    await serveEventually(cluster, model);
+    const heal = await fault(agent);
+    expect([200, 202]).toContain((await drain("PUT", agent)).status);
+    await eventually("the revocation", async () => {
+        const text = await cluster.readKey(`/skylarkmill/grants/${model}`);
+        return text?.includes(`"serverId":"${engine}"`) === true && !text.includes('"revoking":true')
+            ? undefined
+            : true;
+    }, 25_000);
+    const callers = ROUTERS.map(router => settle(cluster.chat({ router, model })));
+    await heal();
+    await waitForHolders(cluster, model, [other]);
+    await serveEventually(cluster, model, "router-2");
+    await Promise.all(callers);
+    await drain("DELETE", agent);
+    await cluster.waitUntilReady(agent);
+    expect(enginesWith(await expectNoViolations(), model)).toEqual([other]);
+}
+
+/** Runs long requests at both engines: a router that can't reach the first holder uses the second. */
+async function useBoth(model: string): Promise<Promise<Answer>[]> {
+    const [first = ""] = await grantHolders(cluster, model);
+    const link = { from: "router-1", to: first.replace("engine", "agent") };
+    await cluster.fault(link, { mode: "refuse" });
+    const callers = ["router-1", "router-2"].flatMap(router =>
+        [0, 1, 2].map(() => cluster.chat({ router, model, maxTokens: 400, stream: true }))
+    );
+    await Promise.all(ENGINES.map(engine => waitForEvent(cluster, engine, "execution_started", model)));
+    await cluster.fault(link, { mode: "pass" });
+    return callers;
+}
+
+const loadModels = Object.fromEntries(ALL_FAULTS.map((fault, index) => [fault, `load-${index}`]));
+const moveModels = Object.fromEntries(ALL_FAULTS.map((fault, index) => [fault, `move-${index}`]));
+const named = (names: readonly string[], replicas: number) =>
+    Object.fromEntries(names.map(name => [name, { replicas }]));
+
+describe("replicas at engines that ignore fencing tokens", () => {
+    beforeAll(
+        start({
+            ...named([...Object.values(loadModels), ...Object.values(moveModels)], 1),
+            ...named(["burst", "frozen", "version", "outage", "restarted", "restored"], 1),
+            ...named(["lowered", "position"], 2),
+        }, false),
+        60_000,
+    );
+    afterAll(() => cluster.close());
+
+    // Guards against a load per router or per caller.
+    it("loads an idle model once for a hundred callers at three routers", async () => {
+        const messages = Array.from({ length: 100 }, (_, index) => `caller ${index} asks`);
+        const answers = await Promise.all(
+            messages.map((message, index) =>
+                cluster.chat({ router: ROUTERS[index % 3]!, model: "burst", message, stream: index % 2 === 0 })
+            ),
+        );
+        expect(answers.filter(({ status }) => status !== 200)).toEqual([]);
+        const wrong = messages.filter((message, index) => {
+            const { text } = answers[index]!;
+            return !text.includes(`answers: ${message}`) || !text.includes(" t7");
+        });
+        expect(wrong).toEqual([]);
+        expect(eventsOf(await expectNoViolations(), "load_started", { modelId: "burst" })).toHaveLength(1);
+    });
+
+    it.each(ALL_FAULTS)(
+        "loads once when %s in the middle of the load",
+        fault => checkFaultInLoad(loadModels[fault]!, fault),
+    );
+
+    it.each(ALL_FAULTS.slice(0, 3))(
+        "moves a grant after the unload when %s",
+        fault =>
+            checkMove(moveModels[fault]!, async agent => {
+                await AGENT_FAULTS[fault].begin(agent);
+                return () => AGENT_FAULTS[fault].end(agent);
+            }),
+    );
+
+    // Guards against a replica freed by an expired lease, or by a paused duty holder that goes on with its old plan.
+    it(
+        "moves a grant after the unload when the agent and the duty's router are frozen beyond the lease",
+        () => checkMove("frozen", freezeBeyondLease),
+        60_000,
+    );
+
+    // Guards against both versions in memory, and against answers lost to the unload.
+    it("unloads the old version before the new one loads, under load", async () => {
+        await serveEventually(cluster, "version");
+        const messages = Array.from({ length: 8 }, (_, index) => `request ${index}`);
+        const running = messages.map((message, index) =>
+            cluster.chat({ router: ROUTERS[index % 3]!, model: "version", message, maxTokens: 200, stream: true })
+        );
+        const { engine } = await placeOf(cluster, "version");
+        await waitForEvent(cluster, engine, "execution_started", "version");
+        const editedAtMs = await editModel(cluster, "version", { version: "2" });
+        await waitForEvent(cluster, engine, "unload_finished", "version", editedAtMs);
+        await serveEventually(cluster, "version", "router-3");
+        const answers = await Promise.all(running);
+        expect(answers.map(({ status, text }) => [status, text.includes("[DONE]")])).toEqual(
+            messages.map(() => [200, true]),
+        );
+        const loads = eventsOf(await expectNoViolations(), "load_started", { modelId: "version" });
+        expect(loads.map(load => load.version)).toEqual(["1", "2"]);
+    });
+
+    // Guards against a cold start that needs the key-value service, and a load before the grants were read.
+    it("starts cold models under standing grants during an outage of the key-value service", async () => {
+        await cluster.control("kv", "faults", { outage: "refuse" });
+        expect((await cluster.chat({ model: "outage", router: "router-2" })).status).toBe(200);
+        const { engine, agent } = await cluster.control("kv", "faults", { outage: "none" })
+            .then(() => placeOf(cluster, "restarted"));
+        await cluster.control("kv", "faults", { outage: "refuse" });
+        await restart(cluster, agent);
+        const early = settle(cluster.chat({ model: "restarted", headers: { "x-request-timeout-ms": "2000" } }));
+        expect((await early).status).toBeGreaterThanOrEqual(500);
+        expect(eventsOf(await journal(), "load_started", { modelId: "restarted" })).toEqual([]);
+        await cluster.control("kv", "faults", { outage: "none" });
+        await serveEventually(cluster, "restarted");
+        expect(enginesWith(await expectNoViolations(), "restarted")).toEqual([engine]);
+    });
+
+    // Guards against grants that come back with the service's older data.
+    it("keeps one replica when the service's data is restored and an agent and a router restart", async () => {
+        const { agent, other } = await placeOf(cluster, "restored");
+        await serveEventually(cluster, "restored");
+        const { snapshotId } = await cluster.control("kv", "snapshot", {}, "POST") as { snapshotId: number; };
+        await drain("PUT", agent);
+        await waitForHolders(cluster, "restored", [other]);
+        await serveEventually(cluster, "restored");
+        await drain("DELETE", agent);
+        await cluster.control("kv", "restore", { snapshotId }, "POST");
+        await Promise.all([restart(cluster, agent), restart(cluster, "router-1")]);
+        await serveEventually(cluster, "restored", "router-1");
+        await waitForHolders(cluster, "restored", [other]);
+        await cluster.waitUntilReady(agent);
+        expect(enginesWith(await expectNoViolations(), "restored")).toEqual([other]);
+    });
+
+    // Guards against a replica that stays, or loads again, after the number was lowered while both were in use.
+    it("comes down to the lowered number while both replicas are in use", async () => {
+        const callers = await useBoth("lowered");
+        const fromMs = await editModel(cluster, "lowered", { maxReplicas: 1 }, "router-3");
+        decided.lowered = [{ fromMs: 0, replicas: 2 }, { fromMs, replicas: 1 }];
+        const answers = await Promise.all(callers);
+        expect(answers.map(({ status, text }) => [status, text.includes("[DONE]")])).toEqual(
+            callers.map(() => [200, true]),
+        );
+        await eventually(
+            "one replica",
+            async () => enginesWith(await journal(), "lowered").length <= 1 ? true : undefined,
+            20_000,
+        );
+        await serveEventually(cluster, "lowered");
+        expect(enginesWith(await expectNoViolations(), "lowered")).toHaveLength(1);
+    });
+});
+
+describe("replicas at engines that check fencing tokens", () => {
+    beforeAll(start(named(["fenced-load", "fenced-move"], 1), true), 60_000);
+    afterAll(() => cluster.close());
+
+    // Guards against an agent whose orders are refused for good after its restart.
+    it("loads once when the agent is killed in the middle of the load", () =>
+        checkFaultInLoad("fenced-load", "the agent is killed"));
+
+    it("moves a grant after the unload when the agent is killed", () =>
+        checkMove("fenced-move", async agent => {
+            await AGENT_FAULTS["the agent is killed"].begin(agent);
+            return () => AGENT_FAULTS["the agent is killed"].end(agent);
+        }));
+});
--- /dev/null
+++ b/test/failures/support/fixture.ts
@@ -0,0 +1,122 @@
+import type { Answer, Cluster } from "../../support/cluster.ts";
+import { eventually } from "../../support/eventually.ts";
+
+export interface TestModel {
+    readonly replicas?: number;
+    readonly version?: string;
+    readonly memoryBytes?: number;
+}
+
+export interface Workshops {
+    readonly team: string;
+    readonly services: Record<string, { models: Record<string, { version: string; maxReplicas: number; }>; }>;
+}
+
+const SERVICE = "workshop-assistant";
+// Short enough that a refusal comes before the test's own limit.
+const TIMEOUT_MS = 25_000;
+
+/** The section of one model service; loads are not limited, so that only the invariants hold them back. */
+export function createSections(models: Readonly<Record<string, TestModel>>, checksFencing = false) {
+    const entries = Object.entries(models).map(([name, model]) => [name, {
+        version: model.version ?? "1",
+        memoryBytes: model.memoryBytes ?? 1_000_000_000,
+        maxReplicas: model.replicas ?? 1,
+        expectedLoadMs: 500,
+    }]);
+    return {
+        workshops: {
+            team: "workshops",
+            limits: { loadsPerSecond: 1000, maxConcurrentLoads: 100 },
+            services: {
+                [SERVICE]: {
+                    kind: "model",
+                    timeoutMs: TIMEOUT_MS,
+                    checksFencing,
+                    models: Object.fromEntries(entries) as object,
+                },
+            },
+        },
+    };
+}
+
+/** Changes one model of the section through a router; resolves with the time at which the edit was sent. */
+export async function editModel(
+    cluster: Cluster,
+    model: string,
+    change: { readonly version?: string; readonly maxReplicas?: number; },
+    router = "router-1",
+): Promise<number> {
+    const { version, section } = await cluster.readSection<Workshops>("workshops", router);
+    Object.assign(section.services[SERVICE]!.models[model]!, change);
+    const sentAtMs = Date.now();
+    const answer = await cluster.editSection("workshops", version, section, router);
+    if (answer.status !== 200) throw new Error(`the edit was refused: ${answer.status} ${answer.text}`);
+    return sentAtMs;
+}
+
+interface StoredGrants {
+    readonly value?: { readonly grants: readonly { readonly serverId: string; readonly revoking: boolean; }[]; };
+}
+
+/** Engines that hold a grant which is not being revoked, in the order of the record. */
+export async function grantHolders(cluster: Cluster, model: string): Promise<string[]> {
+    const text = await cluster.readKey(`/skylarkmill/grants/${model}`);
+    const grants = text === undefined ? [] : (JSON.parse(text) as StoredGrants).value?.grants ?? [];
+    return grants.filter(grant => !grant.revoking).map(grant => grant.serverId);
+}
+
+/** Waits until exactly these engines hold a grant of the model. */
+export function waitForHolders(cluster: Cluster, model: string, engines: readonly string[]): Promise<true> {
+    return eventually(`grants of ${model} at ${engines.join(", ")}`, async () => {
+        const holders = await grantHolders(cluster, model);
+        return [...holders].sort().join() === [...engines].sort().join() ? true : undefined;
+    }, 25_000);
+}
+
+/** The engine that holds the model's only grant, with its agent and the engine beside it. */
+export async function placeOf(cluster: Cluster, model: string) {
+    await cluster.waitForGrants([model]);
+    const [engine = ""] = await grantHolders(cluster, model);
+    const other = engine === "engine-1" ? "engine-2" : "engine-1";
+    return { engine, agent: engine.replace("engine", "agent"), other, otherAgent: other.replace("engine", "agent") };
+}
+
+/** Waits for an event in the journal of one engine after a moment of wall-clock time. */
+export function waitForEvent(
+    cluster: Cluster,
+    engine: string,
+    kind: string,
+    modelId: string,
+    afterMs = 0,
+): Promise<true> {
+    return eventually(`${kind} of ${modelId} at ${engine}`, async () => {
+        const events = await cluster.journal(engine);
+        const isIt = (event: (typeof events)[number]): boolean =>
+            event.kind === kind && event.modelId === modelId && event.atMs >= afterMs;
+        return events.some(isIt) ? true : undefined;
+    }, 25_000);
+}
+
+/** A call that reports a broken connection as status 0, as a caller of a killed process sees it. */
+export function settle(answer: Promise<Answer>): Promise<Answer> {
+    return answer.catch((cause: unknown) => ({ status: 0, headers: {}, text: String(cause) }));
+}
+
+/** Asks until the model is served, as callers do after a refusal. */
+export function serveEventually(cluster: Cluster, model: string, router = "router-1"): Promise<Answer> {
+    return eventually(`an answer of ${model}`, async () => {
+        const answer = await settle(cluster.chat({ router, model, message: `again ${model}` }));
+        if (answer.status !== 200) throw new Error(`${answer.status} ${answer.text}`);
+        return answer;
+    }, 40_000);
+}
+
+/** Starts the same command again, after its process was killed. */
+export async function restart(cluster: Cluster, name: string): Promise<void> {
+    const spawned = cluster.process(name);
+    await spawned.end();
+    const fromLine = spawned.lines.length;
+    spawned.start();
+    await spawned.waitForLine(/listening/, 15_000, fromLine);
+}
