fix(agent): drop an unread answer without ending the process

Change: the error of a dropped body is ignored. Conclusion: an engine that lost its models gets not_run refusals until the model is loaded again.

--- a/packages/agent/src/runtime/attempt.ts
+++ b/packages/agent/src/runtime/attempt.ts
@@ -3,6 +3,7 @@
 import type { Dispatcher } from "undici";
 import type { AgentAnswer, AnswerCounters } from "../types/answer.ts";
 import type { RequestHead, RunOutcome } from "../types/request.ts";
+import { discardBody } from "../utils/discard-body.ts";
 import { toAnswerHeaders } from "../utils/forwarded-headers.ts";
 import { REFUSALS } from "../utils/refusals.ts";
 import { checkAnswer, readWhole } from "./checked-answer.ts";
@@ -110,7 +111,7 @@
         const length = response.headers["content-length"];
         if (typeof length === "string") headers.set("content-length", length);
         if (this.options.method === "HEAD" || BODYLESS_STATUSES.has(response.statusCode)) {
-            response.body.resume();
+            response.body.on("error", () => undefined).resume();
             this.finish("answered");
             return { status: response.statusCode, headers, body: undefined };
         }
@@ -133,18 +134,18 @@
         numbering: StreamNumbering,
     ): Promise<AgentAnswer> {
         if (response.statusCode === 404) {
-            response.body.destroy();
+            discardBody(response.body);
             this.options.onModelMissing();
             this.finish("not_run");
             return refusalAnswer(REFUSALS.modelNotLoaded());
         }
         if (response.statusCode === 429) {
-            response.body.destroy();
+            discardBody(response.body);
             this.finish("not_run");
             return refusalAnswer(REFUSALS.overloaded("engine_overloaded", ENGINE_RETRY_MS));
         }
         if (response.statusCode >= 500) {
-            response.body.destroy();
+            discardBody(response.body);
             return this.fail(REFUSALS.backendFailed(`The engine answered with status ${response.statusCode}.`));
         }
         const contentType = String(response.headers["content-type"] ?? "");
@@ -187,7 +188,7 @@
         const isError = response.statusCode >= 400;
         const checked = whole.andThen(body => (isError ? whole : checkAnswer(body, head.attemptId)));
         if (checked.isErr()) {
-            response.body.destroy();
+            discardBody(response.body);
             counters.failedCheck("bad_answer");
             return this.fail(REFUSALS.badAnswer(checked.error));
         }
--- a/packages/agent/src/runtime/checked-stream.ts
+++ b/packages/agent/src/runtime/checked-stream.ts
@@ -1,6 +1,7 @@
 import type { BackendClient, BackendRequest } from "@skylarkmill/platform";
 import type { AttemptId } from "@skylarkmill/protocol";
 import type { AnswerCounters } from "../types/answer.ts";
+import { discardBody } from "../utils/discard-body.ts";
 import { type SseEvent, SseParser } from "./sse-parser.ts";
 import { StreamChecker, type StreamNumbering } from "./stream-checker.ts";
 
@@ -87,7 +88,7 @@
     const response = await backend.send({ ...request, headers });
     if (response.isErr()) return undefined;
     if (response.value.statusCode !== 200) {
-        response.value.body.destroy();
+        discardBody(response.value.body);
         return undefined;
     }
     options.counters.resumed();
--- a/test/agent/engine-faults.test.ts
+++ b/test/agent/engine-faults.test.ts
@@ -3,7 +3,7 @@
 import { HEADERS } from "@skylarkmill/protocol";
 import { createEngineStandIn, type EngineFaults, type EngineStandIn } from "@skylarkmill/stand-ins";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
-import { grant, modelSection, putGrants, putRecord, TestAgent } from "./fakes/setup.ts";
+import { grant, modelSection, putGrants, putRecord, TestAgent, until } from "./fakes/setup.ts";
 
 const MODELS = ["m1", "m2", "m3"];
 const FEW_TOKENS = 12;
@@ -38,7 +38,7 @@
             await putRecord(test.store, KEYS.config("models"), 1, section);
             for (const model of MODELS) await putGrants(test.store, model, 1, [grant("server-1")]);
             const permits = { acquire: async () => ({ source: "share" as const, release: () => undefined }) };
-            const limits = { orderLostMs: 200 };
+            const limits = { orderLostMs: 200, indexIntervalMs: 200 };
             await test.start("assistant", { engineControl: control, backend, permits, limits });
             await test.accepting();
             close = async () => {
@@ -88,6 +88,18 @@
             expect(answer.headers.get(HEADERS.execution)).toBe("unknown");
         });
 
+        // Guards against an agent that ends with an error, or answers 404, when the engine has lost a model.
+        it("says not run when the engine has lost the model, and loads it again", async () => {
+            await ask("m1", false, "first");
+            await fetch(`${engine.url}/v2/repository/models/m1/unload`, { method: "POST", body: "{}" });
+            const answers = await Promise.all(MODELS.map(() => ask("m1", false, "chain")));
+            for (const answer of answers) {
+                const execution = answer.headers.get(HEADERS.execution);
+                expect([answer.status, execution]).toEqual(answer.status === 200 ? [200, "run"] : [503, "not_run"]);
+            }
+            await until(async () => (await ask("m1", false, "chain")).status === 200);
+        });
+
         // Guards against loads that are repeated beside one that took effect, and memory given away twice.
         const loadFaults: Partial<EngineFaults>[] = [{ failLoads: 2 }, { unansweredLoads: 3 }, { hungLoads: 3 }];
         it.each(loadFaults)("serves all models through %j", async faults => {
