test(router): give the never-ending refusal its type

Cause: the type check failed on an untyped behaviour after two branches met. Change: a typed constant in place of the inline function.

--- a/test/router/outcomes.test.ts
+++ b/test/router/outcomes.test.ts
@@ -4,6 +4,10 @@
 import { Harness, toFirst } from "./support/harness.ts";
 
 const hang: AgentBehaviour = () => undefined;
+const neverEndingRefusal: AgentBehaviour = (_request, response) => {
+    response.writeHead(502, { "x-skylarkmill-execution": "unknown", "content-length": "100" });
+    response.write("{");
+};
 const order = { method: "POST", path: "/services/parts-ledger/orders" };
 const stock = { method: "GET", path: "/services/parts-ledger/stock/7" };
 const chat = { method: "POST", path: "/v1/chat/completions" };
@@ -103,10 +107,7 @@
         {
             name: "an order whose refusal as unknown never ends is unknown",
             request: order,
-            first: (_request, response) => {
-                response.writeHead(502, { "x-skylarkmill-execution": "unknown", "content-length": "100" });
-                response.write("{");
-            },
+            first: neverEndingRefusal,
             status: 504,
             execution: "unknown",
             runs: 1,
