perf(router): judge a waiting attempt's server again before a hedge, and wait by the requests ahead

Change: from the expected time on, the hedge is decided every 25 ms with the server's slowness of that moment; the wait comes from the policy's expectedWaitMs. A load time counts only while the report is fresh: without that, six router tests failed, since requests to servers without a report were refused.

--- a/packages/router/src/runtime/choice.ts
+++ b/packages/router/src/runtime/choice.ts
@@ -1,10 +1,12 @@
 import type { ConfigView } from "@skylarkmill/config";
-import type { AdmissionDecision, ServerView } from "@skylarkmill/policy";
+import { type AdmissionDecision, expectedWaitMs, type ServerView } from "@skylarkmill/policy";
 import type { ServerId } from "@skylarkmill/protocol";
 import type { RouterContext } from "../types/context.ts";
 import type { RequestSpec } from "../types/request.ts";
 
-/** Age up to which a server's report is taken for its present state. */
+/** Age at which a report counts for about a third; reports lag behind the queue they describe. */
+const STALE_REPORT_MS = 500;
+/** Age up to which a report says which models are loaded. */
 const FRESH_REPORT_MS = 2000;
 
 /** Chooses among the views, for a first attempt or a hedge: the preferred server while it has not been tried, else by the policy. */
@@ -42,7 +44,7 @@
         nowMs,
         deadlineAtMs: spec.deadlineAtMs,
         expectedMs: spec.learnedMs,
-        waitMs: waitOf(view),
+        waitMs: waitOf(view, spec.expectedMs),
         // The request itself is already counted.
         serviceCount: counts.of(serviceId) - 1,
         totalCount: counts.total - 1,
@@ -52,12 +54,12 @@
 }
 
 /**
- * Time before the server starts the request: its queue and, for a cold model, the load.
- * An old report says nothing of either; the agent then decides whether the request can finish in time.
+ * Time before the server starts the request: its queue and, for a model that it reports as cold, the load.
+ * An old report does not say whether the model is loaded; the agent then decides whether there is time for it.
  */
-export function waitOf(view: ServerView): number {
-    if (view.reportAgeMs > FRESH_REPORT_MS) return 0;
-    return (view.backlogMs / view.slotCount) + (view.loaded ? 0 : view.expectedLoadMs);
+export function waitOf(view: ServerView, expectedMs: number): number {
+    const isCold = !view.loaded && view.reportAgeMs <= FRESH_REPORT_MS;
+    return expectedWaitMs(view, expectedMs, STALE_REPORT_MS) + (isCold ? view.expectedLoadMs : 0);
 }
 
 function totalWeight(config: ConfigView): number {
--- a/packages/router/src/runtime/request-task.ts
+++ b/packages/router/src/runtime/request-task.ts
@@ -20,6 +20,8 @@
 const MAX_MOVES = 8;
 /** Less remaining time than this is not worth another attempt. */
 const MIN_ATTEMPT_MS = 5;
+/** Interval at which an overdue attempt's server is judged again; slower checks missed servers that just turned slow. */
+const HEDGE_CHECK_MS = 25;
 
 /** How a request ended. */
 export type RequestEnd =
@@ -90,7 +92,7 @@
             attemptId: context.newAttemptId(),
             server,
             sentAtMs: now,
-            expectedMs: spec.expectedMs + waitOf(view),
+            expectedMs: spec.expectedMs + waitOf(view, spec.expectedMs),
             isWarm: view.loaded,
             isIdempotent: spec.idempotent,
             owner: this,
@@ -105,19 +107,28 @@
         if (event === "SEND" && spec.idempotent) this.armHedge(attempt, view);
     }
 
+    /** A hedge is due no earlier than the expected time; from then on the server's slowness may bring it forward. */
     private armHedge(attempt: Attempt, view: ServerView): void {
-        const highMs = this.spec.highMs + waitOf(view);
-        const afterMs = this.context.policies.hedges.hedgeAfterMs(attempt.expectedMs, highMs, view.slowness);
-        if (afterMs === undefined || afterMs >= this.remainingMs()) return;
+        const highMs = this.spec.highMs + waitOf(view, this.spec.expectedMs);
+        if (attempt.expectedMs >= this.remainingMs()) return;
         clearTimeout(this.hedgeTimer);
-        this.hedgeTimer = setTimeout(() => this.hedge(attempt), afterMs);
-    }
-
-    private hedge(first: Attempt): void {
-        if (this.state !== "sent" || !this.attempts.has(first)) return;
-        const now = nowMs();
+        const { hedges, stragglers } = this.context.policies;
+        const check = (): void => {
+            if (this.state !== "sent" || !this.attempts.has(attempt)) return;
+            const now = nowMs();
+            this.recordWaiting(attempt);
+            const slowness = stragglers.slowness(attempt.server.serverId, now);
+            const afterMs = hedges.hedgeAfterMs(attempt.expectedMs, highMs, slowness);
+            if (afterMs === undefined) return;
+            if (now - attempt.sentAtMs >= afterMs) this.hedge(now);
+            else this.hedgeTimer = setTimeout(check, Math.min(HEDGE_CHECK_MS, afterMs - (now - attempt.sentAtMs)));
+        };
+        const firstMs = hedges.hedgeAfterMs(attempt.expectedMs, highMs, view.slowness);
+        if (firstMs !== undefined) this.hedgeTimer = setTimeout(check, Math.min(attempt.expectedMs, firstMs));
+    }
+
+    private hedge(now: number): void {
         const { policies, views, directory } = this.context;
-        this.recordWaiting(first);
         // A server that would have to load the model first can't overtake the first attempt.
         const loaded = views.forRequest(this.spec, now).filter(view => view.loaded && !this.tried.has(view.serverId));
         const view = chooseView(this.context, this.spec, loaded, this.tried, now, true);
