--- a/test/failures/leaving.test.ts
+++ b/test/failures/leaving.test.ts
@@ -78,7 +78,7 @@
 
 /** Long requests at both routers: some run and others wait; names the engine that runs most of them. */
 async function fill(model: string): Promise<{ readonly engine: string; readonly callers: Promise<Answer>[]; }> {
-    const callers = Array.from({ length: 12 }, (_, index) =>
+    const callers = Array.from({ length: 16 }, (_, index) =>
         settle(cluster.chat({
             router: index % 2 === 0 ? "router-1" : "router-2",
             model,
--- a/test/failures/memory.test.ts
+++ b/test/failures/memory.test.ts
@@ -83,7 +83,7 @@
     {
         fenced: true,
         name: "the agent is killed between order and answer",
-        begin: () => setFaults({ loadSlowFactor: 5 }),
+        begin: () => setFaults({ loadSlowFactor: 40 }),
         during: () => restart(cluster, "agent-1"),
     },
     {
--- a/test/failures/replicas.test.ts
+++ b/test/failures/replicas.test.ts
@@ -151,7 +151,7 @@
     beforeAll(
         start({
             ...named([...Object.values(loadModels), ...Object.values(moveModels)], 1),
-            ...named(["burst", "frozen", "version", "outage", "restarted", "restored"], 1),
+            ...named(["burst", "frozen", "in-use", "version", "outage", "restarted", "restored"], 1),
             ...named(["lowered", "position"], 2),
         }, false),
         60_000,
@@ -189,6 +189,15 @@
             }),
     );
 
+    // Guards against a grant that moves while the old replica still serves.
+    it("moves a grant after the unload while a request runs", () =>
+        checkMove("in-use", async agent => {
+            const sinceMs = Date.now();
+            const running = cluster.chat({ model: "in-use", maxTokens: 600, stream: true });
+            await waitForEvent(cluster, agent.replace("agent", "engine"), "execution_started", "in-use", sinceMs);
+            return async () => expect((await running).text).toContain("[DONE]");
+        }));
+
     // Guards against a replica freed by an expired lease, or by a paused duty holder that goes on with its old plan.
     it(
         "moves a grant after the unload when the agent and the duty's router are frozen beyond the lease",
