--- a/packages/agent/src/runtime/replica-set.ts
+++ b/packages/agent/src/runtime/replica-set.ts
@@ -15,6 +15,7 @@
 import type { AgentLimits } from "../types/options.ts";
 import { backoffMs } from "../utils/backoff.ts";
 import type { Catalog } from "../utils/catalog.ts";
+import { AdapterLoads } from "./adapter-loads.ts";
 import { applyAbsent, applyPresent, type IndexContext, occupiesMemory } from "./index-facts.ts";
 import { LoadRules } from "./load-rules.ts";
 import { MemoryLedger } from "./memory-ledger.ts";
@@ -33,6 +34,8 @@
     readonly removeGrant: (modelId: ModelId) => void;
     /** The engine refused an order, perhaps for its fencing token. */
     readonly onOrderRefused: () => void;
+    /** Asks for a call of `reconcile` after a delay. */
+    readonly wakeAfter: (delayMs: number) => void;
 }
 
 /** Reads of the index that fail in a row until the engine counts as out of reach. */
@@ -45,6 +48,7 @@
     private readonly replicas = new Map<ModelId, Replica>();
     private readonly residency: Residency;
     private readonly orders = new OrderBook();
+    private readonly adapterLoads: AdapterLoads;
     private slots = 0;
     private inventoried = false;
     private failedReadCount = 0;
@@ -53,6 +57,11 @@
     constructor(private readonly options: ReplicaSetOptions) {
         const { catalog, durations } = options;
         this.rules = new LoadRules(catalog, this.ledger);
+        this.adapterLoads = new AdapterLoads({
+            engine: options.engine,
+            orders: this.orders,
+            retryAt: (failureCount, nowMs) => this.retryAt(failureCount, nowMs),
+        });
         this.residency = new Residency({
             catalog,
             durations,
@@ -174,8 +183,11 @@
             stamp,
             settleMs: this.options.limits.settleMs,
             checksFencing: this.checksFencing(),
+            orderLostMs: this.options.limits.orderLostMs,
+            onLostOrder: replica => this.abandonOrder(replica.orderId),
+            onSettledOrder: orderId => this.abandonOrder(orderId),
             onGone: (replica, failed) => this.markGone(replica, failed, nowMs),
-            onFence: replica => this.orderFence(replica),
+            onFence: replica => this.orderFence(replica, nowMs),
         };
         const present = new Map<ModelId, EngineModel>();
         for (const found of index.models) {
@@ -191,10 +203,10 @@
     applyOrderResult(orderId: number, result: OrderResult, nowMs: number): void {
         const order = this.orders.end(orderId);
         if (order === undefined) return;
+        // The index has settled this order, or it was abandoned.
+        if (order.kind !== "adapter" && order.replica.orderId !== orderId) return;
         if (result.isErr()) this.noteFailure(order, result.error);
-        if (order.kind === "adapter") return this.applyAdapterResult(order, orderId, result, nowMs);
-        // The index or a later order has settled this one.
-        if (order.replica.orderId !== orderId) return;
+        if (order.kind === "adapter") return this.adapterLoads.apply(order, orderId, result, nowMs);
         this.orders.touch(order.replica);
         order.replica.orderId = undefined;
         if (order.kind === "load") this.applyLoadResult(order.replica, result, nowMs);
@@ -239,7 +251,7 @@
         }
         if (replica.state === "unloading" && replica.needsUnloadOrder && nowMs >= replica.retryAtMs) {
             replica.needsUnloadOrder = false;
-            this.options.engine.unload(this.beginOrder(replica, "unload"), replica.modelId);
+            this.options.engine.unload(this.beginOrder(replica, "unload", nowMs), replica.modelId);
         }
     }
 
@@ -254,7 +266,7 @@
     /** Returns the bytes that a waiting load claims, so that later models don't overtake it. */
     private serve(modelId: ModelId, wanted: ModelDemand, claimedBytes: number, nowMs: number): number {
         const replica = this.get(modelId);
-        if (replica.state === "ready") this.loadAdapters(replica, wanted, nowMs);
+        if (replica.state === "ready") this.adapterLoads.start(replica, wanted, nowMs);
         if (replica.state !== "absent" || nowMs < replica.retryAtMs) return 0;
         if (this.blockedBy(modelId) !== undefined) return 0;
         if (this.tryLoad(replica, claimedBytes, URGENCY.waitingRequest, nowMs)) return 0;
@@ -273,47 +285,31 @@
         replica.version = model.version;
         replica.loadStartedAtMs = nowMs;
         replica.send("LOAD");
-        const orderId = this.beginOrder(replica, "load");
+        const orderId = this.beginOrder(replica, "load", undefined);
         this.options.engine.load(orderId, replica.modelId, model.version, model.memoryBytes, urgency);
         return true;
     }
 
-    private orderFence(replica: Replica): void {
-        this.options.engine.fence(this.beginOrder(replica, "fence"), replica.modelId);
+    private orderFence(replica: Replica, nowMs: number): void {
+        this.options.engine.fence(this.beginOrder(replica, "fence", nowMs), replica.modelId);
     }
 
-    private beginOrder(replica: Replica, kind: "load" | "unload" | "fence"): number {
-        const orderId = this.orders.begin({ replica, kind });
-        this.orders.touch(replica);
-        replica.orderId = orderId;
-        return orderId;
+    /** A load order has its permit and leaves now. */
+    noteSent(orderId: number, nowMs: number): void {
+        const order = this.orders.get(orderId);
+        if (order?.replica.orderId === orderId) order.replica.orderSentAtMs = nowMs;
     }
 
-    private loadAdapters(replica: Replica, wanted: ModelDemand, nowMs: number): void {
-        for (const adapterId of wanted.adapters.keys()) {
-            const current = replica.adapterLoads.get(adapterId);
-            if (replica.adapters.has(adapterId) || current?.orderId !== undefined) continue;
-            if (nowMs < (current?.retryAtMs ?? 0)) continue;
-            const orderId = this.orders.begin({ replica, kind: "adapter", adapterId });
-            replica.adapterLoads.set(adapterId, { orderId, failureCount: current?.failureCount ?? 0, retryAtMs: 0 });
-            this.options.engine.loadAdapter(orderId, replica.modelId, adapterId);
-        }
+    private abandonOrder(orderId: number | undefined): void {
+        if (orderId !== undefined) this.options.engine.abandon(orderId);
     }
 
-    private applyAdapterResult(order: Order, orderId: number, result: OrderResult, nowMs: number): void {
-        const { replica } = order;
-        const adapterId = order.adapterId!;
-        const current = replica.adapterLoads.get(adapterId);
-        if (current?.orderId !== orderId) return;
+    private beginOrder(replica: Replica, kind: "load" | "unload" | "fence", sentAtMs: number | undefined): number {
+        const orderId = this.orders.begin({ replica, kind });
         this.orders.touch(replica);
-        if (result.isOk()) {
-            replica.adapters.add(adapterId);
-            replica.adapterLoads.delete(adapterId);
-            return;
-        }
-        const failureCount = current.failureCount + 1;
-        const retryAtMs = this.retryAt(failureCount, nowMs);
-        replica.adapterLoads.set(adapterId, { orderId: undefined, failureCount, retryAtMs });
+        replica.orderId = orderId;
+        replica.orderSentAtMs = sentAtMs;
+        return orderId;
     }
 
     private applyLoadResult(replica: Replica, result: OrderResult, nowMs: number): void {
@@ -349,6 +345,7 @@
     }
 
     private markGone(replica: Replica, failed: boolean, nowMs: number): void {
+        this.abandonOrder(replica.orderId);
         this.orders.touch(replica);
         replica.send("GONE");
         replica.clear();
@@ -384,7 +381,10 @@
     }
 
     private retryAt(failureCount: number, nowMs: number): number {
-        return nowMs + backoffMs(failureCount, this.options.limits.retryMinMs, this.options.limits.retryMaxMs);
+        const { retryMinMs, retryMaxMs } = this.options.limits;
+        const delayMs = Math.ceil(backoffMs(failureCount, retryMinMs, retryMaxMs));
+        this.options.wakeAfter(delayMs);
+        return nowMs + delayMs;
     }
 
     private get(modelId: ModelId): Replica {
--- a/packages/agent/src/types/options.ts
+++ b/packages/agent/src/types/options.ts
@@ -29,6 +29,8 @@
     readonly settleMs: number;
     /** Time limit of one order to the engine. @default 600000 */
     readonly orderTimeoutMs: number;
+    /** An order that the index does not show begun after this time counts as unanswered. @default 5000 */
+    readonly orderLostMs: number;
     /** First delay before a failed step or order is repeated. @default 100 */
     readonly retryMinMs: number;
     /** Longest delay before a failed step or order is repeated. @default 5000 */
@@ -37,6 +39,8 @@
     readonly bindTimeoutMs: number;
     /** A gap of this length between two ticks means that the process was paused. @default 5000 */
     readonly pauseMs: number;
+    /** How long a stopping agent goes on refusing new requests before it closes its connections. @default 500 */
+    readonly lingerMs: number;
     /** Request ids and idempotency keys remembered. @default 10000 */
     readonly onceMaxCount: number;
     /** How long they are remembered. @default 24 h */
--- a/packages/coordination/src/node/record-store.ts
+++ b/packages/coordination/src/node/record-store.ts
@@ -39,8 +39,10 @@
     readonly isReader?: () => boolean;
     /** Interval of the comparison with one random peer. @default 2000 */
     readonly exchangeIntervalMs?: number;
-    /** Interval at which a reader reads everything again. @default 5000 */
+    /** Interval at which a reader reads everything again. @default 300000 */
     readonly refreshIntervalMs?: number;
+    /** Interval at which a reader checks that the service's revision did not go back. @default 1000 */
+    readonly revisionIntervalMs?: number;
     /** Delay after a failed read, with jitter. @default 500 */
     readonly retryDelayMs?: number;
     /** Peers to which a new version is sent at once. @default 3 */
@@ -54,7 +56,8 @@
 const DEFAULTS = {
     isReader: () => true,
     exchangeIntervalMs: 2000,
-    refreshIntervalMs: 5000,
+    refreshIntervalMs: 300_000,
+    revisionIntervalMs: 1000,
     retryDelayMs: 500,
     pushFanout: 3,
     logger: silentLogger,
--- a/packages/platform/src/runtime/json-peer.ts
+++ b/packages/platform/src/runtime/json-peer.ts
@@ -1,5 +1,7 @@
 import { OutcomeUnknownError, ProtocolError, UnavailableError } from "@skylarkmill/protocol";
 import { err, ok, type Result } from "neverthrow";
+import { pipeline } from "node:stream";
+import { createGunzip } from "node:zlib";
 import type { Dispatcher } from "undici";
 import type { z } from "zod";
 import { readBounded } from "./bounded-body.ts";
@@ -10,6 +12,7 @@
     readonly method: "GET" | "POST";
     readonly path: string;
     readonly body?: unknown;
+    readonly headers?: Readonly<Record<string, string>>;
     /** Whether the call may change state at the peer. */
     readonly isWrite: boolean;
     readonly timeoutMs: number;
@@ -20,6 +23,7 @@
 export interface JsonAnswer {
     readonly status: number;
     readonly text: string;
+    readonly headers: Readonly<Record<string, string | string[] | undefined>>;
 }
 
 export type CallError = UnavailableError | OutcomeUnknownError | ProtocolError;
@@ -47,14 +51,15 @@
         headersTimeout: 0,
         bodyTimeout: 0,
         sendTracker: tracker,
-        ...(call.body === undefined
-            ? {}
-            : { body: JSON.stringify(call.body), headers: { "content-type": "application/json" } }),
+        headers: { ...call.headers, ...(call.body === undefined ? {} : { "content-type": "application/json" }) },
+        ...(call.body === undefined ? {} : { body: JSON.stringify(call.body) }),
     };
     try {
         const response = await dispatcher.request(options);
-        const text = await readBounded(response.body, call.maxBodyBytes, { step: call.step, peer });
-        return ok({ status: response.statusCode, text });
+        const isCompressed = response.headers["content-encoding"] === "gzip";
+        const body = isCompressed ? pipeline(response.body, createGunzip(), () => undefined) : response.body;
+        const text = await readBounded(body, call.maxBodyBytes, { step: call.step, peer });
+        return ok({ status: response.statusCode, text, headers: response.headers });
     }
     catch (cause) {
         return err(toFailure(call, peer, tracker.started, cause));
--- a/packages/router/src/node/router.ts
+++ b/packages/router/src/node/router.ts
@@ -18,7 +18,7 @@
     type SkylarkmillError,
     toId,
 } from "@skylarkmill/protocol";
-import type { ResultAsync } from "neverthrow";
+import { errAsync, ResultAsync } from "neverthrow";
 import { randomBytes } from "node:crypto";
 import type { Server } from "node:http";
 import { AgentPools } from "../runtime/agent-pools.ts";
@@ -42,11 +42,14 @@
     type RouterOptions,
     type RouterPorts,
 } from "../types/options.ts";
+import { LogLimiter } from "../utils/log-limiter.ts";
 import { createCallerServer } from "./caller-server.ts";
 import { type ControlOptions, createOperatorServer, createRouterPlacement } from "./control.ts";
-import { closeServer, listen } from "./listen.ts";
+import { closeServer, drainServer, listen } from "./listen.ts";
 import { createPeerHandlers } from "./peer-handlers.ts";
 
+const FAILURE_LINES_PER_SECOND = 20;
+
 /**
  * Creates a router. The host list must have been started.
  *
@@ -120,6 +123,7 @@
             counts,
             demand: new DemandTracker(),
             durations: new DurationBook(policies.estimator),
+            failureLog: new LogLimiter(FAILURE_LINES_PER_SECOND),
             newAttemptId: createAttemptIds(),
         };
         const keyed = new KeyedRequests(this.context, this.claims, new RouterRoster(this.peers));
@@ -140,6 +144,12 @@
     }
 
     start(): ResultAsync<RouterPorts, SkylarkmillError> {
+        return this.startAll().orElse(error =>
+            ResultAsync.fromSafePromise(this.stop()).andThen(() => errAsync<RouterPorts, SkylarkmillError>(error))
+        );
+    }
+
+    private startAll(): ResultAsync<RouterPorts, SkylarkmillError> {
         this.unsubscribes.push(
             this.records.subscribe(KEYS.configPrefix, record => {
                 this.lastChangeMs = Math.max(0, Date.now() - record.writtenAtMs);
@@ -161,11 +171,13 @@
 
     async stop(): Promise<void> {
         this.handler.stop();
-        await this.context.counts.untilIdle();
-        await closeServer(this.callerServer);
+        const { counts } = this.context;
+        const drained = drainServer(this.callerServer, () => counts.total === 0);
+        // Another router can take the duty over while the last answers are sent.
+        await Promise.all([this.placement.stop(), drained]);
+        await counts.untilIdle();
         await closeServer(this.operatorServer);
         this.prober.stop();
-        await this.placement.stop();
         await this.claims.stop();
         for (const unsubscribe of this.unsubscribes) unsubscribe();
         this.directory.stop();
--- a/packages/router/src/runtime/request-handler.ts
+++ b/packages/router/src/runtime/request-handler.ts
@@ -21,6 +21,8 @@
 
 /** Longest time for a body to arrive when the caller names no deadline. */
 const BODY_TIMEOUT_MS = 30_000;
+/** Retry time of a request that is refused before its service is known. */
+const BUSY_RETRY_MS = 1000;
 /** Time that one token is assumed to take until durations have been learned. */
 const ASSUMED_TOKEN_MS = 10;
 /** Time that a plain service is assumed to take until durations have been learned. */
@@ -52,7 +54,7 @@
         return this.stopping;
     }
 
-    /** Refuses new requests from now on. */
+    /** Answers close their connections from now on. */
     stop(): void {
         this.stopping = true;
     }
@@ -73,7 +75,7 @@
         }
         const target = toModelTarget(service, found.model, found.adapterId);
         const path = incoming.url!;
-        this.dispatch(exchange, this.toSpec(exchange, options, target, path, body, request.value));
+        await this.dispatch(exchange, this.toSpec(exchange, options, target, path, body, request.value));
     }
 
     /** Handles a request to a plain service; `path` is below the service. */
@@ -97,7 +99,7 @@
             model: undefined,
             adapterId: undefined,
         };
-        this.dispatch(exchange, this.toSpec(exchange, options, target, path, body, undefined));
+        await this.dispatch(exchange, this.toSpec(exchange, options, target, path, body, undefined));
     }
 
     /** Refuses a request that addresses nothing. */
@@ -105,6 +107,21 @@
         this.refuse(this.open(incoming, outgoing), refusal);
     }
 
+    /** Ends a request whose handling failed in an unforeseen way. */
+    fail(outgoing: ServerResponse, error: unknown): void {
+        this.context.logger.error({ step: "request.handle", peer: "local", err: error }, "request handling failed");
+        if (outgoing.headersSent) outgoing.destroy();
+        else new AnswerWriter(outgoing, () => true).refuse(refusals.internal());
+    }
+
+    /** Counts a request that was refused because it can't be parsed. */
+    countUnparsed(): void {
+        const { metrics } = this.context;
+        metrics.received.inc();
+        metrics.refusals.inc({ execution: "not_run" });
+        metrics.countOutcome("none", "refused", 0);
+    }
+
     private open(incoming: IncomingMessage, outgoing: ServerResponse): Exchange {
         const { counts, metrics } = this.context;
         counts.open();
@@ -115,8 +132,8 @@
     }
 
     private readOptions(exchange: Exchange): RequestOptions | undefined {
-        if (this.stopping) {
-            this.refuse(exchange, refusals.shuttingDown());
+        if (this.context.config.services().size === 0) {
+            this.refuse(exchange, refusals.notReady());
             return undefined;
         }
         const options = readRequestOptions(exchange.incoming.headers);
@@ -130,6 +147,10 @@
 
     private async readBody(exchange: Exchange, options: RequestOptions): Promise<Buffer | undefined> {
         const { maxBodyBytes } = this.context.options.limits;
+        if (!this.reserveBody(exchange)) {
+            this.refuse(exchange, refusals.overloaded("queue_full", BUSY_RETRY_MS));
+            return undefined;
+        }
         const body = await readBody(exchange.incoming, maxBodyBytes, options.timeoutMs ?? BODY_TIMEOUT_MS);
         if (body.isOk()) return body.value;
         if (body.error === undefined) this.countEnd("none", exchange, "disconnected");
@@ -137,6 +158,20 @@
         return undefined;
     }
 
+    /** Bounds the memory that bodies take; a body of unknown length counts with the longest that is accepted. */
+    private reserveBody({ incoming, writer }: Exchange): boolean {
+        const { counts, options: { limits } } = this.context;
+        const isChunked = incoming.headers["transfer-encoding"] !== undefined;
+        const length = isChunked ? limits.maxBodyBytes : Number(incoming.headers["content-length"] ?? 0);
+        const sizeBytes = Math.min(length, limits.maxBodyBytes);
+        if (counts.total > limits.maxRequests || counts.heldBodyBytes + sizeBytes > limits.maxHeldBodyBytes) {
+            return false;
+        }
+        counts.holdBody(sizeBytes);
+        writer.onClose(() => counts.releaseBody(sizeBytes));
+        return true;
+    }
+
     private toSpec(
         exchange: Exchange,
         options: RequestOptions,
@@ -189,7 +224,7 @@
         return rankByRendezvous<ServerId>(idempotencyKey, live.map(server => server.serverId))[0];
     }
 
-    private dispatch(exchange: Exchange, spec: RequestSpec): void {
+    private async dispatch(exchange: Exchange, spec: RequestSpec): Promise<void> {
         const { counts } = this.context;
         const { serviceId } = spec.target;
         counts.enter(serviceId);
@@ -200,8 +235,7 @@
             this.countEnd(serviceId, exchange, exchange.writer.isLost ? "disconnected" : end.kind);
         };
         if (spec.idempotencyKey !== undefined && !spec.idempotent) {
-            void this.keyed.run(spec, exchange.writer, onEnded);
-            return;
+            return this.keyed.run(spec, exchange.writer, onEnded);
         }
         new RequestTask(this.context, spec, exchange.writer, onEnded).start();
     }
--- a/packages/router/src/runtime/server-views.ts
+++ b/packages/router/src/runtime/server-views.ts
@@ -4,12 +4,13 @@
 import type { ServerId } from "@skylarkmill/protocol";
 import type { RouterPolicies } from "../types/policies.ts";
 import type { RequestSpec, Target } from "../types/request.ts";
-import type { ServerState } from "../types/server.ts";
+import type { ModelReport, ServerState } from "../types/server.ts";
 import type { ServerDirectory } from "./server-directory.ts";
 
 /** Slots assumed for a backend server until it has reported. */
 const ASSUMED_SLOT_COUNT = 8;
 const SLOWNESS_AGE_MS = 10;
+const LOADED_AGE_MS = 60_000;
 
 interface Candidate {
     readonly server: ServerState;
@@ -34,14 +35,16 @@
         this.options = options;
     }
 
-    /** Servers that may get the request now. */
+    /**
+     * Servers that may get the request now. An idempotent request also tries agents that were out of reach
+     * when there are no others; one that may not run twice waits, since a suspended agent may run it much later.
+     */
     forRequest(spec: RequestSpec, nowMs: number): ServerView[] {
         const { directory } = this.options;
-        const views: ServerView[] = [];
-        for (const candidate of this.candidates(spec.target)) {
-            if (directory.isAvailable(candidate.server, nowMs)) views.push(this.toView(candidate, spec, nowMs));
-        }
-        return views;
+        const candidates = this.candidates(spec.target).filter(({ server }) => directory.mayWork(server));
+        const reachable = candidates.filter(({ server }) => server.unreachableUntilMs <= nowMs);
+        const chosen = reachable.length === 0 && spec.idempotent ? candidates : reachable;
+        return chosen.map(candidate => this.toView(candidate, spec, nowMs));
     }
 
     private candidates(target: Target): readonly Candidate[] {
@@ -59,7 +62,7 @@
             const server = this.options.directory.get(grant.serverId);
             if (server === undefined) continue;
             if (!grant.revoking) holders.push({ server, grantPosition: holders.length });
-            else if (isLoaded(server, modelId)) revoked.push({ server, grantPosition: undefined });
+            else if (server.models.get(modelId)?.state === "ready") revoked.push({ server, grantPosition: undefined });
         }
         return holders.length > 0 ? holders : revoked;
     }
@@ -95,7 +98,7 @@
         return {
             serverId: server.serverId,
             dataCentre: server.host.dataCentre,
-            loaded: modelId === undefined || loadedModel?.state === "ready",
+            loaded: modelId === undefined || isLoaded(loadedModel, nowMs),
             loading: loadedModel?.state === "loading",
             adapterLoaded: adapterId === undefined || loadedModel?.adapterIds.includes(adapterId) === true,
             grantPosition,
@@ -113,6 +116,7 @@
     }
 }
 
-function isLoaded(server: ServerState, modelId: string): boolean {
-    return server.models.get(modelId)?.state === "ready";
+/** A model that was not seen for long may have been unloaded; then all routers follow the order of the grants. */
+function isLoaded(model: ModelReport | undefined, nowMs: number): boolean {
+    return model?.state === "ready" && nowMs - model.seenAtMs < LOADED_AGE_MS;
 }
--- a/packages/router/src/types/options.ts
+++ b/packages/router/src/types/options.ts
@@ -38,6 +38,8 @@
 export interface RouterLimits {
     /** Longest accepted request body. @default 4194304 */
     readonly maxBodyBytes: number;
+    /** Request bodies in memory over all requests. @default 67108864 */
+    readonly maxHeldBodyBytes: number;
     /** Longest accepted block of request headers. @default 16384 */
     readonly maxHeaderBytes: number;
     /** Requests in progress over all services. @default 4096 */
@@ -52,7 +54,7 @@
     readonly maxBufferedBytes: number;
     /** Backend servers considered per plain service. @default 16 */
     readonly maxServersPerService: number;
-    /** Traffic that probes of backend servers may cause. @default 1000 */
+    /** Traffic that probes of backend servers may cause. @default 700 */
     readonly probeBytesPerSecond: number;
 }
 
@@ -70,12 +72,13 @@
 export interface Router {
     /** Binds the ports and starts the tasks. `UnavailableError`: a port can't be bound. */
     start(): ResultAsync<RouterPorts, SkylarkmillError>;
-    /** Refuses new requests, lets requests in progress finish, then closes. */
+    /** Refuses new connections, answers the requests on open ones, then closes. */
     stop(): Promise<void>;
 }
 
 const DEFAULT_LIMITS: RouterLimits = {
     maxBodyBytes: 4 * 1024 * 1024,
+    maxHeldBodyBytes: 64 * 1024 * 1024,
     maxHeaderBytes: 16 * 1024,
     maxRequests: 4096,
     connectTimeoutMs: 1000,
@@ -83,7 +86,7 @@
     serverWaitMs: 5000,
     maxBufferedBytes: 1024 * 1024,
     maxServersPerService: 16,
-    probeBytesPerSecond: 1000,
+    probeBytesPerSecond: 700,
 };
 
 /**
