--- a/test/router/outcomes.test.ts
+++ b/test/router/outcomes.test.ts
@@ -4,6 +4,10 @@
 import { Harness, toFirst } from "./support/harness.ts";
 
 const hang: AgentBehaviour = () => undefined;
+const neverEndingRefusal: AgentBehaviour = (_request, response) => {
+    response.writeHead(502, { "x-skylarkmill-execution": "unknown", "content-length": "100" });
+    response.write("{");
+};
 const order = { method: "POST", path: "/services/parts-ledger/orders" };
 const stock = { method: "GET", path: "/services/parts-ledger/stock/7" };
 const chat = { method: "POST", path: "/v1/chat/completions" };
@@ -13,12 +17,6 @@
 /** Sends first attempts to one server, so that the cases know which agent fails. */
 const inOrder = { chooser: toFirst(["engine-1", "ledger-1"] as ServerId[]) };
 
-/** Sends the head of a refusal that says unknown, and never ends its body. */
-const beginRefusal: AgentBehaviour = (_request, response) => {
-    response.writeHead(502, { "x-skylarkmill-execution": "unknown", "content-length": "100" });
-    response.write("{");
-};
-
 describe("outcomes", () => {
     let harness: Harness;
     beforeEach(async () => {
@@ -109,7 +107,7 @@
         {
             name: "an order whose refusal as unknown never ends is unknown",
             request: order,
-            first: beginRefusal,
+            first: neverEndingRefusal,
             status: 504,
             execution: "unknown",
             runs: 1,
