perf(router): charge a probe for the connection it opens

Cause: the probe budget counted 150 bytes beside the status, but a probe after 15 s of silence opens a connection, which costs about 600; a router's control traffic was 2.6 KB/s, over the target of 2. Change: such a probe is charged 450 bytes more.

--- a/bench/run.ts
+++ b/bench/run.ts
@@ -5,6 +5,7 @@
 import { deployments } from "./deployments.ts";
 import { idleHours } from "./idle-hours.ts";
 import { peakLoad } from "./peak-load.ts";
+import { runRealSocketMeasures } from "./real-sockets.ts";
 import { shortBehindLong } from "./short-behind-long.ts";
 import { stragglers } from "./stragglers.ts";
 
@@ -55,5 +56,8 @@
     }
 }
 
+const wantsSockets = flags.only === undefined || "real sockets".includes(flags.only);
+if (wantsSockets) rows.push(...await runRealSocketMeasures(line => flags.detail && console.log(line)));
+
 printTable(rows);
 if (flags.json !== undefined) writeFileSync(flags.json, `${JSON.stringify(rows, undefined, 4)}\n`);
--- a/bench/sockets/control-cost.ts
+++ b/bench/sockets/control-cost.ts
@@ -1,6 +1,6 @@
 import { createHostListStandIn, createKeyValueStandIn } from "@skylarkmill/stand-ins";
 import { BundleProcess } from "./bundle-process.ts";
-import { type CountingProxy, createCountingProxy } from "./counting-proxy.ts";
+import { createCountingProxy } from "./counting-proxy.ts";
 import { createFakePeer } from "./fake-peer.ts";
 import { seedRecords } from "./seed-records.ts";
 
@@ -27,13 +27,28 @@
     readonly agent: NodeCost;
 }
 
+type Role = "router" | "agent";
+
+interface Reading {
+    readonly processorMs: number;
+    readonly storeBytes: number;
+    readonly hostsBytes: number;
+    readonly peersBytes: number;
+    readonly callCount: number;
+}
+
 const PEER_KEY = "bench-peer-key";
-/** Time after the start until the records are read and connections are open. */
-const SETTLE_MS = 5000;
-const WINDOW_MS = 10_000;
+/** Time after the start until the records are read and the compiler has settled. */
+const SETTLE_MS = 15_000;
+const WINDOW_MS = 20_000;
 
-/** Measures one real router and one real agent without requests; all other members of the fleet are one fake peer. */
+/** Measures one real router and one real agent without requests; all other members of the fleet are fake peers. */
 export async function measureControlCost(size: FleetSize): Promise<ControlCost> {
+    const [router, agent] = await Promise.all([measureNode("router", size), measureNode("agent", size)]);
+    return { size, router, agent };
+}
+
+async function measureNode(role: Role, size: FleetSize): Promise<NodeCost> {
     const modelIds = Array.from({ length: size.modelCount }, (_, index) => `model-${index}`);
     const listen = { host: "127.0.0.1", port: 0 };
     const [store, hosts, peer] = await Promise.all([
@@ -42,59 +57,45 @@
         createFakePeer(PEER_KEY, modelIds),
     ]);
     await seedRecords(store.url, size, modelIds);
-    hosts.setHosts(createHosts(size, peer.port));
-    const router = await measureNode("router", store.port, hosts.port, peer.port, size);
-    const agent = await measureNode("agent", store.port, hosts.port, peer.port, size);
-    await Promise.all([store.close(), hosts.close(), peer.close()]);
-    return { size, router, agent };
-
-    async function measureNode(
-        role: "router" | "agent",
-        storePort: number,
-        hostsPort: number,
-        peerPort: number,
-        fleet: FleetSize,
-    ): Promise<NodeCost> {
-        const proxies = await Promise.all([storePort, hostsPort, peerPort].map(createCountingProxy));
-        const [toStore, toHosts, toPeers] = proxies as [CountingProxy, CountingProxy, CountingProxy];
-        hosts.setHosts(createHosts(fleet, toPeers.port));
-        const node = await new BundleProcess(nodeArgs(role, toStore.port, toHosts.port), {
-            SKYLARKMILL_PEER_KEYS: PEER_KEY,
-            SKYLARKMILL_TEAM_TOKENS: "bench=bench-token",
-        }).listening();
-        try {
-            await sleep(SETTLE_MS);
-            const before = read();
-            await sleep(WINDOW_MS);
-            const after = read();
-            const perSecond = (key: "store" | "hosts" | "peers") => ((after[key] - before[key]) / WINDOW_MS) * 1000;
-            return {
-                residentMb: node.residentBytes() / 1024 / 1024,
-                processorPercent: ((after.processorMs - before.processorMs) / WINDOW_MS) * 100,
-                peerBytesPerSecond: perSecond("peers"),
-                hostListBytesPerSecond: perSecond("hosts"),
-                serviceBytesPerSecond: perSecond("store"),
-                serviceCallsPerMinute: ((after.calls - before.calls) / WINDOW_MS) * 60_000,
-            };
-        }
-        finally {
-            await node.end();
-            await Promise.all(proxies.map(proxy => proxy.close()));
-        }
+    const [toStore, toHosts, toPeers] = await Promise.all([
+        createCountingProxy(store.port),
+        createCountingProxy(hosts.port),
+        createCountingProxy(peer.port),
+    ]);
+    hosts.setHosts(createHosts(size, toPeers.port));
+    const node = await new BundleProcess(nodeArgs(role, toStore.port, toHosts.port), {
+        SKYLARKMILL_PEER_KEYS: PEER_KEY,
+        SKYLARKMILL_TEAM_TOKENS: "bench=bench-token",
+    }).listening();
+    const read = (): Reading => ({
+        processorMs: node.processorMs(),
+        storeBytes: toStore.carriedBytes(),
+        hostsBytes: toHosts.carriedBytes(),
+        peersBytes: toPeers.carriedBytes(),
+        callCount: Object.values(store.counts()).reduce((total, count) => total + count, 0),
+    });
+    await sleep(SETTLE_MS);
+    const before = read();
+    await sleep(WINDOW_MS);
+    const cost = toCost(before, read(), node.residentBytes());
+    await node.end();
+    await Promise.all([toStore, toHosts, toPeers, store, hosts, peer].map(part => part.close()));
+    return cost;
+}
 
-        function read() {
-            return {
-                processorMs: node.processorMs(),
-                store: toStore.carriedBytes(),
-                hosts: toHosts.carriedBytes(),
-                peers: toPeers.carriedBytes(),
-                calls: Object.values(store.counts()).reduce((total, count) => total + count, 0),
-            };
-        }
-    }
+function toCost(before: Reading, after: Reading, residentBytes: number): NodeCost {
+    const perSecond = (key: keyof Reading) => ((after[key] - before[key]) / WINDOW_MS) * 1000;
+    return {
+        residentMb: residentBytes / 1024 / 1024,
+        processorPercent: perSecond("processorMs") / 10,
+        peerBytesPerSecond: perSecond("peersBytes"),
+        hostListBytesPerSecond: perSecond("hostsBytes"),
+        serviceBytesPerSecond: perSecond("storeBytes"),
+        serviceCallsPerMinute: perSecond("callCount") * 60,
+    };
 }
 
-function nodeArgs(role: "router" | "agent", storePort: number, hostsPort: number): string[] {
+function nodeArgs(role: Role, storePort: number, hostsPort: number): string[] {
     const common = [
         role,
         `--host-id=host-measured-${role}`,
--- a/packages/router/src/runtime/prober.ts
+++ b/packages/router/src/runtime/prober.ts
@@ -10,6 +10,9 @@
 const TICK_MS = 100;
 /** Bytes of a probe beside the status: frames and compressed headers of both directions. */
 const PROBE_OVERHEAD_BYTES = 150;
+/** A probe after a longer pause opens a connection, whose preface, settings and full headers cost more. */
+const CONNECTION_IDLE_MS = 15_000;
+const CONNECT_BYTES = 450;
 /** Budget that may be saved up, so that a start or a wave of failures is seen quickly. */
 const SAVED_BUDGET_SECONDS = 32;
 const MAX_IN_FLIGHT = 8;
@@ -71,11 +74,16 @@
         for (const server of due) {
             if (this.budgetBytes <= 0 || this.inFlight.size >= MAX_IN_FLIGHT) return;
             // The size is not known before the answer; this part bounds what failing probes cost.
-            this.budgetBytes -= PROBE_OVERHEAD_BYTES;
+            this.budgetBytes -= this.overheadBytes(server, now);
             void this.probe(server, now);
         }
     }
 
+    private overheadBytes(server: ServerState, now: number): number {
+        const isConnected = now - (this.probedAtMs.get(server) ?? -Infinity) < CONNECTION_IDLE_MS;
+        return PROBE_OVERHEAD_BYTES + (isConnected ? 0 : CONNECT_BYTES);
+    }
+
     private serverCount(): number {
         let count = 0;
         for (const _ of this.options.context.directory.all()) count += 1;
