refactor: share the hop-by-hop header list and the fake key-value service

Cause: agent and router each listed the headers of RFC 9110, section 7.6.1, and the router's tests had a fake key-value service beside the shared one. Conclusion: no change in behaviour.

--- a/packages/agent/src/utils/forwarded-headers.ts
+++ b/packages/agent/src/utils/forwarded-headers.ts
@@ -1,21 +1,7 @@
-import { HEADERS } from "@skylarkmill/protocol";
+import { HEADERS, HOP_BY_HOP_HEADERS } from "@skylarkmill/protocol";
 
-/** Headers that concern one connection (RFC 9110, 7.6.1) or that the HTTP libraries set themselves. */
-const CONNECTION_HEADERS = new Set([
-    "connection",
-    "content-length",
-    "date",
-    "expect",
-    "host",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-]);
+/** Headers of one connection, and those that the HTTP libraries set themselves. */
+const CONNECTION_HEADERS = new Set([...HOP_BY_HOP_HEADERS, "content-length", "date", "expect", "host"]);
 
 /** The peers' key and the headers between router and agent are not for the backend server. */
 const INTERNAL_HEADERS = new Set<string>([
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -3,4 +3,5 @@
 export * from "./types/headers.ts";
 export * from "./types/ids.ts";
 export * from "./types/refusal.ts";
+export * from "./utils/hop-by-hop-headers.ts";
 export * from "./utils/refusal-body.ts";
--- /dev/null
+++ b/packages/protocol/src/utils/hop-by-hop-headers.ts
@@ -0,0 +1,17 @@
+/**
+ * Headers of one connection, which a relay must not pass on (RFC 9110, section 7.6.1).
+ *
+ * @example
+ * const kept = names.filter(name => !HOP_BY_HOP_HEADERS.has(name.toLowerCase()));
+ */
+export const HOP_BY_HOP_HEADERS: ReadonlySet<string> = new Set([
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+]);
--- a/packages/router/src/utils/forwarded-headers.ts
+++ b/packages/router/src/utils/forwarded-headers.ts
@@ -1,17 +1,4 @@
-import { HEADERS } from "@skylarkmill/protocol";
-
-/** Headers of one connection, which a relay must not pass on (RFC 9110, section 7.6.1). */
-const HOP_BY_HOP = new Set([
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-]);
+import { HEADERS, HOP_BY_HOP_HEADERS } from "@skylarkmill/protocol";
 
 /** Request headers that the router sets itself; `expect` is answered by the router's own HTTP server. */
 const SET_BY_ROUTER = new Set<string>(["host", "content-length", "expect", ...Object.values(HEADERS)]);
@@ -35,7 +22,7 @@
     const picked: string[] = [];
     for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
         const name = rawHeaders[i]!.toLowerCase();
-        if (HOP_BY_HOP.has(name) || SET_BY_ROUTER.has(name) || named.includes(name)) continue;
+        if (HOP_BY_HOP_HEADERS.has(name) || SET_BY_ROUTER.has(name) || named.includes(name)) continue;
         picked.push(name, rawHeaders[i + 1]!);
     }
     return picked;
@@ -54,7 +41,9 @@
     const picked: Record<string, string | string[]> = {};
     for (const name in headers) {
         const value = headers[name];
-        if (value === undefined || HOP_BY_HOP.has(name) || INTERNAL_ANSWER.has(name) || named.includes(name)) continue;
+        if (value === undefined || HOP_BY_HOP_HEADERS.has(name) || INTERNAL_ANSWER.has(name) || named.includes(name)) {
+            continue;
+        }
         picked[name] = value;
     }
     return picked;
--- a/test/router/keyed.test.ts
+++ b/test/router/keyed.test.ts
@@ -93,7 +93,7 @@
     });
 
     it("refuses within 1 s while the key-value service is down", async () => {
-        harness.store.isDown = true;
+        harness.store.down = true;
         const startedAtMs = performance.now();
         const reply = await order();
         expect(performance.now() - startedAtMs).toBeLessThan(1100);
@@ -102,13 +102,13 @@
             json: { error: { code: "claim_store_unavailable", execution: "unknown" } },
         });
         expect(harness.runs()).toBe(0);
-        harness.store.isDown = false;
+        harness.store.down = false;
         expect((await untilStored()).status).toBe(200);
         expect(harness.runs()).toBe(1);
     });
 
     it("refuses by the deadline when that is sooner", async () => {
-        harness.store.isDown = true;
+        harness.store.down = true;
         const startedAtMs = performance.now();
         const reply = await order("key-1", "{}", { "x-request-timeout-ms": "100" });
         expect(performance.now() - startedAtMs).toBeLessThan(200);
@@ -155,7 +155,7 @@
     });
 
     it("sends idempotent requests with a key without a claim", async () => {
-        harness.store.isDown = true;
+        harness.store.down = true;
         const reply = await harness.send("GET", "/services/parts-ledger/stock/1", undefined, {
             "idempotency-key": "k",
         });
--- a/test/router/support/harness.ts
+++ b/test/router/support/harness.ts
@@ -5,8 +5,8 @@
 import { createRouter, type Router, type RouterOptions, type RouterPorts } from "@skylarkmill/router";
 import bunyan from "bunyan";
 import { request } from "undici";
+import { MemoryKeyValueStore } from "../../support/memory-key-value-store.ts";
 import { type AgentBehaviour, FakeAgent } from "./fake-agent.ts";
-import { MemoryStore } from "./memory-store.ts";
 
 const LOOPBACK = { host: "127.0.0.1", port: 0 };
 
@@ -76,7 +76,7 @@
 
 /** A router with two agents of the model service and two of the plain service. */
 export class Harness {
-    readonly store = new MemoryStore();
+    readonly store = new MemoryKeyValueStore();
     readonly hostList = new FakeMembership();
     readonly agents: Record<string, FakeAgent> = {};
     readonly logged: string[] = [];
--- a/test/support/memory-key-value-store.ts
+++ b/test/support/memory-key-value-store.ts
@@ -102,6 +102,16 @@
         }
     }
 
+    put(key: string, value: string): void {
+        this.apply({ compare: [], puts: [{ key, value }] });
+    }
+
+    /** Writes a versioned record as another process would. */
+    putRecord(key: string, value: unknown, version = 1): void {
+        const record = { version, nonce: `n${version}`, editId: `e${version}`, writtenAtMs: Date.now(), value };
+        this.put(key, JSON.stringify({ key, ...record }));
+    }
+
     /** Copies the data, for `restore`. */
     snapshot(): Snapshot {
         return { entries: new Map(this.entries), revision: this.revision };
