--- a/bench/run.ts
+++ b/bench/run.ts
@@ -5,6 +5,7 @@
 import { deployments } from "./deployments.ts";
 import { idleHours } from "./idle-hours.ts";
 import { peakLoad } from "./peak-load.ts";
+import { writePlots } from "./plot.ts";
 import { runRealSocketMeasures } from "./real-sockets.ts";
 import { shortBehindLong } from "./short-behind-long.ts";
 import { stragglers } from "./stragglers.ts";
@@ -18,6 +19,7 @@
     options: {
         json: { type: "string" },
         only: { type: "string" },
+        plot: { type: "string" },
         detail: { type: "boolean", default: false },
         seeds: { type: "string" },
     },
@@ -60,4 +62,5 @@
 if (wantsSockets) rows.push(...await runRealSocketMeasures(line => flags.detail && console.log(line)));
 
 printTable(rows);
+if (flags.plot !== undefined) await writePlots(rows, flags.plot);
 if (flags.json !== undefined) writeFileSync(flags.json, `${JSON.stringify(rows, undefined, 4)}\n`);
