refactor(skylarkmill): name the demonstration by its usual term

Cause: the file and function were named after a figure of speech. Change: dev/demonstration.ts with runDemonstration; one doc comment in plain terms. Conclusion: no change in behaviour.

--- a/packages/agent/src/types/options.ts
+++ b/packages/agent/src/types/options.ts
@@ -94,7 +94,7 @@
 /** The process beside one backend server. */
 export interface Agent {
     /**
-     * Binds the ports, then takes stock of the backend server in the background.
+     * Binds the ports, then reads the backend server's inventory in the background.
      * Fails with `UnavailableError` when a port stays taken.
      */
     start(): ResultAsync<AgentPorts, SkylarkmillError>;
--- a/packages/skylarkmill/src/commands/dev.ts
+++ b/packages/skylarkmill/src/commands/dev.ts
@@ -29,8 +29,8 @@
             logger,
         });
         if (values.once) {
-            const { runTour } = await import("../dev/tour.ts");
-            const passed = await runTour(cluster, line => process.stdout.write(`${line}\n`));
+            const { runDemonstration } = await import("../dev/demonstration.ts");
+            const passed = await runDemonstration(cluster, line => process.stdout.write(`${line}\n`));
             await cluster.close();
             return passed ? 0 : 1;
         }
--- a/packages/skylarkmill/src/dev/tour.ts
+++ b/packages/skylarkmill/src/dev/demonstration.ts
@@ -103,7 +103,7 @@
 const repeatedOrder: Step = {
     name: "parts order repeated under one key",
     async run(cluster) {
-        const key = `tour-${randomUUID()}`;
+        const key = `demonstration-${randomUUID()}`;
         const order = (router: number) =>
             call(`${cluster.routerUrls[router]}/services/parts-ledger/orders`, "POST", { "idempotency-key": key }, {
                 part: "hub-bearing",
@@ -187,7 +187,7 @@
 }
 
 /** Runs the demonstration sequence over real sockets and prints a table; returns whether every step passed. */
-export async function runTour(cluster: DevCluster, print: (line: string) => void): Promise<boolean> {
+export async function runDemonstration(cluster: DevCluster, print: (line: string) => void): Promise<boolean> {
     await until(() => isReady(cluster), READY_TIMEOUT_MS);
     const width = Math.max(...STEPS.map(step => step.name.length));
     print(`${"step".padEnd(width)}  result  detail`);
