feat(router): expose the metrics of control; audit the removal of a grant by its holder

Cause: skylarkmill_control_* metrics did not appear at /metrics, and an agent's removal of its grant left no audit entry. Change: the router hands its registry to the placement duty and the operators' interface; the agent builds the removal with its audit entry. A round of probes is assumed with the cost of their connections, so that statuses in a large fleet are not taken for outdated.

--- a/packages/agent/src/node/grant-remover.ts
+++ b/packages/agent/src/node/grant-remover.ts
@@ -1,8 +1,7 @@
-import { type GrantRecord, KEYS } from "@skylarkmill/config";
+import { createGrantChange, type GrantRecord, KEYS } from "@skylarkmill/config";
 import { type RecordStore, sleep } from "@skylarkmill/coordination";
-import { ConflictError, type EditId, type ModelId, type ServerId, toId } from "@skylarkmill/protocol";
+import { ConflictError, type ModelId, type ServerId } from "@skylarkmill/protocol";
 import type Logger from "bunyan";
-import { randomUUID } from "node:crypto";
 import { backoffMs } from "../utils/backoff.ts";
 
 export interface GrantRemoverOptions {
@@ -54,14 +53,13 @@
     }
 
     private createChange(modelId: ModelId) {
-        const key = KEYS.grants(modelId);
-        const record = this.options.records.get<GrantRecord>(key);
+        const record = this.options.records.get<GrantRecord>(KEYS.grants(modelId));
         const own = record?.value?.grants.find(grant => grant.serverId === this.options.serverId);
         if (record?.value === undefined || own?.revoking !== true) return undefined;
         const value: GrantRecord = {
             ...record.value,
             grants: record.value.grants.filter(grant => grant.grantId !== own.grantId),
         };
-        return { key, expectedVersion: record.version, value, editId: toId<EditId>(randomUUID()) };
+        return createGrantChange(record, modelId, value, this.options.serverId, ["the model left memory"]);
     }
 }
--- a/packages/router/src/node/control.ts
+++ b/packages/router/src/node/control.ts
@@ -5,6 +5,7 @@
 import { createPlacementPolicy } from "@skylarkmill/policy";
 import type { ServerId, ServerStatus } from "@skylarkmill/protocol";
 import type { Server } from "node:http";
+import type { Registry } from "prom-client";
 import type { DemandTracker } from "../runtime/demand-tracker.ts";
 import type { ServerDirectory } from "../runtime/server-directory.ts";
 import type { ResolvedRouterOptions } from "../types/options.ts";
@@ -12,8 +13,8 @@
 
 /** A server whose status is older gets no new grants. */
 const MIN_STATUS_AGE_MS = 15_000;
-/** Bytes of one probe of an agent with some models; with the budget it gives the time of one round over all agents. */
-const ASSUMED_PROBE_BYTES = 600;
+/** Bytes of one probe of an agent with some models, its connection included; with the budget it gives the time of one round over all agents. */
+const ASSUMED_PROBE_BYTES = 750;
 /** Rounds of probes that may be missed. */
 const STATUS_ROUNDS = 3;
 
@@ -23,10 +24,14 @@
     readonly config: ConfigView;
     readonly directory: ServerDirectory;
     readonly demand: DemandTracker;
+    /** Receives the metrics of the duty and of the operators' interface. */
+    readonly registry: Registry;
 }
 
 /** Creates the placement duty; it plans while this router holds the lease. */
-export function createRouterPlacement({ options, records, config, directory, demand }: ControlOptions): PlacementDuty {
+export function createRouterPlacement(
+    { options, records, config, directory, demand, registry }: ControlOptions,
+): PlacementDuty {
     return createPlacementDuty({
         processId: options.processId,
         records,
@@ -37,12 +42,13 @@
         serverStatuses: () => recentStatuses(directory, options.limits.probeBytesPerSecond),
         demandPerSecond: modelId => demand.ratePerSecond(modelId, nowMs()),
         activeTogether: modelId => demand.activeTogether(modelId),
+        registry,
         logger: options.logger,
     });
 }
 
 /** Creates the server of the operators' interface; it is not listening yet. */
-export function createOperatorServer({ options, records, config }: ControlOptions): Server {
+export function createOperatorServer({ options, records, config, registry }: ControlOptions): Server {
     const app = createOperatorApp({
         records,
         store: options.store,
@@ -50,6 +56,7 @@
         membership: options.hostList,
         peers: createOperatorPeers({ keys: options.peerKeys }),
         teamTokens: options.teamTokens,
+        registry,
         logger: options.logger,
     });
     return createAdaptorServer({ fetch: app.fetch, overrideGlobalObjects: false }) as Server;
--- a/packages/router/src/node/router.ts
+++ b/packages/router/src/node/router.ts
@@ -133,7 +133,11 @@
             handler: this.handler,
             isReady: () => this.isReady(),
         });
-        const control: ControlOptions = { ...this.context, records: this.records };
+        const control: ControlOptions = {
+            ...this.context,
+            records: this.records,
+            registry: this.context.metrics.registry,
+        };
         this.operatorServer = createOperatorServer(control);
         this.placement = createRouterPlacement(control);
         this.prober = new Prober({
