fix(platform): allow 16 connections to the key-value service

Each hanging call held one of 4 connections for up to 2 s, and claims add one every 350 ms, so the first calls after the outage waited for a free connection. Change: 16 connections, which covers the hanging calls of all tasks of one process. Ruled out: the claim's own timeout, which had been bounded to 300 ms before. Conclusion: to be watched.

--- a/packages/platform/src/node/etcd-key-value-store.ts
+++ b/packages/platform/src/node/etcd-key-value-store.ts
@@ -23,7 +23,7 @@
     readonly endpoints: readonly string[];
     /** Time for one call, without watches. @default 2000 */
     readonly timeoutMs?: number;
-    /** Connections per endpoint for calls; each watch takes one more. @default 4 */
+    /** Connections per endpoint for calls; each watch takes one more. Calls that hang hold theirs until they time out. @default 16 */
     readonly maxConnections?: number;
     /** Keys per page of a range read. @default 200 */
     readonly pageSize?: number;
@@ -56,7 +56,7 @@
 
 function resolveOptions(options: EtcdKeyValueStoreOptions): ResolvedOptions {
     if (options.endpoints.length === 0) throw new RangeError("endpoints must name at least one base URL");
-    return { timeoutMs: 2000, maxConnections: 4, pageSize: 200, watchIdleMs: 900_000, ...options };
+    return { timeoutMs: 2000, maxConnections: 16, pageSize: 200, watchIdleMs: 900_000, ...options };
 }
 
 class EtcdGateway implements EtcdKeyValueStore {
