test(cli): run the single executable; keep the router's chart beside the others by role

Cause: the binary was built by each check but never run by one. Conclusion: the binary holds the bundle's modules and charts.

--- a/packages/router/src/runtime/attempt-chart.ts
+++ b/packages/router/src/runtime/attempt-chart.ts
@@ -1,5 +1,5 @@
 import { createMachine, transition } from "xstate";
-import chart from "./attempt-chart.json" with { type: "json" };
+import chart from "../charts/attempt.json" with { type: "json" };
 
 export type AttemptState = "choosing" | "sent" | "hedged" | "moved" | "streaming" | "done" | "failed";
 export type AttemptEvent = "SEND" | "HEDGE" | "HEAD" | "LOST" | "CHOOSE" | "END" | "FAIL";
--- /dev/null
+++ b/test/cli/binary.test.ts
@@ -0,0 +1,22 @@
+import { execFile } from "node:child_process";
+import { existsSync } from "node:fs";
+import { join } from "node:path";
+import { promisify } from "node:util";
+import { describe, expect, it } from "vitest";
+
+const BINARY = join(import.meta.dirname, "../../dist/skylarkmill");
+const run = promisify(execFile);
+
+// Guards against a single executable that lacks a module or a chart which the bundle loads from the file system.
+describe("the single executable", () => {
+    const cases = [
+        { args: ["--help"], expected: "router" },
+        { args: ["settings", "--markdown"], expected: "SKYLARKMILL_PEER_KEYS" },
+        { args: ["dev", "--once"], expected: "configuration edit read back" },
+    ];
+    it.each(cases)("runs with $args", async ({ args, expected }) => {
+        if (!existsSync(BINARY)) throw new Error("dist/skylarkmill is missing; run `npm run build:binary`");
+        const { stdout } = await run(BINARY, args, { maxBuffer: 16 * 1024 * 1024 });
+        expect(stdout).toContain(expected);
+    }, 60_000);
+});
