fix(coordination): ask peers at once when a write comes before the first exchange

Cause: a process that has just started writes only after one exchange with a peer, and asks in rounds 150 to 250 ms apart. A write that came after its peers became known and before the next round was refused ("No peer has confirmed the newest version yet") although every peer would have answered. Change: such a write asks the peers itself and goes on with the first answer. Ruled out: a peer that hangs (three are asked, the first answer counts; tested before).

--- a/packages/coordination/src/node/record-store.ts
+++ b/packages/coordination/src/node/record-store.ts
@@ -11,7 +11,7 @@
     type RecordVersion,
     UnavailableError,
 } from "@skylarkmill/protocol";
-import { errAsync, ResultAsync } from "neverthrow";
+import { err, type Result, ResultAsync } from "neverthrow";
 import {
     answerExchange,
     applyWireRecords,
@@ -130,16 +130,19 @@
     }
 
     write<T>(change: RecordChange<T>): ResultAsync<VersionedRecord<T>, RecordWriteError> {
+        return new ResultAsync(this.writeConfirmed(change));
+    }
+
+    private async writeConfirmed<T>(change: RecordChange<T>): Promise<Result<VersionedRecord<T>, RecordWriteError>> {
         // The service may hold older data than the peers; a change built on it would be lost.
-        if (!this.exchanged && this.options.peers().length > 0) {
-            return errAsync(
-                new UnavailableError("No peer has confirmed the newest version yet.", {
-                    step: "record.write",
-                    peer: "local",
-                }),
-            );
-        }
-        return new ResultAsync(this.writer.write(change));
+        if (!this.exchanged && this.options.peers().length > 0) await this.exchangeFirst();
+        if (this.exchanged || this.options.peers().length === 0) return this.writer.write(change);
+        return err(
+            new UnavailableError("No peer has confirmed the newest version yet.", {
+                step: "record.write",
+                peer: "local",
+            }),
+        );
     }
 
     resolveEdit(key: string, editId: EditId): ResultAsync<EditOutcome, UnavailableError | OutcomeUnknownError> {
@@ -192,10 +195,13 @@
 
     /** Compares records with a peer. The first time several are asked, since one that hangs would hold up all writes. */
     private async exchangeOnce(): Promise<void> {
-        if (this.exchanged) {
-            const [peer] = this.pickPeers(1);
-            return peer === undefined ? undefined : this.exchangeWith(peer);
-        }
+        if (!this.exchanged) return this.exchangeFirst();
+        const [peer] = this.pickPeers(1);
+        if (peer !== undefined) await this.exchangeWith(peer);
+    }
+
+    /** Asks several peers; ends with the first answer, or once all have failed. */
+    private async exchangeFirst(): Promise<void> {
         const exchanges = this.pickPeers(FIRST_EXCHANGE_PEERS).map(peer => this.exchangeWith(peer));
         const confirmed = new Promise<void>(resolve => {
             for (const exchange of exchanges) void exchange.then(() => this.exchanged && resolve());
--- a/test/coordination/record-store.test.ts
+++ b/test/coordination/record-store.test.ts
@@ -17,6 +17,8 @@
     /** Members that are suspended: calls to them get no answer. */
     readonly hanging = new Set<string>();
     readonly accepted: { version: number; editId: string; }[] = [];
+    /** The list of hosts names the members. */
+    listsPeers = true;
     private started = 0;
     private edits = 0;
 
@@ -59,6 +61,7 @@
     }
 
     private peersOf(processId: string): RecordPeer[] {
+        if (!this.listsPeers) return [];
         return [...this.members].filter(([id]) => id !== processId).map(([id, records]) => ({
             processId: toId<ProcessId>(id),
             exchange: async request =>
@@ -128,6 +131,21 @@
         }
     });
 
+    // Guards edits in the pause between two rounds of first exchanges: the peers had just become known, and the edit was
+    // refused although each of them would have answered ("reaches a process that was suspended", 1 of 5 runs).
+    it("writes although no exchange has begun since its peers became known", async () => {
+        const group = new Group();
+        for (let count = 0; count < 3; count += 1) group.start();
+        await vi.advanceTimersByTimeAsync(500);
+        group.listsPeers = false;
+        const fresh = group.start();
+        await vi.advanceTimersByTimeAsync(10);
+        group.listsPeers = true;
+        await group.edit(fresh);
+        expect(group.accepted).toHaveLength(1);
+        await Promise.all([...group.members.keys()].map(id => group.stop(id)));
+    });
+
     async function run(group: Group, steps: readonly Step[]): Promise<void> {
         let snapshot = group.service.snapshot();
         for (const current of steps) {
