test(failures): wait for both grants before both replicas are used

Cause of 'execution_started of lowered at engine-1 did not happen within 25000 ms': the test before kills the router that holds the placement duty, and drains an agent. Until the duty's lease of 10 s has ended nobody plans, and the model has one grant in place of two; the setup then refused the only holder.

--- a/test/failures/replicas.test.ts
+++ b/test/failures/replicas.test.ts
@@ -131,6 +131,8 @@
 
 /** Runs long requests at both engines: a router that can't reach the first holder uses the second. */
 async function useBoth(model: string): Promise<Promise<Answer>[]> {
+    // A drain before this takes one grant away, and it comes back only once some router plans again.
+    await waitForHolders(cluster, model, ENGINES);
     const [first = ""] = await grantHolders(cluster, model);
     const link = { from: "router-1", to: first.replace("engine", "agent") };
     await cluster.fault(link, { mode: "refuse" });
