fix(gateway): refuse a stream that can't begin while its caller waits

Cause: callers leave a stream without a first event after 2 s to 12 s, by the route's target and pause, long before their deadline. For a model whose only copy lies on a busy engine the planner gave no time at all, and times did not age at the gateways. Tests fail without it.

--- a/packages/gateway/src/runtime/placement-planner.ts
+++ b/packages/gateway/src/runtime/placement-planner.ts
@@ -273,17 +273,18 @@
             etas.set(job.load, remainingMs + LOAD_OVERHEAD_MS);
             if (job.origin === "store") storeEndsMs.push(remainingMs);
         }
-        const isKept = (modelId: ModelId): boolean =>
-            engines.some(engine =>
-                engine.open
-                && (engine.onDisk.has(modelId) || engine.inMemory.has(modelId)
-                    || engine.resident.some(copy => copy.modelId === modelId))
-            );
+        const isResident = (modelId: ModelId): boolean =>
+            engines.some(engine => engine.open && engine.resident.some(copy => copy.modelId === modelId));
         const queued = models.filter(model =>
-            model.waitingCount > 0 && !etas.has(model.modelId) && !isKept(model.modelId)
+            model.waitingCount > 0 && !etas.has(model.modelId) && !isResident(model.modelId)
         )
             .sort((a, b) => b.oldestWaitMs - a.oldestWaitMs);
         for (const model of queued) {
+            const localMs = this.localEtaMs(engines, model, now);
+            if (localMs !== undefined) {
+                etas.set(model.modelId, localMs + LOAD_OVERHEAD_MS);
+                continue;
+            }
             storeEndsMs.sort((a, b) => a - b);
             const isFree = storeEndsMs.length < this.options.maxStoreLoadCount;
             const startMs = isFree ? 0 : storeEndsMs.shift()!;
@@ -293,6 +294,20 @@
         return [...etas].map(([modelId, readyInMs]) => ({ modelId, readyInMs: Math.round(readyInMs) }));
     }
 
+    /** Time until an engine that keeps a copy of the model can have loaded it; undefined when none keeps one. */
+    private localEtaMs(engines: readonly PlannedEngine[], model: PlannedModel, now: number): number | undefined {
+        const known = this.demand.engines(now);
+        const timesMs = engines.flatMap(engine => {
+            const isInMemory = engine.inMemory.has(model.modelId);
+            if (!engine.open || !isInMemory && !engine.onDisk.has(model.modelId)) return [];
+            const job = known.get(engine.serverId)?.state.job;
+            const elapsedMs = now - (this.jobs.get(engine.serverId)?.sinceMs ?? now);
+            const busyMs = job === undefined ? 0 : Math.max(0, job.expectedMs - elapsedMs);
+            return [busyMs + (isInMemory ? model.memoryLoadMs : model.diskLoadMs)];
+        });
+        return timesMs.length === 0 ? undefined : Math.min(...timesMs);
+    }
+
     /** Gives each engine whose placement changed a new version, and tells the listeners. */
     private noteChanges(now: number): void {
         const known = this.demand.engines(now);
--- a/packages/gateway/src/runtime/request-task.ts
+++ b/packages/gateway/src/runtime/request-task.ts
@@ -231,7 +231,8 @@
         // A server that turned the request away may have room again.
         this.rejectedBy.clear();
         const etaMs = modelId === undefined ? undefined : this.context.directory.etaMs(modelId);
-        const isPromised = etaMs !== undefined && etaMs < this.remainingMs() - MIN_ATTEMPT_MS;
+        const patienceLeftMs = this.isResuming ? this.remainingMs() : this.timing.firstByteUntilMs - now;
+        const isPromised = etaMs !== undefined && etaMs < patienceLeftMs - MIN_ATTEMPT_MS;
         if (etaMs !== undefined && !isPromised) return this.giveUp("model_not_in_time");
         if (!isPromised && now >= this.timing.waitUntilMs && !this.isResuming) return this.giveUp("no_server");
         clearTimeout(this.waitTimer);
--- a/packages/gateway/src/runtime/request-timing.ts
+++ b/packages/gateway/src/runtime/request-timing.ts
@@ -7,7 +7,7 @@
 export const MIN_ATTEMPT_MS = 20;
 /** Interval at which a waiting request looks for a server again, beside changes of the directory. */
 export const WAIT_CHECK_MS = 100;
-/** Share of its time that a request may wait while no planner is known. */
+/** Share of its caller's patience that a request may wait while the planner promises nothing. */
 const UNKNOWN_WAIT_SHARE = 0.6;
 /** Share of its target latency that a request of a plain service waits for a server. */
 const PLAIN_WAIT_SHARE = 0.5;
@@ -23,6 +23,8 @@
 export interface RequestTiming {
     readonly startedAtMs: number;
     readonly deadlineAtMs: number;
+    /** Time until which the caller waits for a first byte. */
+    readonly firstByteUntilMs: number;
     /** Latest time to wait for a server that the planner does not promise. */
     readonly waitUntilMs: number;
     /** Silence before the first event or answer after which a repeatable attempt is given up. */
@@ -39,13 +41,15 @@
 export function timeRequest(route: Route, request: CallerRequest, startedAtMs: number): RequestTiming {
     const limitMs = Math.min(route.timeoutMs, request.deadlineMs ?? route.timeoutMs);
     const isPlain = route.kind !== "streaming";
-    const waitMs = isPlain ? PLAIN_WAIT_SHARE * route.targetLatencyMs : UNKNOWN_WAIT_SHARE * limitMs;
+    const firstByteMs = Math.min(limitMs, route.callerPatienceMs ?? limitMs);
+    const waitMs = isPlain ? PLAIN_WAIT_SHARE * route.targetLatencyMs : UNKNOWN_WAIT_SHARE * firstByteMs;
     const firstSilenceMs = isPlain
         ? PLAIN_SILENCE_SHARE * limitMs
         : Math.max(MIN_FIRST_EVENT_MS, FIRST_EVENT_TARGETS * route.targetLatencyMs);
     return {
         startedAtMs,
         deadlineAtMs: startedAtMs + limitMs,
+        firstByteUntilMs: startedAtMs + firstByteMs,
         waitUntilMs: startedAtMs + Math.min(waitMs, limitMs),
         firstSilenceMs,
         pauseMs: MAX_PAUSE_MS,
--- a/packages/gateway/src/runtime/server-directory.ts
+++ b/packages/gateway/src/runtime/server-directory.ts
@@ -102,7 +102,8 @@
 
     /** Expected time until the model can serve; undefined when nobody knows. */
     etaMs(modelId: ModelId): number | undefined {
-        return this.placement?.etas.find(eta => eta.modelId === modelId)?.readyInMs;
+        const readyInMs = this.placement?.etas.find(eta => eta.modelId === modelId)?.readyInMs;
+        return readyInMs === undefined ? undefined : Math.max(0, readyInMs - (nowMs() - this.placementAtMs));
     }
 
     get hasPlacement(): boolean {
--- a/packages/gateway/src/types/catalog.ts
+++ b/packages/gateway/src/types/catalog.ts
@@ -20,6 +20,8 @@
     /** Longest time that a request may stay unanswered. */
     readonly timeoutMs: number;
     readonly targetLatencyMs: number;
+    /** Silence after which callers leave a stream, also before its first event; left out for other answers. */
+    readonly callerPatienceMs: number | undefined;
     /** 0 is the most urgent. */
     readonly priority: number;
     /** Largest number of backend servers to which one request may be sent. */
--- /dev/null
+++ b/test/gateway/placement-planner.test.ts
@@ -0,0 +1,120 @@
+import { silentLogger } from "@skylarkmill/coordination";
+import {
+    type Catalog,
+    type DemandMessage,
+    type EngineState,
+    type ModelSpec,
+    PlacementPlanner,
+    ServerDirectory,
+    type ServerRecord,
+} from "@skylarkmill/gateway";
+import { FixedModels } from "@skylarkmill/policy";
+import { type DataCentre, type ModelId, type ServerId, type ServiceId, toId } from "@skylarkmill/protocol";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+
+const SERVICE = toId<ServiceId>("assistant");
+const WANTED = toId<ModelId>("wanted");
+const OTHER = toId<ModelId>("other");
+/** Time that a load takes beside the engine's own, as the planner counts it. */
+const OVERHEAD_MS = 250;
+/** The plan is made within this time of a demand. */
+const PLAN_DELAY_MS = 1;
+
+const model = (modelId: ModelId): ModelSpec => ({
+    modelId,
+    sizeMb: 40,
+    adapterSizeMb: 0,
+    adapterIds: [],
+    storeLoadMs: 6_000,
+    diskLoadMs: 600,
+    memoryLoadMs: 400,
+});
+
+const catalog: Catalog = {
+    version: 1,
+    routes: [],
+    services: new Map([[SERVICE, {
+        serviceId: SERVICE,
+        maxConnections: 10,
+        engine: {
+            slotCount: 8,
+            memoryMb: 50,
+            maxAdapters: 0,
+            storeLoadsPerSecond: 1,
+            models: new Map([WANTED, OTHER].map(modelId => [modelId, model(modelId)])),
+        },
+    }]]),
+    limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+};
+
+const record: ServerRecord = {
+    serverId: toId<ServerId>("e1"),
+    serviceId: SERVICE,
+    address: { host: "127.0.0.1", port: 1 },
+    dataCentre: toId<DataCentre>("dc-1"),
+    draining: false,
+    bornAtMs: 1,
+    slotCount: 8,
+    sequence: 0,
+    models: [],
+    onDisk: [],
+    inMemory: [],
+};
+
+// Guards requests for a model whose only copy lies on an engine that is busy: the planner gave no time for it, and
+// they were held until their callers left (scale-1 of ccrma-works).
+describe("the expected time of a model that requests wait for", () => {
+    beforeEach(() => void vi.useFakeTimers());
+    afterEach(() => void vi.useRealTimers());
+
+    const storeLoad = { load: OTHER, unload: undefined, origin: "store", expectedMs: 6_000 } as const;
+    it.each([
+        { name: "a copy on disk of an idle engine", onDisk: [WANTED], inMemory: [], job: undefined, etaMs: 600 },
+        { name: "a copy in memory", onDisk: [WANTED], inMemory: [WANTED], job: undefined, etaMs: 400 },
+        {
+            name: "a copy on an engine that loads another",
+            onDisk: [WANTED],
+            inMemory: [],
+            job: storeLoad,
+            etaMs: 6_600,
+        },
+        { name: "no copy", onDisk: [], inMemory: [], job: undefined, etaMs: 6_000 },
+    ])("counts $name", async ({ onDisk, inMemory, job, etaMs }) => {
+        const directory = new ServerDirectory(silentLogger);
+        directory.put({ ...record, onDisk, inMemory });
+        const state: EngineState = {
+            serverId: record.serverId,
+            bornAtMs: 1,
+            idle: job === undefined,
+            models: [],
+            onDisk,
+            inMemory,
+            job,
+            coming: [],
+        };
+        const demand: DemandMessage = {
+            gateway: "g1",
+            address: "127.0.0.1:1",
+            waiting: [{ modelId: WANTED, adapterId: undefined, count: 1, oldestWaitMs: 10 }],
+            running: [],
+            arrivals: [],
+            engines: [state],
+        };
+        const planner = new PlacementPlanner({
+            directory,
+            policy: new FixedModels(),
+            logger: silentLogger,
+            maxStoreLoadCount: 4,
+            catalog: () => catalog,
+            term: () => 1,
+            ownDemand: () => demand,
+            send: () => undefined,
+        });
+        planner.receive(demand);
+        await vi.advanceTimersByTimeAsync(PLAN_DELAY_MS);
+        const eta = planner.state().etas.find(known => known.modelId === WANTED);
+        const elapsedMs = job === undefined ? 0 : PLAN_DELAY_MS;
+        expect(eta?.readyInMs).toBe(etaMs + OVERHEAD_MS - elapsedMs);
+        planner.stop();
+    });
+});
