--- a/packages/gateway/src/runtime/engine-worker.ts
+++ b/packages/gateway/src/runtime/engine-worker.ts
@@ -19,6 +19,8 @@
 const UNLOAD_LIMIT_MS = 4_000;
 /** Expected time of an adapter's load; the weight store delivers one in 5 to 10 ms. */
 const ADAPTER_LOAD_MS = 10;
+/** An order without an answer is sent again this often; the sequence it expects keeps it from taking effect twice. */
+const MAX_LOST_REPEATS = 2;
 /** Time for which an engine that can't be reached gets no orders. */
 const UNREACHABLE_MS = 1_000;
 /** An engine takes this many adapters at a time. */
@@ -259,12 +261,12 @@
         adapterId: AdapterId | undefined,
         isRepeat: boolean,
     ): Promise<OrderOutcome | "no_right"> {
-        const { token, engines, holder, onOrder, onFenced } = this.options;
+        const { token, holder, onOrder, onFenced } = this.options;
         const fencingToken = token();
         if (this.isStopped || fencingToken === undefined) return "no_right";
         const expectedSequence = this.sequence;
         const order = { kind, modelId, adapterId, expectedSequence, holder, fencingToken };
-        const outcome = await engines.order(this.record, order);
+        const outcome = await this.sendUntilAnswered(order);
         onOrder(adapterId === undefined ? kind : `${kind}_adapter`, outcome);
         this.options.logger.debug({
             step: "engine.order",
@@ -281,6 +283,19 @@
         return outcome;
     }
 
+    /** Sends an order again while no answer comes, as long as this host may order. */
+    private async sendUntilAnswered(order: EngineOrder): Promise<OrderOutcome> {
+        const { engines, token } = this.options;
+        let outcome = await engines.order(this.record, order);
+        for (let repeat = 0; repeat < MAX_LOST_REPEATS && outcome === "unknown"; repeat += 1) {
+            if (this.isStopped || token() !== order.fencingToken) return outcome;
+            outcome = await engines.order(this.record, order);
+            // Either the lost one took effect, or another order is in progress; only the engine's state tells.
+            if (outcome === "stale") return "superseded";
+        }
+        return outcome;
+    }
+
     /** Settles once for all orders that failed at the same time. */
     private settleOnce(): Promise<void> {
         this.settling ??= this.settle().finally(() => {
--- a/packages/gateway/src/types/engine.ts
+++ b/packages/gateway/src/types/engine.ts
@@ -58,8 +58,19 @@
     readonly fencingToken: number;
 }
 
-/** `stale`: another sequence or another order in progress. `fenced`: a higher fencing token was used before. */
-export type OrderOutcome = "accepted" | "already_held" | "stale" | "fenced" | "gone" | "invalid" | "unknown";
+/**
+ * `stale`: another sequence or another order in progress. `fenced`: a higher fencing token was used before.
+ * `superseded`: stale when it was sent once more after a lost answer, so that it may have taken effect the first time.
+ */
+export type OrderOutcome =
+    | "accepted"
+    | "already_held"
+    | "stale"
+    | "superseded"
+    | "fenced"
+    | "gone"
+    | "invalid"
+    | "unknown";
 
 /** A caller's request as the gateway handles it, free of the platform's names. */
 export interface CallerRequest {
