feat(policy): relieve engines on which busy models crowd each other

Cause: further copies were made only in place of spare ones, and there are none where more models are asked for than engines hold. Change: a busy model gets a further copy on an emptier engine when that keeps more requests from long pauses than the removed copy's model is asked for, a cold start counted as four of them; from the weight store only one at a time and for many requests. Models on engines that are out of reach for a moment are not fetched again at once.

--- a/packages/policy/src/engine-models/demand-models.ts
+++ b/packages/policy/src/engine-models/demand-models.ts
@@ -27,6 +27,16 @@
 const FURTHER_COPY_FACTOR = 5;
 /** Time for which a waiting model is only loaded from copies on engines; a load from disk takes about 0.6 s. */
 const LOCAL_PATIENCE_MS = 2_000;
+/** Share of requests that each request in progress beside them on their engine delays by a long pause. */
+const CROWDING_SHARE = 0.012;
+/** Crowded requests that weigh as much as one that meets no copy of its model. */
+const CROWDED_PER_COLD_START = 4;
+/** Requests per second that a further copy must relieve. */
+const MIN_RELIEF_PER_SECOND = 0.1;
+/** The same for a copy from the weight store, which keeps an engine busy for seconds. */
+const STORE_RELIEF_PER_SECOND = 1;
+/** Cost of each request in progress on an engine that would get a further copy. */
+const CROWDED_MS = 30;
 /** Share of adapter requests whose adapter is not loaded yet. */
 const ADAPTER_MISS_SHARE = 0.3;
 
@@ -77,12 +87,12 @@
         for (const model of scarce) {
             const copies = this.copiesOf(model.modelId);
             if (copies === 0 && model.waitingCount > 0) this.place(model, "waiting");
-            else if (copies > 0 && copies < wantedCopies(model, this.input)) this.place(model, "scale_out");
+            else if (copies > 0 && this.needsFurtherCopy(model)) this.place(model, "scale_out");
         }
         if (!this.input.allowsPrefetch) return this.orders;
         for (const model of scarce) {
             if (this.storeLoadCount >= this.input.maxStoreLoadCount) break;
-            if (!this.isAnywhere(model.modelId)) this.place(model, "prefetch");
+            if (this.copiesOf(model.modelId) === 0 && !this.isKept(model.modelId)) this.place(model, "prefetch");
         }
         return this.orders;
     }
@@ -118,20 +128,28 @@
         const origin = originOf(engine, model);
         const usedMb = engine.resident.reduce((sum, copy) => sum + copy.sizeMb, engine.adapterMemoryMb);
         const fits = usedMb + model.sizeMb <= engine.memoryMb;
-        if (origin === "store" && !this.mayUseStore(model, reason, fits)) return undefined;
+        if (origin === "store" && !this.mayUseStore(engine, model, reason, fits)) return undefined;
         const victim = fits ? undefined : this.victim(engine, model, usedMb, reason);
         if (!fits && victim === undefined) return undefined;
         const costMs = loadMs(origin, model) + (victim === undefined ? 0 : UNLOAD_MS + this.missedMs(engine, victim))
-            + spreadMs(engine) + this.blockedMs(engine, loadMs(origin, model));
+            + spreadMs(engine) + this.blockedMs(engine, loadMs(origin, model)) + CROWDED_MS * activeCountOf(engine);
         return { engine, victim, origin, costMs };
     }
 
     /** A local copy on an engine that is busy for a moment is still nearer than the weight store. */
-    private mayUseStore(model: PlannedModel, reason: EngineModelOrder["reason"], fits: boolean): boolean {
+    private mayUseStore(
+        engine: PlannedEngine,
+        model: PlannedModel,
+        reason: EngineModelOrder["reason"],
+        fits: boolean,
+    ): boolean {
         if (this.storeLoadCount >= this.input.maxStoreLoadCount) return false;
-        // A further copy is worth six seconds of an engine only where it takes nothing's place.
-        if (reason === "scale_out") return fits && this.copiesOf(model.modelId) < BUSY_COPY_COUNT;
-        return model.oldestWaitMs >= LOCAL_PATIENCE_MS || !this.isAnywhere(model.modelId);
+        // A further copy is worth seconds of an engine only where it takes nothing's place, or relieves many requests.
+        if (reason === "scale_out") {
+            return fits && this.copiesOf(model.modelId) < BUSY_COPY_COUNT
+                || this.storeLoadCount === 0 && this.reliefPerSecond(model, engine) >= STORE_RELIEF_PER_SECOND;
+        }
+        return model.oldestWaitMs >= LOCAL_PATIENCE_MS || !this.isKept(model.modelId);
     }
 
     /** Expected wait of adapters that can't be loaded while the engine is busy with a model. */
@@ -153,18 +171,28 @@
         const removable = engine.resident.filter(copy =>
             copy.activeCount === 0
             && usedMb - copy.sizeMb + model.sizeMb <= engine.memoryMb
-            && this.mayRemove(copy, reason)
+            && this.mayRemove(engine, copy, model, reason)
         );
         return removable.sort((a, b) => this.missedMs(engine, a) - this.missedMs(engine, b))[0];
     }
 
-    private mayRemove(copy: ResidentCopy, reason: EngineModelOrder["reason"]): boolean {
+    private mayRemove(
+        engine: PlannedEngine,
+        copy: ResidentCopy,
+        wanted: PlannedModel,
+        reason: EngineModelOrder["reason"],
+    ): boolean {
         const model = this.models.get(copy.modelId);
         if (model === undefined) return true;
         const remaining = this.copiesOf(copy.modelId) - 1;
         if (model.waitingCount > 0 && remaining === 0) return false;
         if (reason === "waiting") return true;
         if (remaining >= Math.max(1, wantedCopies(model, this.input))) return true;
+        if (reason === "scale_out") {
+            const share = remaining > 0 ? OTHER_COPY_SHARE : 1;
+            const missedPerSecond = share * model.ratePerSecond * CROWDED_PER_COLD_START;
+            return this.reliefPerSecond(wanted, engine) > Math.max(MIN_RELIEF_PER_SECOND, missedPerSecond);
+        }
         return reason === "prefetch" && copy.idleMs >= SPARE_IDLE_MS && model.ratePerSecond < BUSY_RATE_PER_SECOND;
     }
 
@@ -179,6 +207,24 @@
         return share * model.ratePerSecond * reloadMs + share * RECENT_USE_MS / (1 + copy.idleMs / 1_000);
     }
 
+    /** A busy model lacks its second copy, or its requests are crowded wherever they go. */
+    private needsFurtherCopy(model: PlannedModel): boolean {
+        return this.copiesOf(model.modelId) < wantedCopies(model, this.input)
+            || this.reliefPerSecond(model) > MIN_RELIEF_PER_SECOND;
+    }
+
+    /** Requests per second that a copy on `target` would keep from a long pause; on an empty engine without it. */
+    private reliefPerSecond(model: PlannedModel, target?: PlannedEngine): number {
+        const holders = this.input.engines.filter(engine =>
+            engine.open && engine.resident.some(copy => copy.modelId === model.modelId)
+        );
+        // A copy that is on its way has not drawn its share of the requests yet.
+        if (holders.length === 0 || this.copiesOf(model.modelId) > holders.length) return 0;
+        const here = Math.min(...holders.map(activeCountOf));
+        const there = target === undefined ? 0 : activeCountOf(target);
+        return Math.max(0, CROWDING_SHARE * model.ratePerSecond * (here - there) / 2);
+    }
+
     private isKeptElsewhere(engine: PlannedEngine, modelId: ModelId): boolean {
         if (engine.onDisk.has(modelId) || engine.inMemory.has(modelId)) return true;
         return this.input.engines.some(other =>
@@ -193,6 +239,12 @@
         );
     }
 
+    /** Some engine keeps a copy, though it may be out of reach for a moment. */
+    private isKept(modelId: ModelId): boolean {
+        return this.isAnywhere(modelId)
+            || this.input.engines.some(engine => engine.onDisk.has(modelId) || engine.inMemory.has(modelId));
+    }
+
     private copiesOf(modelId: ModelId): number {
         return this.copies.get(modelId) ?? 0;
     }
@@ -207,6 +259,10 @@
     return Math.max(model.ratePerSecond >= BUSY_RATE_PER_SECOND ? BUSY_COPY_COUNT : 0, forLoad);
 }
 
+function activeCountOf(engine: PlannedEngine): number {
+    return engine.resident.reduce((sum, copy) => sum + copy.activeCount, 0);
+}
+
 function originOf(engine: PlannedEngine, model: PlannedModel): Origin {
     if (engine.inMemory.has(model.modelId)) return "memory";
     return engine.onDisk.has(model.modelId) ? "disk" : "store";
--- a/test/policy/engine-models.test.ts
+++ b/test/policy/engine-models.test.ts
@@ -27,6 +27,8 @@
 interface EngineChanges {
     readonly holds?: readonly string[];
     readonly active?: readonly string[];
+    /** Requests in progress for each active model. @default 1 */
+    readonly activeCount?: number;
     readonly onDisk?: readonly string[];
     readonly inMemory?: readonly string[];
     readonly idle?: boolean;
@@ -45,7 +47,7 @@
     resident: (changes.holds ?? []).map(name => ({
         modelId: toId<ModelId>(name),
         sizeMb: 40,
-        activeCount: changes.active?.includes(name) === true ? 1 : 0,
+        activeCount: changes.active?.includes(name) === true ? changes.activeCount ?? 1 : 0,
         idleMs: 5_000,
     })),
     loading: changes.loading === undefined ? undefined : toId<ModelId>(changes.loading),
@@ -173,6 +175,80 @@
         const full = engines.map(known => ({ ...known, idle: known.serverId === engines[1]!.serverId }));
         expect(new DemandModels().plan(input(full, models))).toEqual([]);
     });
+
+    // Guards engines that hold two busy models while others idle: 30 to 50 % of their streams paused too long, 10 % of
+    // those elsewhere (scale-1 of both sites). A rare model's copy is worth several crowded requests.
+    const crowded = { running: 40, rate: 8 };
+    const victims = [
+        { name: "a copy that nobody asks for", victimRate: 0, onDisk: true, load: true },
+        { name: "a copy that is rarely asked for", victimRate: 0.3, onDisk: true, load: true },
+        { name: "a copy that is asked for often", victimRate: 0.6, onDisk: true, load: false },
+        { name: "a copy from the weight store, for many requests", victimRate: 0.1, onDisk: false, load: true },
+    ];
+    it.each(victims)("$name gives way to a model with crowded requests: $load", ({ victimRate, onDisk, load }) => {
+        const engines = [
+            engine("e1", { holds: ["b1", "b2"], activeCount: crowded.running / 2, idle: false, active: ["b1", "b2"] }),
+            engine("e2", { holds: ["r1", "r2"], active: ["r2"], onDisk: onDisk ? ["b1", "r1"] : ["r1"] }),
+        ];
+        const fleet = [
+            model("b1", { ratePerSecond: crowded.rate, runningCount: crowded.running / 2 }),
+            model("b2", { ratePerSecond: 0, runningCount: crowded.running / 2 }),
+            model("r1", { ratePerSecond: victimRate }),
+            model("r2"),
+        ];
+        const orders = new DemandModels().plan(input(engines, fleet));
+        const origin = onDisk ? "disk" : "store";
+        const expected = { serverId: "e2", load: "b1", unload: "r1", origin, reason: "scale_out" };
+        expect(orders).toMatchObject(load ? [expected] : []);
+    });
+
+    it.each([
+        { name: "few requests run beside them", running: 2, rate: 8 },
+        { name: "few requests ask for them", running: 40, rate: 0.3 },
+    ])("take no other model's last copy while $name", ({ running, rate }) => {
+        const engines = [
+            engine("e1", { holds: ["b1", "b2"], activeCount: running / 2, idle: false, active: ["b1", "b2"] }),
+            engine("e2", { holds: ["r1", "r2"], active: ["r2"], onDisk: ["b1", "r1"] }),
+        ];
+        const fleet = [
+            model("b1", { ratePerSecond: rate, runningCount: 1 }),
+            model("b2"),
+            model("r1", { ratePerSecond: 0.2 }),
+            model("r2"),
+        ];
+        expect(new DemandModels().plan(input(engines, fleet))).toEqual([]);
+    });
+
+    it("get their further copy on the engine with the fewest requests", () => {
+        const engines = [
+            engine("e1", { holds: ["b1", "b2"], activeCount: 20, idle: false, active: ["b1", "b2"] }),
+            engine("e2", { holds: ["r1", "r2"], active: ["r2"], activeCount: 15, onDisk: ["b1", "r1"] }),
+            engine("e3", { holds: ["r3", "r4"], active: ["r4"], onDisk: ["b1", "r3"] }),
+        ];
+        const fleet = [
+            model("b1", { ratePerSecond: 8, runningCount: 20 }),
+            ...["b2", "r1", "r2", "r3", "r4"].map(id => model(id)),
+        ];
+        expect(new DemandModels().plan(input(engines, fleet))).toMatchObject([{ serverId: "e3", load: "b1" }]);
+    });
+});
+
+describe("models whose engines are out of reach for a moment", () => {
+    const lost = engine("e1", { onDisk: ["m1"], open: false, idle: false });
+    it.each([
+        { name: "are not fetched again ahead of demand", wait: {}, orders: [] },
+        { name: "are not fetched again at once", wait: { waitingCount: 1, oldestWaitMs: 500 }, orders: [] },
+        {
+            name: "are fetched again after two seconds",
+            wait: { waitingCount: 1, oldestWaitMs: 2_000 },
+            orders: [{ serverId: "e2", load: "m1", origin: "store" }],
+        },
+    ])("$name", ({ wait, orders }) => {
+        const plan = new DemandModels().plan(
+            input([lost, engine("e2")], [model("m1", wait)], { allowsPrefetch: true }),
+        );
+        expect(plan).toMatchObject(orders);
+    });
 });
 
 describe("prefetches", () => {
