fix(gateway): leave a silent server only for another one, and ask a sole holder again

Change: silence leads to another server only where one can take the request now and the budget allows it; otherwise the attempt goes on and is looked at every 0.2 s. A repeatable request whose only holder broke off asks it once more, within max_attempts. What may have run is counted by attempt, so a later 'not run' of the same server can't make a refusal untrue. Three cases of the new test fail without it (502, or a stream cut).

--- a/packages/gateway/src/runtime/attempt.ts
+++ b/packages/gateway/src/runtime/attempt.ts
@@ -16,6 +16,8 @@
     onAnswer(attempt: Attempt, head: AnswerHead, body: Buffer): void;
     /** The server states that it did not run the request. */
     onNotRun(attempt: Attempt, head: AnswerHead): void;
+    /** Nothing arrived for the time watched; the attempt goes on unless the owner gives it up. */
+    onSilent(attempt: Attempt): void;
     /** The attempt brought no usable answer; `wasSent` says whether it may have run. */
     onLost(attempt: Attempt, cause: string, wasSent: boolean): void;
 }
@@ -50,11 +52,16 @@
         else this.exchange = exchange;
     }
 
-    /** Gives the attempt up as lost when nothing arrives for `limitMs`. */
+    /** Tells the owner when nothing arrives for `limitMs`. */
     watchSilence(limitMs: number): void {
         clearTimeout(this.silenceTimer);
         if (this.isOver) return;
-        this.silenceTimer = setTimeout(() => this.lose("silent", true), limitMs);
+        this.silenceTimer = setTimeout(() => this.owner.onSilent(this), limitMs);
+    }
+
+    /** Gives a silent attempt up; it may have run. */
+    giveUp(): void {
+        this.lose("silent", true);
     }
 
     cancel(): void {
--- a/packages/gateway/src/runtime/repeat-budget.ts
+++ b/packages/gateway/src/runtime/repeat-budget.ts
@@ -26,13 +26,18 @@
 
     /** Takes one repeat; false when the window's share is used up. */
     tryTake(now: number, gatewayCount: number): boolean {
+        if (!this.mayTake(now, gatewayCount)) return false;
+        add(this.repeats, now);
+        return true;
+    }
+
+    /** Whether one more repeat stays within the window's share. */
+    mayTake(now: number, gatewayCount: number): boolean {
         const { ratio, slack, windowMs } = this.options;
         const requestCount = sum(this.requests, now - windowMs);
         const repeatCount = sum(this.repeats, now - windowMs);
         const ownSlack = slack / Math.max(MIN_GATEWAY_COUNT, gatewayCount);
-        if (repeatCount + 1 > USED_SHARE * (ratio * requestCount + ownSlack)) return false;
-        add(this.repeats, now);
-        return true;
+        return repeatCount + 1 <= USED_SHARE * (ratio * requestCount + ownSlack);
     }
 }
 
--- a/packages/gateway/src/runtime/request-task.ts
+++ b/packages/gateway/src/runtime/request-task.ts
@@ -24,6 +24,8 @@
 /** Longest part of the remaining time that a refused caller is asked to wait; callers honour a third. */
 const RETRY_AFTER_SHARE = 0.3;
 const MIN_RETRY_AFTER_MS = 100;
+/** Interval at which a request at a silent server looks for another one. */
+const SILENCE_CHECK_MS = 200;
 
 export type RequestEnd = "answered" | "refused" | "broken" | "caller_gone";
 
@@ -34,8 +36,8 @@
     private readonly timing: RequestTiming;
     private readonly isRepeatable: boolean;
     private attempt: Attempt | undefined;
-    /** Servers where the request may have run. */
-    private readonly ranAt = new Set<ServerId>();
+    /** Servers where the request may have run, with the number of such attempts. */
+    private readonly ranAt = new Map<ServerId, number>();
     private readonly rejectedBy = new Set<ServerId>();
     private rejectedCount = 0;
     private sendCount = 0;
@@ -139,7 +141,7 @@
     onNotRun(attempt: Attempt, head: AnswerHead): void {
         const { modelId, adapterId } = this.request;
         const now = nowMs();
-        this.ranAt.delete(attempt.server.record.serverId);
+        this.forgetRun(attempt);
         this.context.metrics.failures.inc({ cause: `not_run_${head.status}` });
         if (head.status === 421 && modelId !== undefined) attempt.server.recordAbsent(modelId, adapterId, now);
         else attempt.server.recordFull(now);
@@ -150,7 +152,7 @@
     onLost(attempt: Attempt, cause: string, wasSent: boolean): void {
         this.context.metrics.failures.inc({ cause: wasSent ? "lost" : "unreachable" });
         if (!wasSent) {
-            this.ranAt.delete(attempt.server.record.serverId);
+            this.forgetRun(attempt);
             return this.reject(attempt, cause);
         }
         if (this.tryRepeat(attempt, cause)) return;
@@ -159,13 +161,38 @@
         this.refuse(refusals.lost());
     }
 
+    /** A silent server may only be slow, so an attempt there is given up only for another server. */
+    onSilent(attempt: Attempt): void {
+        const { context, serviceId } = this;
+        const mayMove = this.mayRepeat && this.remainingMs() >= MIN_ATTEMPT_MS
+            && context.repeatBudget(serviceId).mayTake(nowMs(), context.gatewayCount())
+            && this.chooseUnused() !== undefined;
+        if (mayMove) attempt.giveUp();
+        else attempt.watchSilence(SILENCE_CHECK_MS);
+    }
+
+    private noteRun(serverId: ServerId): void {
+        this.ranAt.set(serverId, (this.ranAt.get(serverId) ?? 0) + 1);
+    }
+
+    private forgetRun({ server: { record: { serverId } } }: Attempt): void {
+        const count = (this.ranAt.get(serverId) ?? 0) - 1;
+        if (count > 0) this.ranAt.set(serverId, count);
+        else this.ranAt.delete(serverId);
+    }
+
+    /** Attempts that may have run. */
+    private get ranCount(): number {
+        return [...this.ranAt.values()].reduce((sum, count) => sum + count, 0);
+    }
+
     private remainingMs(): number {
         return this.timing.deadlineAtMs - nowMs();
     }
 
     /** Another attempt is allowed after one that may have run. */
     private get mayRepeat(): boolean {
-        return this.isRepeatable && this.ranAt.size < this.route.maxAttempts;
+        return this.isRepeatable && this.ranCount < this.route.maxAttempts;
     }
 
     private get isResuming(): boolean {
@@ -180,7 +207,17 @@
         this.send(server);
     }
 
+    /** A server that has not had the request yet, or else one that had, since its failure may not last. */
     private choose(): ServerState | undefined {
+        return this.chooseUnused() ?? (this.ranAt.size > 0 ? this.chooseAmong(this.ranAt) : undefined);
+    }
+
+    private chooseUnused(): ServerState | undefined {
+        return this.chooseAmong(undefined);
+    }
+
+    /** The best server that may be asked: one of `allowed`, or one where the request can't have run. */
+    private chooseAmong(allowed: ReadonlyMap<ServerId, number> | undefined): ServerState | undefined {
         const { directory, dataCentre } = this.context;
         const { modelId, adapterId } = this.request;
         const now = nowMs();
@@ -188,7 +225,7 @@
             ? directory.open(this.serviceId)
             : directory.holders(this.serviceId, modelId, adapterId);
         const usable = candidates.filter(({ record: { serverId } }) =>
-            !this.rejectedBy.has(serverId) && !this.ranAt.has(serverId)
+            !this.rejectedBy.has(serverId) && (allowed?.has(serverId) ?? !this.ranAt.has(serverId))
         );
         const [best] = rankServers(usable, dataCentre, now);
         return best === undefined || best.isSuspect(now) || best.isFull(now) ? undefined : best;
@@ -212,7 +249,7 @@
             weightVersion: this.isResuming ? this.firstHead?.weightVersion : undefined,
         };
         this.step("SEND");
-        this.ranAt.add(server.record.serverId);
+        this.noteRun(server.record.serverId);
         const attempt = new Attempt(server, call, route.kind === "streaming", this);
         this.attempt = attempt;
         attempt.start(context.engines);
--- a/test/platform/path.test.ts
+++ b/test/platform/path.test.ts
@@ -178,6 +178,28 @@
     });
 });
 
+// Guards requests at the only server that has their model: those that were silent for 0.7 s were given up, waited for
+// another server in vain and were answered 502 (287 tries of scale-1 of depot-bl).
+describe("a server that alone has the model", () => {
+    it.each(
+        [
+            { fault: "late_start", runs: 1 },
+            { fault: "reset_before_answer", runs: 2 },
+            { fault: "cut_stream", runs: 2 },
+        ] as const,
+    )("answers a resumable stream after $fault", async ({ fault, runs }) => {
+        const headers = { "x-model": "m3" };
+        expect(await fixture.call(0, "/chat/x", { headers })).toMatchObject({ status: 200 });
+        const holders = [engine1, engine2].filter(engine => engine.held.has("m3"));
+        expect(holders).toHaveLength(1);
+        holders[0]!.faults.push(fault);
+        const id = fixture.newId();
+        const answer = await fixture.call(0, "/chat/x", { headers: { ...headers, "x-attempt-id": id } });
+        expect({ status: answer.status, broken: answer.broken, text: answer.text, runs: runsOf(id) })
+            .toEqual({ status: 200, broken: false, text: events(1, 6), runs });
+    });
+});
+
 describe("callers that leave", () => {
     it("stops the work of an engine within half a second", async () => {
         failOnce([engine1, engine2], "silent");
--- a/test/platform/stand-ins/platform-server.ts
+++ b/test/platform/stand-ins/platform-server.ts
@@ -39,8 +39,12 @@
     | "second_answer"
     | "no_seal"
     | "other_id"
+    | "late_start"
     | "silent";
 
+/** Longer than a gateway waits for a first event before it looks for another server. */
+const LATE_START_MS = 1_200;
+
 export interface PlatformServerOptions {
     readonly id: string;
     readonly service: string;
@@ -221,6 +225,7 @@
         if (fault === "not_held" || !isHeld) return void response.writeHead(421, { "x-attempt-id": id }).end();
         arrival.ran = true;
         if (fault === "silent") return;
+        if (fault === "late_start") await sleep(LATE_START_MS);
         if (fault === "reset_before_answer") return void request.socket.resetAndDestroy();
         const headers: Record<string, string> = { "x-attempt-id": fault === "other_id" ? "another" : id };
         if (fault !== "no_seal") headers["x-response-seal"] = SEAL;
