--- a/test/platform/soak.test.ts
+++ b/test/platform/soak.test.ts
@@ -1,5 +1,5 @@
 import { createRandom, type RandomSource } from "@skylarkmill/policy";
-import { afterAll, beforeAll, expect, it } from "vitest";
+import { afterAll, beforeAll, describe, expect, it } from "vitest";
 import { TEST_SEED } from "../support/seed.ts";
 import { type CallResult, PlatformFixture } from "./stand-ins/fixture.ts";
 import type { PlatformServerStandIn, ServerFault } from "./stand-ins/platform-server.ts";
@@ -31,25 +31,65 @@
     readonly answer: CallResult;
 }
 
+interface Fleet {
+    readonly name: string;
+    readonly gatewayCount: number;
+    readonly engineModels: readonly (readonly string[])[];
+    readonly deskCount: number;
+    /** Servers fall silent, crash and come back, with or without their entries. */
+    readonly flaps: boolean;
+}
+
+const FLEETS: readonly Fleet[] = [
+    {
+        name: "two gateways before three engines",
+        gatewayCount: 2,
+        engineModels: [["m1", "m2"], ["m1", "m3"], ["m2"]],
+        deskCount: 2,
+        flaps: false,
+    },
+    {
+        name: "four gateways before eight engines that come and go",
+        gatewayCount: 4,
+        engineModels: [["m1", "m2"], ["m1", "m3"], ["m2"], ["m4"], ["m1"], ["m3", "m4"], ["m2", "m4"], []],
+        deskCount: 3,
+        flaps: true,
+    },
+];
+
 let fixture: PlatformFixture;
+let fleet: Fleet;
 let engines: PlatformServerStandIn[];
 let desks: PlatformServerStandIn[];
 
-beforeAll(async () => {
+async function startFleet(wanted: Fleet): Promise<void> {
+    fleet = wanted;
     fixture = await PlatformFixture.start();
     engines = [];
     desks = [];
-    for (const [id, models] of [["e1", ["m1", "m2"]], ["e2", ["m1", "m3"]], ["e3", ["m2"]]] as const) {
-        engines.push(await fixture.addServer({ id, service: "assistant", models }));
+    for (const [index, models] of fleet.engineModels.entries()) {
+        engines.push(await fixture.addServer({ id: `e${index + 1}`, service: "assistant", models }));
+    }
+    for (let count = 1; count <= fleet.deskCount; count += 1) {
+        desks.push(await fixture.addServer({ id: `d${count}`, service: "desk" }));
+    }
+    for (let index = 0; index < fleet.gatewayCount; index += 1) {
+        await fixture.addGateway(`edge-${index + 1}`);
+        for (const { id } of [...engines, ...desks]) await fixture.knows(index, id);
     }
-    for (const id of ["d1", "d2"]) desks.push(await fixture.addServer({ id, service: "desk" }));
-    for (const name of ["edge-1", "edge-2"]) await fixture.addGateway(name);
-    for (const index of [0, 1]) for (const id of ["e1", "e2", "e3", "d1", "d2"]) await fixture.knows(index, id);
-}, 20_000);
+}
 
-afterAll(async () => {
-    await fixture.close();
-});
+/** Takes a server down for a moment; its entry vanishes or stays. */
+function flap(server: PlatformServerStandIn, random: RandomSource): void {
+    if (server.trouble !== "none") return;
+    server.trouble = random.index(2) === 0 ? "resets" : "mute";
+    const isListed = random.index(2) === 0;
+    if (!isListed) fixture.store.remove(`servers/${server.id}`);
+    setTimeout(() => {
+        server.trouble = "none";
+        if (!isListed) fixture.store.put(`servers/${server.id}`, server.entry());
+    }, 300 + random.index(1_500));
+}
 
 /** Brings about one fault, or ends the lasting ones. */
 function breakSomething(random: RandomSource): void {
@@ -62,6 +102,7 @@
     if (random.index(3) > 0) fixture.store.outage = "none";
     if (random.index(12) === 0) fixture.store.compact();
     if (random.index(20) === 0) fixture.store.revoke("skylarkmill/gateways/");
+    if (fleet.flaps && random.index(3) === 0) flap(server, random);
 }
 
 async function send(random: RandomSource): Promise<Sent> {
@@ -70,7 +111,7 @@
     const model = `m${1 + random.index(4)}${random.index(4) === 0 ? `/a${1 + random.index(3)}` : ""}`;
     const needsModel = path === "/chat/x" || path === "/draft/x";
     const headers = { "x-attempt-id": id, "x-deadline-ms": "1500", ...(needsModel ? { "x-model": model } : {}) };
-    const answer = await fixture.call(random.index(2), path, {
+    const answer = await fixture.call(random.index(fleet.gatewayCount), path, {
         method: path === "/lookup/x" ? "GET" : "POST",
         headers,
     });
@@ -81,45 +122,6 @@
     return [...engines, ...desks].reduce((sum, server) => sum + server.ran(id), 0);
 }
 
-// Guards at most once, truthful refusals, whole answers, engine memory and one holder per engine under random faults.
-it("keeps the invariants under random faults", async () => {
-    const random = createRandom(TEST_SEED);
-    const calls: Promise<Sent>[] = [];
-    const endAtMs = performance.now() + SOAK_MS;
-    let nextFaultAtMs = 0;
-    while (performance.now() < endAtMs) {
-        if (performance.now() >= nextFaultAtMs) {
-            breakSomething(random);
-            nextFaultAtMs = performance.now() + FAULT_INTERVAL_MS;
-        }
-        calls.push(send(random));
-        for (const engine of engines) {
-            expect(engine.held.size, `models on ${engine.id}`).toBeLessThanOrEqual(2);
-            const adapterCount = [...engine.held.values()].reduce((sum, adapters) => sum + adapters.size, 0);
-            expect(adapterCount, `adapters on ${engine.id}`).toBeLessThanOrEqual(2);
-        }
-        await new Promise(resolve => setTimeout(resolve, REQUEST_INTERVAL_MS));
-    }
-    const sent = await Promise.all(calls);
-    const whole = Array.from({ length: EVENT_COUNT }, (_, index) => `id: ${index + 1}\ndata: piece ${index + 1}\n\n`)
-        .join("");
-    for (const { id, path, answer } of sent) {
-        const runs = runsOf(id);
-        const isRepeatable = path === "/chat/x" || path === "/lookup/x";
-        expect(runs, `runs of ${path} ${id}`).toBeLessThanOrEqual(isRepeatable ? 2 : 1);
-        if (answer.status === 503 && !isRepeatable) expect(runs, `refused ${path} ${id}`).toBe(0);
-        if (answer.status !== 200) continue;
-        if (path === "/chat/x" || path === "/draft/x") {
-            if (answer.broken) expect(whole.startsWith(answer.text), `cut ${path} ${id}`).toBe(true);
-            else expect(answer.text, `${path} ${id}`).toBe(whole);
-        }
-        else if (answer.headers["content-length"] !== undefined) expect(answer.text).toMatch(/^done by d[12]$/);
-    }
-    // Some are served, or the checks above say little.
-    expect(sent.filter(({ answer }) => answer.status === 200).length).toBeGreaterThan(sent.length / 4);
-    for (const engine of engines) checkOrders(engine);
-}, 40_000);
-
 /** Accepted orders of one engine: tokens never fall, and two hosts never take turns within the time. */
 function checkOrders(engine: PlatformServerStandIn): void {
     const accepted = engine.orders.filter(order => order.status !== 412);
@@ -132,3 +134,53 @@
         }
     }
 }
+
+// Guards at most once, truthful refusals, whole answers, engine memory and one holder per engine under random faults.
+describe.each(FLEETS)("$name", wanted => {
+    beforeAll(() => startFleet(wanted), 20_000);
+
+    afterAll(async () => {
+        await fixture.close();
+    });
+
+    it("keep the invariants under random faults", async () => {
+        const random = createRandom(TEST_SEED);
+        const calls: Promise<Sent>[] = [];
+        const endAtMs = performance.now() + SOAK_MS;
+        let nextFaultAtMs = 0;
+        while (performance.now() < endAtMs) {
+            if (performance.now() >= nextFaultAtMs) {
+                breakSomething(random);
+                nextFaultAtMs = performance.now() + FAULT_INTERVAL_MS;
+            }
+            calls.push(send(random));
+            for (const engine of engines) {
+                expect(engine.held.size, `models on ${engine.id}`).toBeLessThanOrEqual(2);
+                const adapterCount = [...engine.held.values()].reduce((sum, adapters) => sum + adapters.size, 0);
+                expect(adapterCount, `adapters on ${engine.id}`).toBeLessThanOrEqual(2);
+            }
+            await new Promise(resolve => setTimeout(resolve, REQUEST_INTERVAL_MS));
+        }
+        const sent = await Promise.all(calls);
+        const whole = Array.from(
+            { length: EVENT_COUNT },
+            (_, index) => `id: ${index + 1}\ndata: piece ${index + 1}\n\n`,
+        )
+            .join("");
+        for (const { id, path, answer } of sent) {
+            const runs = runsOf(id);
+            const isRepeatable = path === "/chat/x" || path === "/lookup/x";
+            expect(runs, `runs of ${path} ${id}`).toBeLessThanOrEqual(isRepeatable ? 2 : 1);
+            if (answer.status === 503 && !isRepeatable) expect(runs, `refused ${path} ${id}`).toBe(0);
+            if (answer.status !== 200) continue;
+            if (path === "/chat/x" || path === "/draft/x") {
+                if (answer.broken) expect(whole.startsWith(answer.text), `cut ${path} ${id}`).toBe(true);
+                else expect(answer.text, `${path} ${id}`).toBe(whole);
+            }
+            else if (answer.headers["content-length"] !== undefined) expect(answer.text).toMatch(/^done by d\d$/);
+        }
+        // Some are served, or the checks above say little.
+        expect(sent.filter(({ answer }) => answer.status === 200).length).toBeGreaterThan(sent.length / 4);
+        for (const engine of engines) checkOrders(engine);
+    }, 40_000);
+});
--- a/test/platform/stand-ins/platform-server.ts
+++ b/test/platform/stand-ins/platform-server.ts
@@ -64,6 +64,8 @@
     readonly arrivals: Arrival[] = [];
     readonly orders: OrderSeen[] = [];
     readonly faults: ServerFault[] = [];
+    /** What becomes of every call while it lasts: reset as by a crashed server, or taken and never answered. */
+    trouble: "none" | "resets" | "mute" = "none";
     /** Orders that get no answer and are carried out after this time. */
     lateOrderMs: number | undefined;
     readonly held = new Map<string, Set<string>>();
@@ -135,6 +137,8 @@
         const chunks: Buffer[] = [];
         for await (const chunk of request) chunks.push(chunk as Buffer);
         const body = Buffer.concat(chunks).toString();
+        if (this.trouble === "mute") return;
+        if (this.trouble === "resets") return void request.socket.resetAndDestroy();
         if (request.headers["x-expect-instance"] !== this.id) return void response.writeHead(421).end();
         if (request.url === "/api/report") return this.report(response);
         if (request.url === "/api/order") return this.order(JSON.parse(body) as Record<string, unknown>, response);
