feat(gateway): log what tells the causes of stale copies apart

The logs showed neither how far a read of the key-value service came before its time ran out, nor which source a copy has, how old it was at a change of the source, how long an outage had lasted, and which deletions were held back. No change of behaviour.

--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -379,7 +379,7 @@
         const { recordDecoder, logger } = this.options;
         clearTimeout(this.removalTimers.get(entry.key));
         this.removalTimers.delete(entry.key);
-        if (entry.key === recordDecoder.configurationKey) return this.applyConfiguration(entry.value);
+        if (entry.key === recordDecoder.configurationKey) return this.applyConfiguration(entry);
         if (!entry.key.startsWith(recordDecoder.serverPrefix)) return;
         const record = recordDecoder.decodeServer(entry.key, entry.value);
         if (record !== undefined) return this.directory.upsert(record);
@@ -392,6 +392,10 @@
         const serverId = this.parseServerId(key);
         if (graceMs === 0) return this.directory.remove(serverId, "entry removed");
         if (this.removalTimers.has(key)) return;
+        this.options.logger.info(
+            { step: "server.grace", server: serverId, graceMs: Math.round(graceMs) },
+            "server entry removed; it may be written again after an outage",
+        );
         const timer = setTimeout(() => {
             this.removalTimers.delete(key);
             this.directory.remove(serverId, "entry not written again after an outage");
@@ -403,9 +407,9 @@
         return key.slice(this.options.recordDecoder.serverPrefix.length) as ServerId;
     }
 
-    private applyConfiguration(text: string): void {
+    private applyConfiguration({ value, modRevision }: KeyValueEntry): void {
         const { recordDecoder, logger } = this.options;
-        const configuration = recordDecoder.decodeConfiguration(text);
+        const configuration = recordDecoder.decodeConfiguration(value);
         if (configuration === undefined) {
             return logger.error({ step: "configuration.decode" }, "configuration is invalid");
         }
@@ -415,6 +419,8 @@
             version: configuration.version,
             before: this.configuration?.version,
             routes: configuration.routes.length,
+            revision: modRevision,
+            characters: value.length,
         }, "configuration applied");
         this.configuration = configuration;
         this.routes = new RouteTable(configuration.routes);
--- a/packages/gateway/src/node/view-follower.ts
+++ b/packages/gateway/src/node/view-follower.ts
@@ -29,6 +29,7 @@
     private readonly options: ViewFollowerOptions;
     private readonly abort = new AbortController();
     private sinceLastResponse: Stopwatch | undefined;
+    private wasFollowing = false;
     /** Time since a reader last failed, by host. */
     private readonly sinceFailure = new Map<string, Stopwatch>();
     private task: Promise<void> | undefined;
@@ -55,6 +56,7 @@
         const { view } = this.options;
         const { signal } = this.abort;
         while (!signal.aborted) {
+            this.logChangeOfSource();
             const reader = view.isLoaded ? this.chooseReader() : undefined;
             if (reader === undefined) {
                 this.sinceLastResponse = undefined;
@@ -67,6 +69,15 @@
         }
     }
 
+    private logChangeOfSource(): void {
+        const { view, logger } = this.options;
+        if (this.isFollowing === this.wasFollowing) return;
+        this.wasFollowing = this.isFollowing;
+        const ageMs = Math.round(Math.min(view.sinceLastResponseMs, Number.MAX_SAFE_INTEGER));
+        const message = this.wasFollowing ? "keys are read from a reader's copy" : "no reader has a usable copy";
+        logger.info({ step: "view.source", ageMs, revision: view.storeRevision }, message);
+    }
+
     /** Chooses the best reader that has not failed recently, or else the one that failed first. */
     private chooseReader(): GatewayMember | undefined {
         const sinceFailureMs = ({ host }: GatewayMember): number =>
--- a/packages/gateway/src/runtime/store-view.ts
+++ b/packages/gateway/src/runtime/store-view.ts
@@ -180,6 +180,7 @@
 
     private async readAll(): Promise<boolean> {
         const entries: KeyValueEntry[] = [];
+        const duration = new Stopwatch();
         let revision = Infinity;
         for (const prefix of this.options.prefixes) {
             const result = await this.options.store.range(prefix);
@@ -191,6 +192,13 @@
             entries.push(...result.value.entries);
         }
         this.recordResponse();
+        this.options.logger.info({
+            step: "view.read",
+            revision,
+            own: this.revision,
+            entries: entries.length,
+            tookMs: Math.round(duration.elapsedMs()),
+        }, "read all keys from the key-value service");
         this.replaceEntries(entries, revision);
         return true;
     }
@@ -269,7 +277,8 @@
     private recordResponse(ageMs = 0): void {
         if (this.outageAtMs > this.recoveredAtMs) {
             this.recoveredAtMs = nowMs();
-            this.options.logger.info({ step: "view.return" }, "key-value service responds again");
+            const outageMs = Math.round(Math.min(this.sinceLastResponseMs, Number.MAX_SAFE_INTEGER));
+            this.options.logger.info({ step: "view.return", outageMs }, "key-value service responds again");
         }
         this.sinceLastResponse = new Stopwatch(ageMs);
     }
