fix(platform, gateway): let a large configuration take its time on a narrow link

Callers saw: status 404 for routes of a confirmed configuration, from a process that had started after it.

Cause: one timeout (700 ms at the key-value service, 600 ms for a peer's copy) bounded a whole response, so a gateway on a link of 7 Mbit/s never completed a read of a configuration of about 1 MB; each retry began anew. The class: a bound on a call that takes no account of the size of what is transferred.

Now a response may take seconds but not stall: the former timeouts bound the time until its first part and between two parts, and a second, long one bounds the whole. Writes keep their timeout.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -18,3 +18,4 @@
 export { encodeStoredRecord, parseStoredRecord, type StoredRecord } from "./utils/record-codec.ts";
 export * from "./utils/rendezvous.ts";
 export * from "./utils/sleep.ts";
+export * from "./utils/stall-timer.ts";
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,5 +1,6 @@
 export { Gateway } from "./node/gateway.ts";
 export { createPeerApp, type PeerAppOptions } from "./node/peer-app.ts";
+export { PeerClient } from "./node/peer-client.ts";
 export { ViewFollower, type ViewFollowerOptions } from "./node/view-follower.ts";
 export { ClusterDemandTracker } from "./runtime/cluster-demand-tracker.ts";
 export { EngineController, type EngineControllerOptions } from "./runtime/engine-controller.ts";
--- a/packages/gateway/src/node/peer-client.ts
+++ b/packages/gateway/src/node/peer-client.ts
@@ -1,3 +1,4 @@
+import { StallTimer } from "@skylarkmill/coordination";
 import { ProtocolError, UnavailableError } from "@skylarkmill/protocol";
 import { err, ok, type Result } from "neverthrow";
 import { Agent } from "undici";
@@ -6,8 +7,13 @@
 import type { DemandMessage, DemandResponse, EngineCommand, PlacementState } from "../types/placement.ts";
 import { changesSchema, demandResponseSchema, placementSchema, snapshotSchema } from "../utils/peer-schemas.ts";
 
-/** Timeout of a call to a peer; one in another data centre responds within milliseconds, a suspended one never. */
+/**
+ * Longest time without any part of a response; a peer in another data centre responds within milliseconds, a suspended
+ * one never.
+ */
 const CALL_TIMEOUT_MS = 600;
+/** Timeout of a whole response; a copy of all keys with a configuration of 1 MB takes 1.3 s over a link of 7 Mbit/s. */
+const RESPONSE_TIMEOUT_MS = 5_000;
 /** Time for which the planner holds a request for placement changes until there is one. */
 export const PLACEMENT_LONG_POLL_MS = 1_000;
 /** Time for which a member holds a request for changes of its keys until there are some. */
@@ -85,25 +91,30 @@
         address: string,
         method: "GET" | "POST",
         path: string,
+        /** Longest time until the response begins. */
         timeoutMs: number,
         body?: string,
     ): Promise<Result<string, PeerError>> {
         const context = { step: `peer ${method} ${path}`, peer: address };
+        const timer = new StallTimer(CALL_TIMEOUT_MS, timeoutMs + RESPONSE_TIMEOUT_MS, timeoutMs);
         try {
             const response = await this.agent.request({
                 origin: `http://${address}`,
                 method,
                 path,
                 ...(body === undefined ? {} : { body, headers: { "content-type": "application/json" } }),
-                signal: AbortSignal.timeout(timeoutMs),
+                signal: timer.signal,
             });
-            const text = await response.body.text();
+            const text = await timer.readText(response.body as AsyncIterable<Uint8Array>);
             if (response.statusCode < 300) return ok(text);
             return err(new UnavailableError(`the peer responded with status ${response.statusCode}`, context));
         }
         catch (cause) {
             return err(new UnavailableError(`the peer does not respond: ${String(cause)}`, { ...context, cause }));
         }
+        finally {
+            timer.stop();
+        }
     }
 }
 
--- a/test/platform/stand-ins/platform-store.ts
+++ b/test/platform/stand-ins/platform-store.ts
@@ -23,6 +23,7 @@
 }
 
 const PAGE_SIZE = 5;
+const SLOW_CHUNK_INTERVAL_MS = 50;
 
 /** Stand-in for the platform's HTTP key-value service, with the faults that the service's specification describes. */
 export class PlatformStoreStandIn {
@@ -35,6 +36,8 @@
     lostResponseCount = 0;
     /** Delay before each response. */
     delayMs = 0;
+    /** Rate at which response bodies are sent; undefined for no limit. */
+    bytesPerSecond: number | undefined;
     readonly calls: string[] = [];
     private readonly items = new Map<string, Item>();
     private readonly leases = new Map<number, { ttlMs: number; timer: NodeJS.Timeout; }>();
@@ -116,7 +119,19 @@
             this.lostResponseCount -= 1;
             return void request.socket.destroy();
         }
-        this.writeResponse(response, result);
+        if (this.bytesPerSecond === undefined) this.writeResponse(response, result);
+        else await this.writeSlowly(response, result, this.bytesPerSecond);
+    }
+
+    private async writeSlowly(response: ServerResponse, { status, body }: StoreResponse, rate: number): Promise<void> {
+        const bytes = Buffer.from(JSON.stringify(body));
+        const chunkSize = Math.max(1, Math.floor(rate * SLOW_CHUNK_INTERVAL_MS / 1_000));
+        response.writeHead(status, { "content-type": "application/json", "content-length": bytes.length });
+        for (let offset = 0; offset < bytes.length && !response.destroyed; offset += chunkSize) {
+            response.write(bytes.subarray(offset, offset + chunkSize));
+            await new Promise(resolve => setTimeout(resolve, SLOW_CHUNK_INTERVAL_MS));
+        }
+        response.end();
     }
 
     private async dispatch(method: string, url: URL, body: Record<string, unknown>): Promise<StoreResponse> {
