fix(gateway): don't put a deleted entry back from an older response

Cause: two sources feed one copy without an order between them. While a full read or a watch waited for its response, a peer's copy of a higher revision arrived. The response then put back what that copy had deleted, since an absent key has no revision to compare with, and the watch continued behind the revision of the deletion: the server was served until it was listed anew.

Now a copy that is complete up to a revision takes from an older response only entries changed after it. A read that is not older still is authoritative.

Evidence: five cases of test/gateway/store-view.test.ts, 'is not put back', failed before (read or watch, against changes, complete changes and a copy).

--- a/packages/gateway/src/runtime/store-view.ts
+++ b/packages/gateway/src/runtime/store-view.ts
@@ -1,4 +1,4 @@
-import type { KeyValueEntry, KeyValueError, KeyValueStore, Logger } from "@skylarkmill/coordination";
+import type { KeyValueEntry, KeyValueError, KeyValueStore, Logger, WatchEvent } from "@skylarkmill/coordination";
 import { sleep } from "@skylarkmill/coordination";
 import { nowMs, Stopwatch } from "../utils/clock.ts";
 
@@ -209,12 +209,8 @@
         try {
             for await (const events of store.watch(prefix, this.revision + 1, this.abort.signal)) {
                 this.recordResponse();
-                for (const { kind, entry } of events) {
-                    this.revision = Math.max(this.revision, entry.modRevision);
-                    if (!prefixes.some(watched => entry.key.startsWith(watched))) continue;
-                    if (kind === "put") this.putEntry(entry);
-                    else this.deleteEntry(entry.key, entry.modRevision);
-                }
+                this.applyEvents(events.filter(({ entry }) => prefixes.some(watched => entry.key.startsWith(watched))));
+                this.revision = Math.max(this.revision, ...events.map(({ entry }) => entry.modRevision));
                 if (events.length > 0) this.notifyListeners();
                 if (this.isFollowingPeer) return;
                 if (events.length > 0) await sleep(this.options.getWatchPauseMs(), this.abort.signal);
@@ -225,10 +221,22 @@
         }
     }
 
+    /** Applies watched changes; those up to the copy's revision are in it already, and later ones may have undone them. */
+    private applyEvents(events: readonly WatchEvent[]): void {
+        const knownRevision = this.revision;
+        for (const { kind, entry } of events) {
+            if (entry.modRevision <= knownRevision) continue;
+            if (kind === "put") this.putEntry(entry);
+            else this.deleteEntry(entry.key, entry.modRevision);
+        }
+    }
+
     private replaceEntries(entries: readonly KeyValueEntry[], revision: number): void {
         const keys = new Set(entries.map(entry => entry.key));
         for (const key of this.entries.keys()) if (!keys.has(key)) this.deleteEntry(key, revision);
-        for (const entry of entries) this.putEntry(entry);
+        // A read that is older than this copy lists entries that were deleted since.
+        const isOlder = revision < this.revision;
+        for (const entry of entries) if (!isOlder || entry.modRevision > this.revision) this.putEntry(entry);
         this.revision = Math.max(this.revision, revision);
         this.removed.length = 0;
         this.removedSinceRevision = this.revision;
--- a/test/gateway/store-view.test.ts
+++ b/test/gateway/store-view.test.ts
@@ -1,5 +1,12 @@
-import { silentLogger } from "@skylarkmill/coordination";
+import {
+    type KeyValueEntry,
+    type KeyValueStore,
+    type RangeResult,
+    silentLogger,
+    sleep,
+} from "@skylarkmill/coordination";
 import { StoreView } from "@skylarkmill/gateway";
+import { ok, ResultAsync } from "neverthrow";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { type ClientFaults, SharedStore } from "./support/shared-store.ts";
 
@@ -88,3 +95,81 @@
         await view.stop();
     });
 });
+
+/** A service whose responses arrive late, with what was true when they were sent. */
+class LateService {
+    readonly view: StoreView;
+    /** Keys that the view announced, in order. */
+    readonly put: string[] = [];
+    private readonly entries: readonly KeyValueEntry[] = [
+        { key: "op/config", value: "v1", modRevision: 40 },
+        { key: "servers/leaving", value: "ready", modRevision: 100 },
+    ];
+
+    constructor({ rangeDelayMs, watchDelayMs }: { rangeDelayMs: number; watchDelayMs: number; }) {
+        const range = async (prefix: string): Promise<RangeResult> => {
+            const entries = this.entries.filter(({ key }) => key.startsWith(prefix));
+            await sleep(rangeDelayMs);
+            return { revision: 105, entries };
+        };
+        const store: Pick<KeyValueStore, "range" | "watch"> = {
+            range: prefix => new ResultAsync(range(prefix).then(result => ok(result))),
+            async *watch(_prefix, _fromRevision, signal) {
+                await sleep(watchDelayMs, signal);
+                yield [{ kind: "put", entry: { key: "servers/leaving", value: "ready", modRevision: 107 } }];
+                await sleep(60_000, signal);
+            },
+        };
+        this.view = new StoreView({
+            store: store as KeyValueStore,
+            logger: silentLogger,
+            prefixes: ["servers/", "op/config"],
+            getWatchPauseMs: () => 0,
+            listener: { onPut: ({ key }) => void this.put.push(key), onDelete: () => undefined },
+        });
+    }
+}
+
+// Guards against requests to a server that had left: a response that was older than a peer's copy put its entry back,
+// and the watch continued after the revision of its deletion.
+describe("a deleted entry", () => {
+    const removed = [{ key: "servers/leaving", modRevision: 108 }];
+    const config = { key: "op/config", value: "v2", modRevision: 109 };
+    const changes = { revision: 110, ageMs: 0, isComplete: false, entries: [config], removed };
+    const copy = { ...changes, isComplete: true, entries: [config], removed: [] };
+
+    it.each<{ late: "read" | "watch"; source: string; apply: (view: StoreView) => void; }>([
+        { late: "read", source: "a peer's changes", apply: view => view.applyChanges(changes) },
+        { late: "read", source: "a peer's complete changes", apply: view => view.applyChanges(copy) },
+        { late: "read", source: "a peer's copy", apply: view => view.adoptSnapshot(copy) },
+        { late: "watch", source: "a peer's changes", apply: view => view.applyChanges(changes) },
+        { late: "watch", source: "a peer's copy", apply: view => view.adoptSnapshot(copy) },
+    ])("is not put back by a $late that is older than $source", async ({ late, apply }) => {
+        const { view, put } = new LateService({ rangeDelayMs: late === "read" ? 300 : 0, watchDelayMs: 300 });
+        view.start();
+        await vi.advanceTimersByTimeAsync(100);
+        apply(view);
+        await vi.advanceTimersByTimeAsync(2_000);
+        expect(view.getEntry("servers/leaving")).toBeUndefined();
+        expect(view.getEntry("op/config")?.value).toBe("v2");
+        expect(put.filter(key => key === "servers/leaving")).toHaveLength(late === "read" ? 0 : 1);
+        const stopped = view.stop();
+        await vi.advanceTimersByTimeAsync(100);
+        await stopped;
+    });
+
+    it("is put back by a newer copy that has it", async () => {
+        const { view } = new LateService({ rangeDelayMs: 0, watchDelayMs: 60_000 });
+        view.start();
+        await vi.advanceTimersByTimeAsync(100);
+        view.applyChanges(changes);
+        view.adoptSnapshot({
+            revision: 120,
+            entries: [config, { ...config, key: "servers/leaving", modRevision: 115 }],
+        });
+        expect(view.getEntry("servers/leaving")).toBeDefined();
+        const stopped = view.stop();
+        await vi.advanceTimersByTimeAsync(100);
+        await stopped;
+    });
+});
