fix(gateway): hold back no deletion after a failed call that was no outage

Cause: any failed call counted as an outage of the key-value service, and a deletion within 2 s of the next response was held back, since entries that expired in an outage are written again. A single lost response, or a read of a large configuration that ran out of time, then kept a server that had left for up to 2 s more than the watch's pause, beyond drain_ms. The class: a rule for one cause applied to all that look alike.

An entry expires after three heartbeats without a renewal, so only an outage of two or more can have expired one; only after such an outage deletions wait.

Evidence: 'after a single failed call' of test/gateway/store-view.test.ts failed with any failed call taken as an outage.

--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -40,6 +40,8 @@
 const MIN_WATCH_PAUSE_MS = 500;
 /** Longest pause after a watch response, as a share of the time within which a draining server must be noticed. */
 const MAX_WATCH_PAUSE_SHARE = 0.4;
+/** An entry expires after three heartbeats without a renewal, of which up to one passes before an outage. */
+const MIN_EXPIRY_HEARTBEATS = 2;
 /** Largest number of log lines about requests per second; further lines are counted and skipped. */
 const REQUEST_LINES_PER_SECOND = 20;
 /** The load balancer opens no new connections after two failed readiness checks, which it makes once a second. */
@@ -107,6 +109,7 @@
                 onDelete: (key, graceMs) => this.onEntryDelete(key, graceMs),
             },
             getWatchPauseMs: () => this.computeWatchPauseMs(),
+            minExpiryMs: MIN_EXPIRY_HEARTBEATS * limits.serverHeartbeatMs,
             isFollowingPeer: () => this.viewFollower.isFollowing,
         });
         this.membership = new GatewayMembership({
--- a/packages/gateway/src/runtime/store-view.ts
+++ b/packages/gateway/src/runtime/store-view.ts
@@ -49,6 +49,8 @@
     readonly listener: StoreViewListener;
     /** Pause after each watch response with events, since each response counts as a call to the service. */
     readonly getWatchPauseMs: () => number;
+    /** Shortest outage of the service during which an entry can expire although its writer is alive. */
+    readonly minExpiryMs: number;
     /** Whether a peer keeps the view up to date, so that the service need not be read. */
     readonly isFollowingPeer?: () => boolean;
 }
@@ -62,6 +64,8 @@
     private sinceLastResponse: Stopwatch | undefined;
     private outageAtMs = -Infinity;
     private recoveredAtMs = -Infinity;
+    /** End of the last outage in which entries may have expired. */
+    private expiryEndedAtMs = -Infinity;
     private task: Promise<void> | undefined;
     private hasEntries = false;
     private readonly changeListeners = new Set<() => void>();
@@ -266,7 +270,7 @@
         this.entries.delete(key);
         this.forgetLists(key);
         this.rememberDeletion({ key, modRevision: revision });
-        const graceMs = this.recoveredAtMs + RECOVERY_GRACE_MS - nowMs();
+        const graceMs = this.expiryEndedAtMs + RECOVERY_GRACE_MS - nowMs();
         this.options.listener.onDelete(key, Math.max(0, graceMs));
     }
 
@@ -284,9 +288,13 @@
 
     private recordResponse(ageMs = 0): void {
         if (this.outageAtMs > this.recoveredAtMs) {
+            const outageMs = this.sinceLastResponseMs;
             this.recoveredAtMs = nowMs();
-            const outageMs = Math.round(Math.min(this.sinceLastResponseMs, Number.MAX_SAFE_INTEGER));
-            this.options.logger.info({ step: "view.return", outageMs }, "key-value service responds again");
+            if (outageMs >= this.options.minExpiryMs) this.expiryEndedAtMs = this.recoveredAtMs;
+            this.options.logger.info(
+                { step: "view.return", outageMs: Math.round(Math.min(outageMs, Number.MAX_SAFE_INTEGER)) },
+                "key-value service responds again",
+            );
         }
         this.sinceLastResponse = new Stopwatch(ageMs);
     }
--- a/test/gateway/fleet.test.ts
+++ b/test/gateway/fleet.test.ts
@@ -89,6 +89,7 @@
             prefixes: ["sm/", "servers/"],
             listener: { onPut: () => undefined, onDelete: () => undefined },
             getWatchPauseMs: () => 900,
+            minExpiryMs: 2 * HEARTBEAT_MS,
             isFollowingPeer: () => this.follower.isFollowing,
         });
         const address = host;
--- a/test/gateway/order-rights.test.ts
+++ b/test/gateway/order-rights.test.ts
@@ -43,6 +43,7 @@
             prefixes: ["sm/"],
             listener,
             getWatchPauseMs: () => 0,
+            minExpiryMs: 2_400,
         });
         const common = { store, view: this.view, logger: silentLogger, host, address: `${host}:1` };
         const { enginesCheckFences } = this;
--- a/test/gateway/store-view.test.ts
+++ b/test/gateway/store-view.test.ts
@@ -23,6 +23,7 @@
         logger: silentLogger,
         prefixes: ["servers/", "op/config"],
         getWatchPauseMs: () => 0,
+        minExpiryMs: 2_400,
         listener: {
             onPut: entry => put.push(`${entry.key}=${entry.value}`),
             onDelete: (key, graceMs) => deleted.push({ key, graceMs }),
@@ -45,6 +46,9 @@
             maxGraceMs: 1_600,
         },
         { name: "3.3 s after an outage", outageMs: 3_000, removeAfterMs: 3_300, minGraceMs: 0, maxGraceMs: 0 },
+        // Guards against requests to a stopped server: any failed call counted as an outage, although no entry expires
+        // within two heartbeats.
+        { name: "after a single failed call", outageMs: 200, removeAfterMs: 0, minGraceMs: 0, maxGraceMs: 0 },
     ])(
         "has a grace time only shortly after an outage: $name",
         async ({ outageMs, removeAfterMs, minGraceMs, maxGraceMs }) => {
@@ -125,6 +129,7 @@
             logger: silentLogger,
             prefixes: ["servers/", "op/config"],
             getWatchPauseMs: () => 0,
+            minExpiryMs: 2_400,
             listener: { onPut: ({ key }) => void this.put.push(key), onDelete: () => undefined },
         });
     }
