fix(gateway): derive the age of a followed copy from the notice time

Cause: a copy of up to 2.2 s was followed, its follower turned to the service 1.3 s after the last usable response and then still had to read: 3.5 s and more in the worst case, where servers must be left within 2 s or 3 s. The follower is bound by that time even if its reader, which lost the service, is not. The class: bounds that stand apart from the setting that they serve.

Now the follower reads the service itself as soon as the copy that it follows is 0.55 of the notice time old, whatever the reason; the notice time is the smaller one of drain_ms and config_apply_ms, also for the pause between two watches.

Evidence: two cases of test/gateway/view-follower.test.ts failed before ('loses the key-value service', at 2,000 and 3,000 ms); test/gateway/fleet.test.ts passes, its bound on the calls per second included.

--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -38,7 +38,7 @@
 /** Pause after a watch response, per reader, so that their total call rate grows slowly with their number. */
 const WATCH_PAUSE_PER_READER_MS = 120;
 const MIN_WATCH_PAUSE_MS = 500;
-/** Longest pause after a watch response, as a share of the time within which a draining server must be noticed. */
+/** Longest pause after a watch response, as a share of the time within which a change must be known. */
 const MAX_WATCH_PAUSE_SHARE = 0.4;
 /** An entry expires after three heartbeats without a renewal, of which up to one passes before an outage. */
 const MIN_EXPIRY_HEARTBEATS = 2;
@@ -129,6 +129,7 @@
             peerClient: this.peerClient,
             host,
             dataCentre: options.dataCentre,
+            noticeMs: this.noticeMs,
             logger,
         });
         this.orderRights = new OrderRights({
@@ -346,7 +347,13 @@
     private computeWatchPauseMs(): number {
         const readerCount = selectReaders(this.membership.listMembers()).length;
         const pauseMs = Math.max(MIN_WATCH_PAUSE_MS, WATCH_PAUSE_PER_READER_MS * readerCount);
-        return Math.min(pauseMs, MAX_WATCH_PAUSE_SHARE * this.options.limits.drainNoticeMs);
+        return Math.min(pauseMs, MAX_WATCH_PAUSE_SHARE * this.noticeMs);
+    }
+
+    /** Time within which a change in the key-value service must be known. */
+    private get noticeMs(): number {
+        const { drainNoticeMs, configurationNoticeMs } = this.options.limits;
+        return Math.min(drainNoticeMs, configurationNoticeMs);
     }
 
     /** Returns the revision at which this gateway joined if it is the oldest member, which plans the placement. */
--- a/packages/gateway/src/node/view-follower.ts
+++ b/packages/gateway/src/node/view-follower.ts
@@ -6,10 +6,12 @@
 import { Stopwatch } from "../utils/clock.ts";
 import type { PeerClient } from "./peer-client.ts";
 
-/** Time without a usable response of a reader after which this gateway reads the key-value service itself. */
-const FOLLOWING_VALID_MS = 1_300;
-/** A reader's copy older than this is not followed: the longest regular time between two responses to its watch. */
-const MAX_COPY_AGE_MS = 2_200;
+/**
+ * Age of the followed copy from which this gateway reads the key-value service itself, as a share of the time within
+ * which a change must be known. It is longer than a reader's regular pause between two responses to its watch, and
+ * leaves time for the read.
+ */
+const MAX_COPY_AGE_SHARE = 0.55;
 const IDLE_PAUSE_MS = 200;
 const NEXT_READER_PAUSE_MS = 50;
 /** Time for which a reader that failed is used only if all others failed as well. */
@@ -17,10 +19,12 @@
 
 export interface ViewFollowerOptions {
     readonly view: StoreView;
-    readonly membership: GatewayMembership;
+    readonly membership: Pick<GatewayMembership, "listMembers">;
     readonly peerClient: Pick<PeerClient, "fetchViewChanges">;
     readonly host: string;
     readonly dataCentre: DataCentre;
+    /** Time within which a change of the keys must be known. */
+    readonly noticeMs: number;
     readonly logger: Logger;
 }
 
@@ -28,7 +32,8 @@
 export class ViewFollower {
     private readonly options: ViewFollowerOptions;
     private readonly abort = new AbortController();
-    private sinceLastResponse: Stopwatch | undefined;
+    /** Time since the key-value service last responded to the reader whose copy was read last. */
+    private copyAge: Stopwatch | undefined;
     private wasFollowing = false;
     /** Time since a reader last failed, by host. */
     private readonly sinceFailure = new Map<string, Stopwatch>();
@@ -40,7 +45,11 @@
 
     /** Whether a reader's copy keeps the view up to date, so that the key-value service need not be read. */
     get isFollowing(): boolean {
-        return this.sinceLastResponse !== undefined && this.sinceLastResponse.elapsedMs() < FOLLOWING_VALID_MS;
+        return this.copyAge !== undefined && this.copyAge.elapsedMs() < this.maxCopyAgeMs;
+    }
+
+    private get maxCopyAgeMs(): number {
+        return MAX_COPY_AGE_SHARE * this.options.noticeMs;
     }
 
     start(): void {
@@ -59,7 +68,7 @@
             this.logChangeOfSource();
             const reader = view.isLoaded ? this.chooseReader() : undefined;
             if (reader === undefined) {
-                this.sinceLastResponse = undefined;
+                this.copyAge = undefined;
                 await sleep(IDLE_PAUSE_MS, signal);
             }
             else if (!await this.readChanges(reader)) {
@@ -106,9 +115,9 @@
             return false;
         }
         const changes = response.value;
-        if (changes === undefined || changes.ageMs > MAX_COPY_AGE_MS) return false;
+        if (changes === undefined || changes.ageMs >= this.maxCopyAgeMs) return false;
         view.applyChanges(changes);
-        this.sinceLastResponse = new Stopwatch();
+        this.copyAge = new Stopwatch(changes.ageMs);
         return true;
     }
 }
--- a/packages/gateway/src/types/options.ts
+++ b/packages/gateway/src/types/options.ts
@@ -25,6 +25,8 @@
     readonly stopTimeoutMs: number;
     /** Time after which a draining server must receive no more requests. */
     readonly drainNoticeMs: number;
+    /** Time after which a new configuration must be in force. */
+    readonly configurationNoticeMs: number;
     /** Interval at which a server renews its entry; the entry expires after three intervals without a renewal. */
     readonly serverHeartbeatMs: number;
     /** Retries allowed per request in the window. */
--- a/test/gateway/fleet.test.ts
+++ b/test/gateway/fleet.test.ts
@@ -12,6 +12,7 @@
 import { err, ok } from "neverthrow";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { type ClientFaults, SharedStore } from "./support/shared-store.ts";
+import { waitForChange } from "./support/wait-for-change.ts";
 
 const FLEET_SIZE = 68;
 const DATA_CENTRE_COUNT = 5;
@@ -22,7 +23,6 @@
 const MAX_SHARE = 2;
 const SETTLED_MS = 8_000;
 const MEASURED_MS = 8_000;
-const LONG_POLL_MS = 500;
 const ENTRY_COUNT = 85;
 const HEARTBEAT_MS = 1_200;
 /** Calls per second of all gateways, whatever their number; renewals of leases count a tenth. */
@@ -59,18 +59,6 @@
     };
 }
 
-function waitForChange(view: StoreView): Promise<void> {
-    return new Promise(resolve => {
-        const finish = (): void => {
-            clearTimeout(timer);
-            removeListener();
-            resolve();
-        };
-        const timer = setTimeout(finish, LONG_POLL_MS);
-        const removeListener = view.onChange(finish);
-    });
-}
-
 /** The components of one gateway that read the key-value service and its peers. */
 class FleetGateway {
     readonly faults: ClientFaults = { isDisconnected: false, shouldLoseResponses: false, delayMs: 2 };
@@ -133,6 +121,7 @@
             },
             host,
             dataCentre,
+            noticeMs: DRAIN_NOTICE_MS,
             logger: silentLogger,
         });
     }
--- a/test/platform/stand-ins/fixture.ts
+++ b/test/platform/stand-ins/fixture.ts
@@ -123,6 +123,7 @@
                 grace_s: 6,
                 lease_ms: 3_000,
                 drain_ms: 2_000,
+                config_apply_ms: 2_000,
                 require_fence: true,
                 retry_budget_ratio: 0.2,
                 retry_slack: 58,
