fix(gateway): refuse an unknown route as not run while the configuration may be old

Callers saw: status 404 for a route of a confirmed configuration.

Cause: a gateway answered 404, which no caller repeats, from a copy of the configuration that neither the key-value service nor a reader in touch with it had confirmed for seconds: after a start with a peer's copy, or while its reads failed. The class: a final answer from state whose age is unknown.

Now it answers 503 with Retry-After, which states that the request has not run, unless the copy was confirmed within the last 2 s.

Evidence: 'a path that no known route serves' in test/platform/narrow-link.test.ts failed before, both for a gateway that lost the service and for one that started without it.

--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -308,7 +308,10 @@
         if (this.configuration === undefined) return writer.refuse(refusals.noConfiguration());
         if (nowMs() >= this.refuseAllFromMs) return writer.refuse(refusals.unavailable("stopping", STOP_RETRY_MS));
         const route = this.routes.findRoute(head.host, head.path);
-        if (route === undefined) return writer.refuse(refusals.noRoute());
+        if (route === undefined) {
+            // A copy that was not confirmed recently may lack the route.
+            return writer.refuse(this.view.isFresh ? refusals.noRoute() : refusals.routeUnconfirmed());
+        }
         if (route.kind === "streaming" && nowMs() >= this.refuseStreamsFromMs) {
             return writer.refuse(refusals.unavailable("stopping", STOP_RETRY_MS));
         }
--- a/packages/gateway/src/utils/refusals.ts
+++ b/packages/gateway/src/utils/refusals.ts
@@ -1,6 +1,6 @@
 import type { Refusal } from "@skylarkmill/protocol";
 
-/** Retry delay sent while this gateway has no configuration; a failed server is replaced in about this time. */
+/** Retry delay sent while this gateway has no current configuration; a failed server is replaced in about this time. */
 const NO_CONFIGURATION_RETRY_MS = 500;
 /** Random addition to a retry delay, as a share of it, so that callers refused together don't retry together. */
 const RETRY_JITTER_SHARE = 0.3;
@@ -26,6 +26,14 @@
         message: "No route serves this host and path.",
         execution: "not_run",
     }),
+    routeUnconfirmed: (): Refusal => ({
+        status: 503,
+        type: "unavailable_error",
+        code: "route_unconfirmed",
+        message: "No known route serves this host and path, and the configuration may be out of date.",
+        execution: "not_run",
+        retryAfterMs: addJitter(NO_CONFIGURATION_RETRY_MS),
+    }),
     invalidRequest: (message: string, status = 400): Refusal => ({
         status,
         type: "invalid_request_error",
--- a/test/platform/narrow-link.test.ts
+++ b/test/platform/narrow-link.test.ts
@@ -3,6 +3,7 @@
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { afterEach, describe, expect, it } from "vitest";
+import { eventually } from "../support/eventually.ts";
 import { createConfigurationDocument, HOST, PlatformFixture } from "./stand-ins/fixture.ts";
 import { PlatformStoreStandIn } from "./stand-ins/platform-store.ts";
 
@@ -76,6 +77,38 @@
     });
 });
 
+// Guards against a false 404: a gateway answered from a copy that nobody had confirmed, while the route was in force.
+describe("a path that no known route serves", () => {
+    it("is refused as not run while the configuration may be out of date, and as unknown once it is confirmed", async () => {
+        const fixture = await PlatformFixture.start();
+        closers.push(() => fixture.close());
+        const first = await fixture.addGateway("edge-1");
+        expect(await fixture.call(first, "/nothing/here")).toMatchObject({ status: 404 });
+        fixture.store.outage = "unavailable";
+        // The second gateway starts in the outage and takes the copy of the first one.
+        const second = await fixture.addGateway("edge-2");
+        for (const gateway of [first, second]) {
+            await eventually("the path is refused", async () => {
+                const response = await fixture.call(gateway, "/nothing/here");
+                if (response.status === 404) return undefined;
+                expect(response).toMatchObject({
+                    status: 503,
+                    headers: { "retry-after": expect.anything() as string },
+                });
+                expect(JSON.parse(response.text)).toMatchObject({ error: { execution: "not_run" } });
+                return true;
+            }, 4_000);
+        }
+        fixture.store.outage = "none";
+        for (const gateway of [first, second]) {
+            await eventually("the path is unknown", async () => {
+                const response = await fixture.call(gateway, "/nothing/here");
+                return response.status === 404 ? true : undefined;
+            }, 4_000);
+        }
+    });
+});
+
 describe("a response of the key-value service that stalls", () => {
     it("ends the call", async () => {
         const server = await listenWith((_request, response) => {
