fix(gateway): continue a broken watch instead of reading all keys again

Cause: each interruption of the watch, and each fallback from a reader's copy, led to a full read of all keys. The class: recovery whose cost grows with the state instead of with what was missed.

Now the watch continues from the revision of the copy, also where a peer kept that copy up to date so far; all keys are read only if the service no longer knows the changes since then.

Evidence: 'continues where it broke' of test/gateway/store-view.test.ts failed before; 'is followed by a full read' guards the other case.

--- a/packages/adapters/src/runtime/etcd-watch.ts
+++ b/packages/adapters/src/runtime/etcd-watch.ts
@@ -37,10 +37,11 @@
     if (parsed.isErr()) throw parsed.error;
     const { result } = parsed.value;
     if (result.canceled) {
-        const reason = result.compact_revision === undefined
-            ? ""
-            : `; history is compacted up to revision ${result.compact_revision}`;
-        throw new UnavailableError(`the service cancelled the watch${reason}`, { step: STEP, peer });
+        if (result.compact_revision === undefined) {
+            throw new UnavailableError("the service cancelled the watch", { step: STEP, peer });
+        }
+        const reason = `history is compacted up to revision ${result.compact_revision}`;
+        throw new ProtocolError(`the service cancelled the watch; ${reason}`, { step: STEP, peer });
     }
     return result.events.map(event => ({
         kind: event.type === "DELETE" ? "delete" : "put",
--- a/packages/coordination/src/types/key-value-store.ts
+++ b/packages/coordination/src/types/key-value-store.ts
@@ -74,7 +74,9 @@
     revokeLease(leaseId: string): ResultAsync<void, KeyValueError>;
     /**
      * Yields the changes under a prefix in order, from `fromRevision` (inclusive) until the signal aborts.
-     * Throws when the stream breaks; the range must then be read again.
+     * Throws `UnavailableError` when the stream breaks; the changes missed since then can be watched from the last known
+     * revision. Throws any other error when they are not known, for example after a compaction; the range must then be
+     * read again.
      */
     watch(prefix: string, fromRevision: number, signal: AbortSignal): AsyncIterable<readonly WatchEvent[]>;
 }
--- a/packages/gateway/src/runtime/store-view.ts
+++ b/packages/gateway/src/runtime/store-view.ts
@@ -1,5 +1,6 @@
 import type { KeyValueEntry, KeyValueError, KeyValueStore, Logger, WatchEvent } from "@skylarkmill/coordination";
 import { sleep } from "@skylarkmill/coordination";
+import { UnavailableError } from "@skylarkmill/protocol";
 import { nowMs, Stopwatch } from "../utils/clock.ts";
 
 /** Time for which the view is fresh after the last response; two watch responses with their pauses fit into it. */
@@ -44,7 +45,7 @@
 export interface StoreViewOptions {
     readonly store: KeyValueStore;
     readonly logger: Logger;
-    /** Prefixes that are read at the start and after each interruption of the watch. */
+    /** Prefixes that are read at the start, and again if the changes since a revision are no longer known. */
     readonly prefixes: readonly string[];
     readonly listener: StoreViewListener;
     /** Pause after each watch response with events, since each response counts as a call to the service. */
@@ -68,6 +69,8 @@
     private expiryEndedAtMs = -Infinity;
     private task: Promise<void> | undefined;
     private hasEntries = false;
+    /** Whether the service can't tell the changes since the revision of the copy, so that all keys must be read. */
+    private areChangesLost = false;
     private readonly changeListeners = new Set<() => void>();
     private readonly removed: RemovedEntry[] = [];
     /** Revision since which all deletions are remembered. */
@@ -171,11 +174,11 @@
                 await sleep(FOLLOWING_CHECK_MS, signal);
                 continue;
             }
-            const wasRead = await this.readAll();
-            if (wasRead) {
-                retryMs = MIN_RETRY_MS;
-                await this.watchChanges();
+            // A copy that a peer kept up to date so far is continued as well.
+            if (this.canResumeWatch || await this.readAll()) {
+                const hadResponse = await this.watchChanges();
                 if (this.isFollowingPeer) continue;
+                if (hadResponse) retryMs = MIN_RETRY_MS;
             }
             await sleep(retryMs, signal);
             retryMs = Math.min(MAX_RETRY_MS, retryMs * 2);
@@ -204,25 +207,36 @@
             tookMs: Math.round(duration.elapsedMs()),
         }, "read all keys from the key-value service");
         this.replaceEntries(entries, revision);
+        this.areChangesLost = false;
         return true;
     }
 
-    private async watchChanges(): Promise<void> {
+    /** Whether a watch can continue from the revision of the copy. */
+    private get canResumeWatch(): boolean {
+        return this.hasEntries && !this.areChangesLost;
+    }
+
+    /** Applies changes until the watch breaks, or a peer keeps the view up to date; returns whether it had a response. */
+    private async watchChanges(): Promise<boolean> {
         const { store, prefixes } = this.options;
+        let hadResponse = false;
         const prefix = commonPrefix(prefixes);
         try {
             for await (const events of store.watch(prefix, this.revision + 1, this.abort.signal)) {
+                hadResponse = true;
                 this.recordResponse();
                 this.applyEvents(events.filter(({ entry }) => prefixes.some(watched => entry.key.startsWith(watched))));
                 this.revision = Math.max(this.revision, ...events.map(({ entry }) => entry.modRevision));
                 if (events.length > 0) this.notifyListeners();
-                if (this.isFollowingPeer) return;
+                if (this.isFollowingPeer) break;
                 if (events.length > 0) await sleep(this.options.getWatchPauseMs(), this.abort.signal);
             }
         }
         catch (error) {
+            this.areChangesLost = !(error instanceof UnavailableError);
             this.recordFailure("view.watch", error as Error);
         }
+        return hadResponse;
     }
 
     /** Applies watched changes; those up to the copy's revision are in it already, and later ones may have undone them. */
--- a/test/gateway/store-view.test.ts
+++ b/test/gateway/store-view.test.ts
@@ -6,6 +6,7 @@
     sleep,
 } from "@skylarkmill/coordination";
 import { StoreView } from "@skylarkmill/gateway";
+import { ProtocolError, UnavailableError } from "@skylarkmill/protocol";
 import { ok, ResultAsync } from "neverthrow";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { type ClientFaults, SharedStore } from "./support/shared-store.ts";
@@ -178,3 +179,70 @@
         await stopped;
     });
 });
+
+describe("a watch that breaks", () => {
+    const NARROW_LINK_READ_MS = 1_200;
+
+    async function breakWatch(error: Error) {
+        const shared = new SharedStore();
+        shared.put("op/config", "v1");
+        shared.put("servers/leaving", "ready");
+        const client = shared.client({ isDisconnected: false, shouldLoseResponses: false, delayMs: 2 });
+        let readCount = 0;
+        let failure: Error | undefined;
+        const view = new StoreView({
+            store: {
+                ...client,
+                range: prefix => {
+                    readCount += 1;
+                    return new ResultAsync(sleep(NARROW_LINK_READ_MS).then(() => client.range(prefix)));
+                },
+                async *watch(prefix, fromRevision, signal) {
+                    for await (const events of client.watch(prefix, fromRevision, signal)) {
+                        const current = failure;
+                        failure = undefined;
+                        if (current !== undefined) throw current;
+                        yield events;
+                    }
+                },
+            },
+            logger: silentLogger,
+            prefixes: ["servers/", "op/config"],
+            getWatchPauseMs: () => 0,
+            minExpiryMs: 2_400,
+            listener: { onPut: () => undefined, onDelete: () => undefined },
+        });
+        view.start();
+        await vi.advanceTimersByTimeAsync(3 * NARROW_LINK_READ_MS);
+        readCount = 0;
+        failure = error;
+        shared.remove("servers/leaving");
+        shared.put("op/config", "v2");
+        return { view, countReads: () => readCount };
+    }
+
+    async function stop(view: StoreView): Promise<void> {
+        const stopped = view.stop();
+        await vi.advanceTimersByTimeAsync(3 * NARROW_LINK_READ_MS);
+        await stopped;
+    }
+
+    // Guards against a copy that grew older by the seconds of a full read each time the watch broke.
+    it("continues where it broke, without a full read", async () => {
+        const { view, countReads } = await breakWatch(new UnavailableError("reset", { step: "fake", peer: "store" }));
+        await vi.advanceTimersByTimeAsync(500);
+        expect(view.getEntry("servers/leaving")).toBeUndefined();
+        expect(view.getEntry("op/config")?.value).toBe("v2");
+        expect(countReads()).toBe(0);
+        await stop(view);
+    });
+
+    it("is followed by a full read if the changes since then are no longer known", async () => {
+        const { view, countReads } = await breakWatch(new ProtocolError("compacted", { step: "fake", peer: "store" }));
+        await vi.advanceTimersByTimeAsync(3 * NARROW_LINK_READ_MS);
+        expect(view.getEntry("servers/leaving")).toBeUndefined();
+        expect(view.getEntry("op/config")?.value).toBe("v2");
+        expect(countReads()).toBeGreaterThan(0);
+        await stop(view);
+    });
+});
