fix(gateway): refuse requests with a part of a prompt that ends engines

Callers saw: engines that ended one after the other, streams cut off on each of them, and sound requests refused meanwhile.

Cause: nothing counted what the ends of engines have in common. Each request was tried up to its route's max_attempts, a caller's repeat is a new request, and each gateway started anew. The class: a bound for each request where the fault belongs to what requests share.

Now each gateway keeps evidence for parts of prompts: the starts of engines that ended while they had a request with the part and no answer to it. An answer that begins clears its parts everywhere. A suspected part is at one engine at a time; after three ends, apart from each other, requests with it are refused at once as not run, for 30 s at first and twice as long after each further end. Gateways exchange the evidence with the demand messages to the planner, so that it needs no key-value service and comes back to gateways that restart.

--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -3,6 +3,7 @@
 import { type ServerId, type ServiceId, type SkylarkmillError } from "@skylarkmill/protocol";
 import { ResultAsync } from "neverthrow";
 import { createServer, type Server } from "node:http";
+import { CrashSuspects } from "../runtime/crash-suspects.ts";
 import { EngineCommandRunner } from "../runtime/engine-command-runner.ts";
 import { GatewayMembership } from "../runtime/gateway-membership.ts";
 import { GatewayMetrics } from "../runtime/gateway-metrics.ts";
@@ -76,6 +77,7 @@
     private readonly commandRunner: EngineCommandRunner;
     private readonly planner: PlacementPlanner;
     private readonly localDemand: LocalDemandTracker;
+    private readonly crashSuspects: CrashSuspects;
     private readonly synchronizer: PlacementSynchronizer;
     private readonly peerClient = new PeerClient();
     private readonly callerServer: CallerServer;
@@ -155,6 +157,7 @@
             onChange: () => this.synchronizer.scheduleDemand(),
         });
         this.localDemand = new LocalDemandTracker(() => this.synchronizer.scheduleDemand());
+        this.crashSuspects = new CrashSuspects({ logger, onChange: () => this.synchronizer.scheduleDemand() });
         this.planner = new PlacementPlanner({
             directory: this.directory,
             policy: options.enginePolicy,
@@ -171,6 +174,7 @@
             planner: this.planner,
             directory: this.directory,
             view: this.view,
+            crashSuspects: this.crashSuspects,
             isFollowingPeer: () => this.viewFollower.isFollowing,
             seeds: options.seedPeers,
             ownHost: host,
@@ -183,6 +187,7 @@
             directory: this.directory,
             engineClient: options.engineClient,
             responseBuffers: new ResponseBuffers(MAX_BUFFERED_RESPONSE_BYTES),
+            crashSuspects: this.crashSuspects,
             localDemand: this.localDemand,
             metrics: this.metrics,
             logger,
@@ -203,6 +208,7 @@
             planner: this.planner,
             commandRunner: this.commandRunner,
             view: this.view,
+            crashSuspects: this.crashSuspects,
             metrics: this.metrics,
             isReady: () => this.isReady,
             getStatus: () => this.status(),
@@ -290,6 +296,7 @@
             planner: this.membership.listMembers()[0]?.host,
             orders: this.orderRights.listHeldEngines(),
             requestsInProgress: this.tasks.size,
+            suspectParts: this.crashSuspects.listEvidence().filter(({ ends }) => ends.length > 0).length,
             servers: [...this.directory.values()].map(server => ({
                 serverId: server.record.serverId,
                 serviceId: server.record.serviceId,
@@ -460,6 +467,7 @@
             running: countRunningRequests(this.directory),
             arrivals: this.localDemand.flushArrivals(),
             engines: this.commandRunner.listEngineStates(),
+            crashEvidence: this.crashSuspects.listEvidence(),
         };
     }
 }
--- a/packages/gateway/src/node/peer-app.ts
+++ b/packages/gateway/src/node/peer-app.ts
@@ -1,4 +1,5 @@
 import { type Context, Hono } from "hono";
+import type { CrashSuspects } from "../runtime/crash-suspects.ts";
 import type { EngineCommandRunner } from "../runtime/engine-command-runner.ts";
 import type { GatewayMetrics } from "../runtime/gateway-metrics.ts";
 import type { PlacementPlanner } from "../runtime/placement-planner.ts";
@@ -15,6 +16,7 @@
     readonly planner: PlacementPlanner;
     readonly commandRunner: EngineCommandRunner;
     readonly view: StoreView;
+    readonly crashSuspects: CrashSuspects;
     readonly metrics: GatewayMetrics;
     readonly isReady: () => boolean;
     readonly getStatus: () => object;
@@ -22,15 +24,17 @@
 
 /** Creates the HTTP interface for other gateways and for operators. */
 export function createPeerApp(options: PeerAppOptions): Hono {
-    const { planner, commandRunner, view, metrics } = options;
+    const { planner, commandRunner, view, crashSuspects, metrics } = options;
     const app = new Hono();
     app.post("/v1/demand", async c => {
         if (!planner.isActive) return respondNotPlanner(c);
         const message = demandSchema.safeParse(await readJson(c));
         if (!message.success) return c.json({ error: "the demand breaks its schema" }, 400);
         planner.receiveDemand(message.data);
+        crashSuspects.mergeEvidence(message.data.crashEvidence);
         const etas = await planner.estimateWaiting(message.data);
-        return c.json({ totals: planner.countRunningTotals(), etas } satisfies DemandResponse);
+        const totals = planner.countRunningTotals();
+        return c.json({ totals, etas, crashEvidence: crashSuspects.listEvidence() } satisfies DemandResponse);
     });
     app.post("/v1/commands", async c => {
         const command = commandSchema.safeParse(await readJson(c));
--- a/packages/gateway/src/node/placement-synchronizer.ts
+++ b/packages/gateway/src/node/placement-synchronizer.ts
@@ -1,4 +1,5 @@
 import { type Logger, sleep } from "@skylarkmill/coordination";
+import type { CrashSuspects } from "../runtime/crash-suspects.ts";
 import type { GatewayMember, GatewayMembership } from "../runtime/gateway-membership.ts";
 import type { PlacementPlanner } from "../runtime/placement-planner.ts";
 import type { ServerDirectory } from "../runtime/server-directory.ts";
@@ -31,6 +32,7 @@
     readonly planner: PlacementPlanner;
     readonly directory: ServerDirectory;
     readonly view: StoreView;
+    readonly crashSuspects: CrashSuspects;
     /** Whether a member's copy keeps the view up to date. */
     readonly isFollowingPeer: () => boolean;
     readonly seeds: readonly string[];
@@ -136,7 +138,7 @@
     }
 
     private async sendDemand(): Promise<void> {
-        const { peerClient, planner, createDemandMessage, logger, directory } = this.options;
+        const { peerClient, planner, createDemandMessage, logger, directory, crashSuspects } = this.options;
         const message = createDemandMessage();
         if (planner.isActive) {
             this.lastSentEngines = undefined;
@@ -149,6 +151,7 @@
         if (result.isErr()) this.lastSentEngines = undefined;
         if (result.isOk() && result.value !== undefined) {
             directory.updateTotals(result.value.totals, message.running);
+            crashSuspects.mergeEvidence(result.value.crashEvidence);
             directory.updateEtas(result.value.etas);
         }
         if (result.isErr()) logger.debug({ step: "peer.demand", err: result.error }, "failed to send the demand");
--- a/packages/gateway/src/runtime/attempt.ts
+++ b/packages/gateway/src/runtime/attempt.ts
@@ -1,5 +1,6 @@
 import type { EngineCall, EngineClient, EngineExchange, ResponseHead, ResponseListener } from "../types/engine.ts";
 import { nowMs } from "../utils/clock.ts";
+import type { CrashSuspects } from "./crash-suspects.ts";
 import { EventSplitter, type StreamEvent } from "./event-splitter.ts";
 import type { ResponseBuffers } from "./response-buffers.ts";
 import type { ServerState } from "./server-state.ts";
@@ -32,6 +33,8 @@
     private readonly listener: AttemptListener;
     private readonly isStream: boolean;
     private readonly buffers: ResponseBuffers;
+    private readonly crashSuspects: CrashSuspects;
+    private isUnanswered = false;
     private readonly splitter = new EventSplitter();
     private readonly chunks: Buffer[] = [];
     private bufferedByteCount = 0;
@@ -44,18 +47,22 @@
         call: EngineCall,
         isStream: boolean,
         buffers: ResponseBuffers,
+        crashSuspects: CrashSuspects,
         listener: AttemptListener,
     ) {
         this.server = server;
         this.call = call;
         this.isStream = isStream;
         this.buffers = buffers;
+        this.crashSuspects = crashSuspects;
         this.listener = listener;
     }
 
     start(engineClient: EngineClient): void {
         const { modelId, adapterId } = this.call.request;
         this.server.beginAttempt(modelId, adapterId);
+        this.isUnanswered = true;
+        this.crashSuspects.beginAttempt(this.call.request.sharedPromptParts);
         const exchange = engineClient.sendRequest(this.call, this);
         if (this.isFinished) exchange.cancel();
         else this.exchange = exchange;
@@ -118,8 +125,10 @@
         if (this.isFinished) return;
         if (this.head === undefined) return this.fail("response without a head", true);
         if (this.isStreaming && (this.eventCount === 0 || this.splitter.pendingByteCount > 0)) {
+            this.recordEngineEnd();
             return this.fail("incomplete stream", true);
         }
+        if (this.head.status < 300) this.recordAnswer();
         this.finish();
         this.server.recordOutcome(this.head.status < 500);
         if (this.isStreaming) this.listener.onStreamEnd(this);
@@ -127,6 +136,7 @@
     }
 
     onFailure(error: Error, wasSent: boolean): void {
+        if (wasSent) this.recordEngineEnd();
         this.fail(error.message, wasSent);
     }
 
@@ -138,12 +148,33 @@
     private pushEvents(chunk: Buffer): void {
         for (const event of this.splitter.push(chunk)) {
             this.eventCount += 1;
+            this.recordAnswer();
             this.listener.onEvent(this, event);
             if (this.isFinished) return;
         }
         if (this.splitter.isEventTooLong) this.fail("event too long", true);
     }
 
+    /** The engine began an answer, so the request does not end engines. */
+    private recordAnswer(): void {
+        if (!this.isUnanswered) return;
+        this.endUnanswered();
+        this.crashSuspects.recordAnswer(this.call.request.sharedPromptParts);
+    }
+
+    /** The connection broke before an answer, so the engine may have ended because of the request. */
+    private recordEngineEnd(): void {
+        if (this.isFinished || !this.isUnanswered) return;
+        const { serverId, bornAtMs } = this.call.server;
+        this.crashSuspects.recordEngineEnd(serverId, bornAtMs, this.call.request.sharedPromptParts);
+    }
+
+    private endUnanswered(): void {
+        if (!this.isUnanswered) return;
+        this.isUnanswered = false;
+        this.crashSuspects.endAttempt(this.call.request.sharedPromptParts);
+    }
+
     private fail(cause: string, wasSent: boolean): void {
         if (!this.finish()) return;
         this.exchange?.cancel();
@@ -155,6 +186,7 @@
     private finish(): boolean {
         if (this.isFinished) return false;
         this.isFinished = true;
+        this.endUnanswered();
         clearTimeout(this.silenceTimer);
         this.buffers.release(this.bufferedByteCount);
         const { modelId, adapterId } = this.call.request;
--- a/packages/gateway/src/runtime/request-task.ts
+++ b/packages/gateway/src/runtime/request-task.ts
@@ -210,7 +210,12 @@
 
     private dispatch(): void {
         if (this.remainingMs() < MIN_ATTEMPT_MS) return this.abandon("deadline_unreachable");
-        const server = this.chooseServer();
+        // The parts of a prompt with which an answer began don't end engines.
+        const decision = this.firstHead === undefined
+            ? this.context.crashSuspects.decide(this.request.sharedPromptParts)
+            : undefined;
+        if (decision?.kind === "refuse") return this.refuseSuspect(decision.retryAfterMs);
+        const server = decision?.kind === "wait" ? undefined : this.chooseServer();
         if (server === undefined) return this.waitForServer();
         this.stopWaiting();
         this.send(server);
@@ -265,6 +270,7 @@
             call,
             route.kind === "streaming",
             context.responseBuffers,
+            context.crashSuspects,
             guardListener(this, error => this.failUnexpectedly(error)),
         );
         this.attempt = attempt;
@@ -325,6 +331,12 @@
         return true;
     }
 
+    /** Refuses a request that would probably end an engine. */
+    private refuseSuspect(retryAfterMs: number): void {
+        const hasRun = this.possibleRuns.size > 0;
+        this.refuse(hasRun ? refusals.backendLost() : refusals.suspectPrompt(retryAfterMs));
+    }
+
     private abandon(code: string): void {
         if (this.firstHead !== undefined) return this.abortResponse();
         if (this.possibleRuns.size > 0) return this.refuse(refusals.backendLost());
--- a/packages/gateway/src/types/context.ts
+++ b/packages/gateway/src/types/context.ts
@@ -1,5 +1,6 @@
 import type { Logger, LogLimiter } from "@skylarkmill/coordination";
 import type { DataCentre, ServiceId } from "@skylarkmill/protocol";
+import type { CrashSuspects } from "../runtime/crash-suspects.ts";
 import type { GatewayMetrics } from "../runtime/gateway-metrics.ts";
 import type { LocalDemandTracker } from "../runtime/local-demand-tracker.ts";
 import type { ResponseBuffers } from "../runtime/response-buffers.ts";
@@ -14,6 +15,8 @@
     readonly engineClient: EngineClient;
     /** Bytes of incomplete responses that this process holds. */
     readonly responseBuffers: ResponseBuffers;
+    /** Parts of prompts that end engines. */
+    readonly crashSuspects: CrashSuspects;
     readonly localDemand: LocalDemandTracker;
     readonly metrics: GatewayMetrics;
     readonly logger: Logger;
--- a/packages/gateway/src/types/engine.ts
+++ b/packages/gateway/src/types/engine.ts
@@ -2,6 +2,7 @@
     AdapterId,
     DataCentre,
     ModelId,
+    PromptPartId,
     RequestId,
     ServerId,
     ServiceId,
@@ -92,6 +93,8 @@
     readonly adapterId: AdapterId | undefined;
     readonly promptTokenCount: number;
     readonly maxOutputTokenCount: number;
+    /** Parts of the prompt that other requests may have too, in order. */
+    readonly sharedPromptParts: readonly PromptPartId[];
     /** Id of the last stream event that the caller has received. */
     readonly lastEventId: number | undefined;
     /** Time for which the caller waits, from the arrival of the request. */
--- a/packages/gateway/src/types/placement.ts
+++ b/packages/gateway/src/types/placement.ts
@@ -1,5 +1,6 @@
 import type { EngineModelOrder } from "@skylarkmill/policy";
 import type { AdapterId, ModelId, ServerId } from "@skylarkmill/protocol";
+import type { CrashEvidence } from "./crash-evidence.ts";
 
 /** Number of requests of one gateway that wait for a model or adapter. */
 export interface WaitingDemand {
@@ -70,6 +71,7 @@
     readonly arrivals: readonly ArrivalDemand[];
     /** Engines to which this gateway sends orders; undefined if the planner already has their current state. */
     readonly engines: readonly EngineState[] | undefined;
+    readonly crashEvidence: readonly CrashEvidence[];
 }
 
 /** Number of requests of all gateways in progress at one engine. */
@@ -81,6 +83,8 @@
 /** The planner's response to a demand message. */
 export interface DemandResponse {
     readonly totals: readonly EngineRequestTotal[];
+    /** Evidence of all gateways. */
+    readonly crashEvidence: readonly CrashEvidence[];
     /** Estimates for the models that the gateway's requests wait for. */
     readonly etas: readonly ModelEta[];
 }
--- a/packages/gateway/src/utils/peer-schemas.ts
+++ b/packages/gateway/src/utils/peer-schemas.ts
@@ -1,4 +1,4 @@
-import type { AdapterId, ModelId, ServerId } from "@skylarkmill/protocol";
+import type { AdapterId, ModelId, PromptPartId, ServerId } from "@skylarkmill/protocol";
 import { z } from "zod";
 import type { StoreChanges, StoreSnapshot } from "../runtime/store-view.ts";
 import type { DemandMessage, DemandResponse, EngineCommand, PlacementState } from "../types/placement.ts";
@@ -22,6 +22,13 @@
     coming: z.array(z.string()),
 });
 
+const promptPartId = z.string() as unknown as z.ZodType<PromptPartId>;
+const crashEvidence = z.array(z.object({
+    part: promptPartId,
+    generation: count,
+    ends: z.array(z.object({ engine: z.string(), ageMs: z.number().nonnegative() })),
+}));
+
 // Optional fields are absent in the schema's type but `undefined` in the interfaces; JSON doesn't distinguish them.
 export const demandSchema = z.object({
     gateway: z.string(),
@@ -30,12 +37,15 @@
     running: z.array(z.object({ ...target, serverId, count })),
     arrivals: z.array(z.object({ ...target, count })),
     engines: z.array(engineState).optional(),
+    // Gateways of an earlier version send none.
+    crashEvidence: crashEvidence.default([]),
 }) as unknown as z.ZodType<DemandMessage>;
 
 const eta = z.object({ modelId, readyInMs: z.number() });
 
 export const demandResponseSchema: z.ZodType<DemandResponse> = z.object({
     totals: z.array(z.object({ serverId, count })),
+    crashEvidence: crashEvidence.default([]),
     etas: z.array(eta),
 });
 
--- a/packages/gateway/src/utils/refusals.ts
+++ b/packages/gateway/src/utils/refusals.ts
@@ -49,6 +49,14 @@
         execution: "not_run",
         retryAfterMs: addJitter(retryAfterMs),
     }),
+    suspectPrompt: (retryAfterMs: number): Refusal => ({
+        status: 503,
+        type: "unavailable_error",
+        code: "suspect_prompt",
+        message: "Engines ended before they answered requests with a part of this prompt.",
+        execution: "not_run",
+        retryAfterMs: addJitter(retryAfterMs),
+    }),
     backendLost: (): Refusal => ({
         status: 502,
         type: "backend_error",
--- a/packages/protocol/src/types/ids.ts
+++ b/packages/protocol/src/types/ids.ts
@@ -9,6 +9,8 @@
 export type ServerId = Id<"server">;
 export type HostId = Id<"host">;
 export type ProcessId = Id<"process">;
+/** A part of a prompt that requests share, such as the instructions of a route. */
+export type PromptPartId = Id<"prompt-part">;
 export type DataCentre = Id<"data-centre">;
 export type RequestId = Id<"request">;
 export type AttemptId = Id<"attempt">;
--- a/test/gateway/cluster-demand.test.ts
+++ b/test/gateway/cluster-demand.test.ts
@@ -20,6 +20,7 @@
             : [{ serverId: SERVER, modelId: MODEL, adapterId: undefined, count: runningCount }],
         arrivals: [],
         engines,
+        crashEvidence: [],
     };
 }
 
--- a/test/gateway/placement-planner.test.ts
+++ b/test/gateway/placement-planner.test.ts
@@ -105,6 +105,7 @@
             running: [],
             arrivals: [],
             engines: [state],
+            crashEvidence: [],
         };
         const planner = new PlacementPlanner({
             directory,
--- a/test/gateway/placement-responses.test.ts
+++ b/test/gateway/placement-responses.test.ts
@@ -1,5 +1,6 @@
 import { silentLogger } from "@skylarkmill/coordination";
 import {
+    CrashSuspects,
     createPeerApp,
     type DemandMessage,
     type EngineState,
@@ -43,6 +44,7 @@
         running: [],
         arrivals: [],
         engines,
+        crashEvidence: [],
     };
 }
 
@@ -61,6 +63,7 @@
         planner,
         commandRunner: undefined as never,
         view: undefined as never,
+        crashSuspects: new CrashSuspects({ logger: silentLogger, onChange: () => undefined }),
         metrics: new GatewayMetrics(),
         isReady: () => true,
         getStatus: () => ({}),
--- a/test/gateway/request-timing.test.ts
+++ b/test/gateway/request-timing.test.ts
@@ -25,6 +25,7 @@
     adapterId: undefined,
     promptTokenCount: 0,
     maxOutputTokenCount: 0,
+    sharedPromptParts: [],
     lastEventId: undefined,
     deadlineMs: undefined,
     headers: [],
--- a/test/gateway/waiting.test.ts
+++ b/test/gateway/waiting.test.ts
@@ -1,6 +1,7 @@
 import { LogLimiter, silentLogger } from "@skylarkmill/coordination";
 import {
     type CallerRequest,
+    CrashSuspects,
     type GatewayContext,
     GatewayMetrics,
     LocalDemandTracker,
@@ -52,6 +53,7 @@
     adapterId: undefined,
     promptTokenCount: 0,
     maxOutputTokenCount: 0,
+    sharedPromptParts: [],
     lastEventId: undefined,
     deadlineMs: undefined,
     headers: [],
@@ -69,6 +71,7 @@
         directory,
         engineClient: undefined as never,
         responseBuffers: new ResponseBuffers(1_000),
+        crashSuspects: new CrashSuspects({ logger: silentLogger, onChange: () => undefined }),
         localDemand,
         metrics: new GatewayMetrics(),
         logger: silentLogger,
--- a/test/platform/stand-ins/fixture.ts
+++ b/test/platform/stand-ins/fixture.ts
@@ -104,6 +104,7 @@
         const server = await PlatformServerStandIn.start(options);
         this.servers.push(server);
         this.store.put(`servers/${server.id}`, server.toServerRecord());
+        server.onRestart = () => this.store.put(`servers/${server.id}`, server.toServerRecord());
         return server;
     }
 
--- a/test/platform/stand-ins/platform-server.ts
+++ b/test/platform/stand-ins/platform-server.ts
@@ -88,6 +88,8 @@
 const MAX_FILLER_MS = 8_000;
 const TRICKLE_INTERVAL_MS = 100;
 const SLOW_EVENT_INTERVAL_MS = 600;
+/** Time for which a crashed server is down. */
+const RESTART_MS = 300;
 
 /** Exceeds the time that a gateway waits for the first event before it tries another server. */
 const DELAYED_START_MS = 1_200;
@@ -114,6 +116,12 @@
     readonly faults: ServerFault[] = [];
     /** Applies to every call: `reset` resets the connection as a crashed server does; `silent` sends no response. */
     outage: "none" | "reset" | "silent" = "none";
+    /** Part of a prompt with which the server crashes before it begins an answer. */
+    deadlyPart: string | undefined;
+    /** Number of crashes. */
+    crashCount = 0;
+    /** Called when the server is back after a crash. */
+    onRestart: () => void = () => undefined;
     /** If set, orders get no response and are applied after this delay. */
     orderDelayMs: number | undefined;
     readonly loadedModels = new Map<string, Set<string>>();
@@ -123,7 +131,7 @@
     private readonly server: Server;
     private readonly sockets = new Set<Socket>();
     private readonly options: PlatformServerOptions;
-    readonly bornAtMs: number;
+    bornAtMs: number;
 
     private constructor(options: PlatformServerOptions) {
         this.options = options;
@@ -281,6 +289,8 @@
             || this.loadedModels.has(model) && (adapter === undefined || this.loadedModels.get(model)!.has(adapter));
         if (fault === "misdirected" || !isLoaded) return void response.writeHead(421, { "x-attempt-id": id }).end();
         received.hasStarted = true;
+        const parts = String(request.headers["x-prompt-prefix"] ?? "").split(",").map(pair => pair.split(":")[0]);
+        if (this.deadlyPart !== undefined && parts.includes(this.deadlyPart)) return this.crash();
         if (fault === "silent") return;
         const isEndless = fault !== undefined && ENDLESS_STARTS[fault] !== undefined;
         if (isEndless) return this.sendEndlessBytes(request, received, fault);
@@ -294,6 +304,18 @@
         this.respondAsService(request, response, headers, fault);
     }
 
+    /** Breaks all connections and starts again a little later. */
+    private crash(): void {
+        this.crashCount += 1;
+        this.outage = "reset";
+        for (const socket of this.sockets) socket.resetAndDestroy();
+        setTimeout(() => {
+            this.outage = "none";
+            this.bornAtMs += 1;
+            this.onRestart();
+        }, RESTART_MS);
+    }
+
     private async sendEndlessBytes(
         request: IncomingMessage,
         received: ReceivedRequest,
