fix(router): bound the runs of one request that servers lose

Cause: the product's own router counted the moves of a request, but began anew each time that it had waited for a server. A repeatable request that ends its backend server was sent to all servers in turn and then to those that were back: 11 runs within 1.5 s at two servers.

Now three lost runs end the request, as unknown.

Evidence: two cases of test/router/outcomes.test.ts, 'runs a repeatable request three times at most', failed before.

--- a/packages/router/src/runtime/request-task.ts
+++ b/packages/router/src/runtime/request-task.ts
@@ -21,6 +21,8 @@
 const DEADLINE_GRACE_MS = 40;
 /** Maximum number of times that a request is moved to another server after a refusal or a failed connection. */
 const MAX_MOVES = 8;
+/** Maximum number of attempts that may have run without a response; the request itself may end its servers. */
+const MAX_LOST_RUNS = 3;
 /** Minimum remaining time for another attempt. */
 const MIN_ATTEMPT_MS = 5;
 /**
@@ -56,6 +58,7 @@
     private lastRefusal: Refusal | undefined;
     private mayHaveRun = false;
     private moveCount = 0;
+    private lostRunCount = 0;
     private deadlineTimer: NodeJS.Timeout | undefined;
     private hedgeTimer: NodeJS.Timeout | undefined;
     private serverWait: ServerWait | undefined;
@@ -199,9 +202,9 @@
         }
         if (attempt === this.sourceAttempt) this.sourceAttempt = undefined;
         if (attempt.mayHaveBeenSent) {
-            this.mayHaveRun = true;
+            this.recordLostRun();
             this.lastRefusal = refusals.backendLost("unknown");
-            return this.moveOrRefuse(this.lastRefusal, this.spec.isIdempotent && this.tryTakeRetry());
+            return this.moveOrRefuse(this.lastRefusal, this.canRunAgain && this.tryTakeRetry());
         }
         if (isInvalidRequest(error)) return this.refuse(refusals.malformedRequest());
         this.context.directory.markUnreachable(attempt.server, nowMs());
@@ -240,8 +243,8 @@
         const { directory } = this.context;
         if (refusal.code === "draining") directory.markDraining(attempt.server);
         if (refusal.execution === "unknown") {
-            this.mayHaveRun = true;
-            return this.moveOrRefuse(refusal, this.spec.isIdempotent && canMoveAfter(refusal) && this.tryTakeRetry());
+            this.recordLostRun();
+            return this.moveOrRefuse(refusal, this.canRunAgain && canMoveAfter(refusal) && this.tryTakeRetry());
         }
         this.lastRefusal = refusal;
         this.moveOrRefuse(refusal, canMoveAfter(refusal));
@@ -370,6 +373,15 @@
         return this.mayHaveRun ? "unknown" : "not_run";
     }
 
+    private recordLostRun(): void {
+        this.mayHaveRun = true;
+        this.lostRunCount += 1;
+    }
+
+    private get canRunAgain(): boolean {
+        return this.spec.isIdempotent && this.lostRunCount < MAX_LOST_RUNS;
+    }
+
     private tryTakeRetry(): boolean {
         return this.context.policies.retries.tryConsume(nowMs());
     }
--- a/test/router/outcomes.test.ts
+++ b/test/router/outcomes.test.ts
@@ -132,6 +132,18 @@
         },
     );
 
+    // Guards against a request that ends one backend server after the other, and each again after its restart.
+    it.each([
+        { name: "break the connection", behaviour: breakConnection },
+        { name: "refuse it as unknown", behaviour: refuseWith(502, "backend_failed", "unknown") },
+    ])("runs a repeatable request three times at most if all servers $name", async ({ behaviour }) => {
+        for (const agent of Object.values(harness.agents)) agent.behaviour = behaviour;
+        const before = harness.receivedRequestCount();
+        const response = await harness.chat({ model: "bench-diagnosis" }, { "x-request-timeout-ms": "1500" });
+        expect(response.json.error?.execution).toBe("unknown");
+        expect(harness.receivedRequestCount() - before).toBeLessThanOrEqual(3);
+    });
+
     it("retries even an order if an agent refuses connections", async () => {
         await harness.agents["ledger-1"]!.stop();
         const response = await harness.send("POST", "/services/parts-ledger/orders", "{}");
