--- a/test/platform/crashing-prompts.test.ts
+++ b/test/platform/crashing-prompts.test.ts
@@ -5,10 +5,11 @@
 
 const ENGINE_COUNT = 6;
 const GATEWAY_COUNT = 3;
-/** Ends after which no more than a few requests with the part may reach an engine. */
-const PROVED_END_COUNT = 5;
+/** From this time after the fifth crash on, no more than three requests with the part may reach an engine. */
+const PROVED_CRASH_COUNT = 5;
+const CONTACT_MS = 3_000;
 const MAX_LATER_COUNT = 3;
-const REQUEST_COUNT = 40;
+const REQUEST_COUNT = 60;
 const INTERVAL_MS = 150;
 
 let fixture: PlatformFixture;
@@ -50,9 +51,12 @@
     }
     const deadlyResponses = await Promise.all(deadly);
     const soundResponses = await Promise.all(sound);
-    const crashCount = engines.reduce((sum, engine) => sum + engine.crashCount, 0);
-    expect(crashCount).toBeGreaterThan(0);
-    expect(crashCount).toBeLessThanOrEqual(PROVED_END_COUNT + MAX_LATER_COUNT);
+    const crashedAtMs = engines.flatMap(engine => engine.crashedAtMs).sort((a, b) => a - b);
+    expect(crashedAtMs.length).toBeGreaterThan(0);
+    const provedAtMs = crashedAtMs[PROVED_CRASH_COUNT - 1] ?? Infinity;
+    const later = crashedAtMs.filter(atMs => atMs > provedAtMs + CONTACT_MS);
+    expect(later.length).toBeLessThanOrEqual(MAX_LATER_COUNT);
+    expect(performance.now()).toBeGreaterThan(crashedAtMs[0]! + 2 * CONTACT_MS);
     const last = deadlyResponses.at(-1)!;
     expect(last.status).toBe(503);
     expect(JSON.parse(last.text)).toMatchObject({ error: { code: "suspect_prompt", execution: "not_run" } });
--- a/test/platform/stand-ins/platform-server.ts
+++ b/test/platform/stand-ins/platform-server.ts
@@ -118,8 +118,8 @@
     outage: "none" | "reset" | "silent" = "none";
     /** Part of a prompt with which the server crashes before it begins an answer. */
     deadlyPart: string | undefined;
-    /** Number of crashes. */
-    crashCount = 0;
+    /** Times of the crashes. */
+    readonly crashedAtMs: number[] = [];
     /** Called when the server is back after a crash. */
     onRestart: () => void = () => undefined;
     /** If set, orders get no response and are applied after this delay. */
@@ -306,7 +306,7 @@
 
     /** Breaks all connections and starts again a little later. */
     private crash(): void {
-        this.crashCount += 1;
+        this.crashedAtMs.push(performance.now());
         this.outage = "reset";
         for (const socket of this.sockets) socket.resetAndDestroy();
         setTimeout(() => {
