fix(gateway): don't suspect the parts of a stream that is resumed

Cause: a stream that moves to another engine counts as unanswered there until its first event. If that engine ended as well, the parts of the prompt were taken as evidence, although an answer had begun with them before. After three engines that end for reasons of their own, sound requests would be refused.

Now only an attempt that does not resume an answer is evidence.

Evidence: 'before the rest of a resumed answer' of test/gateway/crash-suspects.test.ts failed before.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -2,6 +2,7 @@
 export { createPeerApp, type PeerAppOptions } from "./node/peer-app.ts";
 export { PeerClient } from "./node/peer-client.ts";
 export { ViewFollower, type ViewFollowerOptions } from "./node/view-follower.ts";
+export { Attempt, type AttemptListener } from "./runtime/attempt.ts";
 export { ClusterDemandTracker } from "./runtime/cluster-demand-tracker.ts";
 export { type CrashDecision, CrashSuspects, type CrashSuspectsOptions } from "./runtime/crash-suspects.ts";
 export { EngineController, type EngineControllerOptions } from "./runtime/engine-controller.ts";
@@ -23,6 +24,7 @@
 export { ResponseBuffers } from "./runtime/response-buffers.ts";
 export { RetryBudget } from "./runtime/retry-budget.ts";
 export { ServerDirectory } from "./runtime/server-directory.ts";
+export { ServerState } from "./runtime/server-state.ts";
 export { type StoreChanges, StoreView, type StoreViewOptions } from "./runtime/store-view.ts";
 export type * from "./types/configuration.ts";
 export type * from "./types/context.ts";
--- a/packages/gateway/src/runtime/attempt.ts
+++ b/packages/gateway/src/runtime/attempt.ts
@@ -164,9 +164,11 @@
 
     /** The connection broke before an answer, so the engine may have ended because of the request. */
     private recordEngineEnd(): void {
-        if (this.isFinished || !this.isUnanswered) return;
-        const { serverId, bornAtMs } = this.call.server;
-        this.crashSuspects.recordEngineEnd(serverId, bornAtMs, this.call.request.sharedPromptParts);
+        const { request, server, lastEventId } = this.call;
+        // A stream that is resumed here began at another engine, which did not end before the first event.
+        const isResumed = lastEventId !== request.lastEventId;
+        if (this.isFinished || !this.isUnanswered || isResumed) return;
+        this.crashSuspects.recordEngineEnd(server.serverId, server.bornAtMs, request.sharedPromptParts);
     }
 
     private endUnanswered(): void {
--- a/packages/gateway/src/types/placement.ts
+++ b/packages/gateway/src/types/placement.ts
@@ -71,6 +71,7 @@
     readonly arrivals: readonly ArrivalDemand[];
     /** Engines to which this gateway sends orders; undefined if the planner already has their current state. */
     readonly engines: readonly EngineState[] | undefined;
+    /** Evidence of this gateway, with what it has learnt from others. */
     readonly crashEvidence: readonly CrashEvidence[];
 }
 
--- a/test/gateway/crash-suspects.test.ts
+++ b/test/gateway/crash-suspects.test.ts
@@ -1,6 +1,22 @@
 import { silentLogger } from "@skylarkmill/coordination";
-import { CrashSuspects } from "@skylarkmill/gateway";
-import { type PromptPartId, type ServerId, toId } from "@skylarkmill/protocol";
+import {
+    Attempt,
+    type AttemptListener,
+    type CallerRequest,
+    CrashSuspects,
+    ResponseBuffers,
+    type ResponseListener,
+    type ServerRecord,
+    ServerState,
+} from "@skylarkmill/gateway";
+import {
+    type DataCentre,
+    type PromptPartId,
+    type RequestId,
+    type ServerId,
+    type ServiceId,
+    toId,
+} from "@skylarkmill/protocol";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 
 const DEADLY = toId<PromptPartId>("deadly");
@@ -155,6 +171,69 @@
     });
 });
 
+const server: ServerRecord = {
+    serverId: ENGINES[0]!,
+    serviceId: toId<ServiceId>("assistant"),
+    address: { host: "127.0.0.1", port: 1 },
+    dataCentre: toId<DataCentre>("dc"),
+    draining: false,
+    bornAtMs: 1,
+    slotCount: 8,
+    sequence: 0,
+    models: [],
+    onDisk: [],
+    inMemory: [],
+};
+const request: CallerRequest = {
+    requestId: toId<RequestId>("r1"),
+    method: "POST",
+    path: "/chat/x",
+    host: "workshop.example",
+    modelId: undefined,
+    adapterId: undefined,
+    promptTokenCount: 0,
+    maxOutputTokenCount: 0,
+    sharedPromptParts: [DEADLY],
+    lastEventId: undefined,
+    deadlineMs: undefined,
+    headers: [],
+    body: undefined,
+};
+
+describe("a connection that breaks", () => {
+    it.each([
+        { name: "before the answer", lastEventId: undefined, wasSent: true, suspectCount: 1 },
+        // Guards against sound parts under suspicion: a stream that goes on elsewhere has been answered already.
+        { name: "before the rest of a resumed answer", lastEventId: 7, wasSent: true, suspectCount: 0 },
+        { name: "before the request was sent", lastEventId: undefined, wasSent: false, suspectCount: 0 },
+    ])("is evidence for $suspectCount parts $name", ({ lastEventId, wasSent, suspectCount }) => {
+        const suspects = create();
+        const call = { request, server, deadlineMs: 1_000, priority: 5, lastEventId, weightVersion: undefined };
+        const listener: Pick<AttemptListener, "onFailed"> = { onFailed: () => undefined };
+        const buffers = new ResponseBuffers(1_000);
+        const attempt = new Attempt(
+            new ServerState(server),
+            call,
+            true,
+            buffers,
+            suspects,
+            listener as AttemptListener,
+        );
+        let response: ResponseListener | undefined;
+        attempt.start({
+            sendRequest: (_call, receiver) => {
+                response = receiver;
+                return { cancel: () => undefined, pause: () => undefined, resume: () => undefined };
+            },
+            sendOrder: undefined as never,
+            readReport: undefined as never,
+        });
+        response!.onFailure(new Error("reset"), wasSent);
+        expect(suspects.listEvidence()).toHaveLength(suspectCount);
+        expect(suspects.decide([DEADLY]).kind).toBe("send");
+    });
+});
+
 it("keeps a bounded number of parts", () => {
     const suspects = create();
     for (let index = 0; index < 10_000; index += 1) {
