fix(gateway): relay streams without a length in chunks

Cause: such a stream was relayed in the same form, so that the end of the caller's connection was its only end, and the kernel closes the connections of a process that ends as those of a complete response. A stop also left responses that had started to the end of the process.

Change: streams go to callers in chunks whatever form they came in; a stream that ends inside an event was already broken off. A plain service's response without a length, whose end proves nothing, keeps its form up to the 16 KB that a socket takes at once; a longer one goes in chunks. A stop ends what is left: it refuses requests without a response and aborts started responses.

--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -249,7 +249,7 @@
         this.refuseStreamsFromMs = startedAtMs + READINESS_DETECTION_MS;
         await this.completeTasks(startedAtMs, endAtMs);
         this.refuseAllFromMs = 0;
-        for (const task of [...this.tasks]) task.refuseIfUnanswered();
+        for (const task of [...this.tasks]) task.endNow();
         await sleep(STOP_FLUSH_MS);
         logger.info(
             { step: "stopped", open: this.tasks.size, tookMs: Math.round(nowMs() - startedAtMs) },
--- a/packages/gateway/src/runtime/http-response-writer.ts
+++ b/packages/gateway/src/runtime/http-response-writer.ts
@@ -2,6 +2,12 @@
 import type { ServerResponse } from "node:http";
 import type { ResponseWriter } from "../types/response-writer.ts";
 
+/**
+ * Largest body that is sent without a length or chunks. A socket takes it at once, so the end of this process can't cut
+ * it; a longer body that is cut would look complete.
+ */
+const MAX_CLOSE_DELIMITED_BYTES = 16 * 1024;
+
 /** Writes the response of one request to Node's HTTP server. */
 export class HttpResponseWriter implements ResponseWriter {
     private readonly response: ServerResponse;
@@ -30,12 +36,17 @@
         this.response.end(body);
     }
 
-    start(status: number, headers: readonly string[], isFramed: boolean): void {
+    sendUnverified(status: number, headers: readonly string[], body: Buffer): void {
+        if (body.length > MAX_CLOSE_DELIMITED_BYTES) this.start(status, headers);
+        else this.startCloseDelimited(status, headers);
+        this.write(body);
+        this.end();
+    }
+
+    start(status: number, headers: readonly string[]): void {
         if (this.isClosed) return;
-        // Node then writes neither a content length nor chunked encoding.
-        if (!isFramed) this.response.useChunkedEncodingByDefault = false;
-        const connection = isFramed ? this.createConnectionHeader() : ["connection", "close"];
-        this.response.writeHead(status, [...headers, ...connection]);
+        // Node encodes a body without a length in chunks, which show a cut even if this process is killed.
+        this.response.writeHead(status, [...headers, ...this.createConnectionHeader()]);
     }
 
     write(chunk: Buffer): boolean {
@@ -63,6 +74,13 @@
         this.response.destroy();
     }
 
+    private startCloseDelimited(status: number, headers: readonly string[]): void {
+        if (this.isClosed) return;
+        // Node then writes neither a content length nor chunked encoding.
+        this.response.useChunkedEncodingByDefault = false;
+        this.response.writeHead(status, [...headers, "connection", "close"]);
+    }
+
     private get isClosed(): boolean {
         return this.response.destroyed || this.response.closed;
     }
--- a/packages/gateway/src/runtime/request-task.ts
+++ b/packages/gateway/src/runtime/request-task.ts
@@ -94,9 +94,9 @@
         if (this.isWaiting && !this.isResuming) this.abandon("stopping");
     }
 
-    /** Refuses a request whose response has not started, since this process ends now. */
-    refuseIfUnanswered(): void {
-        if (this.state === "done" || this.firstHead !== undefined) return;
+    /** Refuses the request, or aborts its response if that has started, since this process ends now. */
+    endNow(): void {
+        if (this.state === "done") return;
         this.attempt?.cancel();
         this.abandon("stopping");
     }
@@ -114,7 +114,7 @@
         if (this.firstHead === undefined) {
             this.firstHead = head;
             this.recordFirstByte();
-            this.writer.start(head.status, head.headers, head.isFramed);
+            this.writer.start(head.status, head.headers);
         }
         this.recordPause();
         if (event.id !== undefined) this.lastEventId = event.id;
@@ -142,9 +142,7 @@
 
     private writeResponse(head: ResponseHead, body: Buffer): void {
         if (head.isFramed) return this.writer.sendComplete(head.status, head.headers, body);
-        this.writer.start(head.status, head.headers, false);
-        this.writer.write(body);
-        this.writer.end();
+        this.writer.sendUnverified(head.status, head.headers, body);
     }
 
     onNotRun(attempt: Attempt, head: ResponseHead): void {
--- a/packages/gateway/src/types/response-writer.ts
+++ b/packages/gateway/src/types/response-writer.ts
@@ -8,8 +8,10 @@
     onCallerDisconnect(listener: () => void): void;
     /** Writes a whole response, whose end has been verified. */
     sendComplete(status: number, headers: readonly string[], body: Buffer): void;
-    /** Starts a response; without framing it ends with the connection, since its completeness can't be verified. */
-    start(status: number, headers: readonly string[], isFramed: boolean): void;
+    /** Writes a whole response that came without a length, so that a server that broke it off may have cut it. */
+    sendUnverified(status: number, headers: readonly string[], body: Buffer): void;
+    /** Starts a response whose body follows in parts; a caller can tell its end from a cut. */
+    start(status: number, headers: readonly string[]): void;
     /** Returns false if the write buffer is full because the caller reads more slowly. */
     write(chunk: Buffer): boolean;
     onDrain(listener: () => void): void;
--- a/test/gateway/waiting.test.ts
+++ b/test/gateway/waiting.test.ts
@@ -85,6 +85,7 @@
         hasStarted: false,
         onCallerDisconnect: () => undefined,
         sendComplete: () => undefined,
+        sendUnverified: () => undefined,
         start: () => undefined,
         write: () => true,
         onDrain: () => undefined,
--- a/test/platform/stand-ins/platform-server.ts
+++ b/test/platform/stand-ins/platform-server.ts
@@ -35,6 +35,8 @@
  * - `closed_between_events`, `closed_within_event`: the connection of a stream closes after three events, or within the
  *   third one.
  * - `without_length`: a complete response without a length, which ends with the connection.
+ * - `stream_without_length`, `reset_stream_without_length`: a stream with neither a length nor chunks, which ends with its
+ *   connection; the second one is reset after three events.
  * - `duplicate_response`: two identical responses on one connection.
  * - `delayed_start`: the response starts late.
  * - `silent`: the request starts but gets no response.
@@ -53,6 +55,8 @@
     | "closed_within_event"
     | "without_length"
     | "reset_without_length"
+    | "stream_without_length"
+    | "reset_stream_without_length"
     | "duplicate_response"
     | "missing_seal_header"
     | "wrong_attempt_id"
@@ -103,6 +107,8 @@
     readonly eventIntervalMs?: number;
     readonly loadDurationMs?: number;
     readonly responseDelayMs?: number;
+    /** Length of a plain service's response bodies; by default they only name the server. */
+    readonly bodyByteCount?: number;
     /** Start of the server process as Unix time. */
     readonly bornAtMs?: number;
 }
@@ -342,7 +348,7 @@
         headers: Record<string, string>,
         fault: ServerFault | undefined,
     ): void {
-        const body = `done by ${this.id}`;
+        const body = `done by ${this.id}`.padEnd(this.options.bodyByteCount ?? 0, ".");
         const rawHeaders = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join("");
         if (fault === "without_length" || fault === "reset_without_length") {
             request.socket.write(`HTTP/1.1 200 OK\r\n${rawHeaders}Connection: close\r\n\r\n${body}`);
@@ -367,7 +373,13 @@
         headers: Record<string, string>,
         fault: ServerFault | undefined,
     ): Promise<void> {
-        response.writeHead(200, { ...headers, "content-type": "text/event-stream" });
+        const isUnframed = fault === "stream_without_length" || fault === "reset_stream_without_length";
+        if (isUnframed) response.useChunkedEncodingByDefault = false;
+        response.writeHead(200, {
+            ...headers,
+            "content-type": "text/event-stream",
+            ...(isUnframed ? { connection: "close" } : {}),
+        });
         const count = this.options.eventCount ?? 6;
         const first = Number(request.headers["last-event-id"] ?? 0) + 1;
         for (let id = first; id <= count; id += 1) {
@@ -381,6 +393,9 @@
             response.write(text);
             await sleep(fault === "slow_events" ? SLOW_EVENT_INTERVAL_MS : this.options.eventIntervalMs ?? 2);
             if (fault === "closed_between_events" && id === first + 2) return void request.socket.destroy();
+            if (fault === "reset_stream_without_length" && id === first + 2) {
+                return void request.socket.resetAndDestroy();
+            }
             if (response.destroyed) return;
         }
         response.end();
--- /dev/null
+++ b/test/platform/streams-without-length.test.ts
@@ -0,0 +1,159 @@
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { eventually } from "../support/eventually.ts";
+import { SpawnedProcess } from "../support/spawned-process.ts";
+import { createConfigurationDocument, HOST, PlatformFixture } from "./stand-ins/fixture.ts";
+import type { PlatformServerStandIn, ServerFault } from "./stand-ins/platform-server.ts";
+import { callRaw, type RawResult } from "./stand-ins/raw-caller.ts";
+
+const EVENT_COUNT = 300;
+const EVENT_INTERVAL_MS = 30;
+const ROUTE_TIMEOUT_MS = 20_000;
+/** Exceeds what the sockets between gateway and caller hold. */
+const LONG_BODY_BYTES = 12 * 1024 * 1024;
+
+let fixture: PlatformFixture;
+let engine: PlatformServerStandIn;
+let folder: string;
+
+beforeEach(async () => {
+    folder = mkdtempSync(join(tmpdir(), "skylarkmill-test-"));
+    fixture = await PlatformFixture.start();
+    fixture.store.put("op/config", createConfigurationDocument(2, {}, ROUTE_TIMEOUT_MS));
+});
+
+afterEach(async () => {
+    await fixture.close();
+    rmSync(folder, { recursive: true });
+});
+
+async function startEngine(eventCount: number): Promise<void> {
+    engine = await fixture.addServer({
+        id: "e1",
+        service: "assistant",
+        models: ["m1"],
+        eventCount,
+        eventIntervalMs: EVENT_INTERVAL_MS,
+    });
+}
+
+async function startGateway(): Promise<number> {
+    const index = await fixture.addGateway("edge-1");
+    await fixture.waitUntilServerAvailable(index, "e1");
+    return fixture.frontPort(index);
+}
+
+function startStream(port: number, fault: ServerFault, version: "1.0" | "1.1", deadlineMs: number): Promise<RawResult> {
+    engine.faults.push(fault);
+    const headers = {
+        "host": HOST,
+        "x-attempt-id": fixture.newId(),
+        "x-model": "m1",
+        "x-deadline-ms": String(deadlineMs),
+    };
+    return callRaw({ port, path: "/draft/x", version, headers });
+}
+
+function expectCut(result: RawResult): void {
+    expect(result.status).toBe(200);
+    expect(result.text.startsWith("id: 1\ndata: piece 1\n\n")).toBe(true);
+    expect(result.text).not.toContain(`id: ${EVENT_COUNT}\n`);
+    expect(result).toMatchObject({ isComplete: false });
+}
+
+// Guards against cut streams that look complete: a stream without a length was relayed without one, so that the end of
+// the caller's connection was its only end.
+describe("a stream that its engine sends without a length", () => {
+    it("reaches its caller whole", async () => {
+        await startEngine(4);
+        const result = await startStream(await startGateway(), "stream_without_length", "1.1", ROUTE_TIMEOUT_MS);
+        expect(result).toMatchObject({ status: 200, framing: "chunked", isComplete: true });
+        expect(result.text.endsWith("id: 4\ndata: piece 4\n\n")).toBe(true);
+    });
+
+    const cuts: readonly { name: string; fault: ServerFault; deadlineMs: number; shouldStop: boolean; }[] = [
+        {
+            name: "when its gateway stops",
+            fault: "stream_without_length",
+            deadlineMs: ROUTE_TIMEOUT_MS,
+            shouldStop: true,
+        },
+        {
+            name: "when its engine's connection is reset",
+            fault: "reset_stream_without_length",
+            deadlineMs: ROUTE_TIMEOUT_MS,
+            shouldStop: false,
+        },
+        { name: "when its deadline passes", fault: "stream_without_length", deadlineMs: 500, shouldStop: false },
+    ];
+
+    it.each(cuts)("does not look complete $name", async ({ fault, deadlineMs, shouldStop }) => {
+        await startEngine(EVENT_COUNT);
+        const stream = startStream(await startGateway(), fault, "1.1", deadlineMs);
+        if (shouldStop) await stopGateway();
+        expectCut(await stream);
+    }, 20_000);
+
+    it("does not look complete when its gateway's process is killed", async () => {
+        await startEngine(EVENT_COUNT);
+        await startGateway();
+        const gateway = await moveGatewayToProcess();
+        const stream = startStream(gateway.port, "stream_without_length", "1.1", ROUTE_TIMEOUT_MS);
+        await waitUntilRunning(engine);
+        await gateway.process.end("SIGKILL");
+        expectCut(await stream);
+    }, 40_000);
+});
+
+describe("a plain service's response without a length", () => {
+    // Guards against a long response that looks complete although its gateway was killed while it was written.
+    it("does not look complete when its gateway's process is killed", async () => {
+        const desk = await fixture.addServer({ id: "e1", service: "desk", bodyByteCount: LONG_BODY_BYTES });
+        await startGateway();
+        const gateway = await moveGatewayToProcess();
+        desk.faults.push("without_length");
+        const headers = { "host": HOST, "x-attempt-id": fixture.newId(), "x-deadline-ms": String(ROUTE_TIMEOUT_MS) };
+        const call = { port: gateway.port, path: "/orders/x", version: "1.1", headers, readDelayMs: 1_500 } as const;
+        const response = callRaw(call);
+        await waitUntilRunning(desk);
+        await gateway.process.end("SIGKILL");
+        const result = await response;
+        expect(result.status).toBe(200);
+        expect(result.text.length).toBeLessThan(LONG_BODY_BYTES);
+        expect(result.isComplete).toBe(false);
+    }, 40_000);
+});
+
+async function waitUntilRunning(server: PlatformServerStandIn): Promise<void> {
+    await eventually("the request runs", () => server.requests.some(request => request.hasStarted) || undefined);
+    await new Promise(resolve => setTimeout(resolve, 500));
+}
+
+/** Stops the gateway of this process and starts one with the same settings in a process of its own. */
+async function moveGatewayToProcess(): Promise<{ readonly process: SpawnedProcess; readonly port: number; }> {
+    const { settings } = fixture.gateways[0]!;
+    await stopGateway();
+    const nodeFile = join(folder, "settings.json");
+    const { front, ready, control } = settings.listen_addrs;
+    const addresses = { front: formatAddress(front), ready: formatAddress(ready), control: formatAddress(control!) };
+    writeFileSync(nodeFile, JSON.stringify({ ...settings, listen_addrs: addresses }));
+    const gateway = new SpawnedProcess({ name: "gateway", args: ["gateway", "--node-file", nodeFile] });
+    gateway.start();
+    await eventually("the gateway knows the server", async () => {
+        const response = await fetch(`http://${addresses.control}/v1/status`);
+        const { servers } = await response.json() as { servers: unknown[]; };
+        return servers.length > 0 ? true : undefined;
+    });
+    return { process: gateway, port: front.port };
+}
+
+function formatAddress({ host, port }: { readonly host: string; readonly port: number; }): string {
+    return `${host}:${port}`;
+}
+
+async function stopGateway(): Promise<void> {
+    await eventually("no request waits", () => engine.faults.length === 0 || undefined);
+    await fixture.gateways.pop()!.gateway.stop();
+}
