fix(gateway): reset responses that are cut and can't be sent in chunks

Cause: `abort` destroyed the response, which closes the connection with FIN. For a response with neither a length nor chunks that is its regular end.

Change: `abortResponse` resets the connection of a response that has started without chunks; others are closed as before, so that what was written still arrives. With SIGKILL such a caller still sees a regular end: a process can't reset its connections then, and HTTP/1.0 has no chunks.

--- a/packages/coordination/src/node/http-server.ts
+++ b/packages/coordination/src/node/http-server.ts
@@ -1,6 +1,6 @@
 import { UnavailableError } from "@skylarkmill/protocol";
 import { ResultAsync } from "neverthrow";
-import type { Server } from "node:http";
+import type { Server, ServerResponse } from "node:http";
 import { type AddressInfo, Server as NetServer } from "node:net";
 
 /** Address to bind; port 0 selects a free port. */
@@ -89,3 +89,16 @@
         });
     });
 }
+
+/**
+ * Ends a response that can't be completed, so that its caller can tell it from a complete one. A caller of HTTP/1.0 can't
+ * be sent chunks and takes the regular end of the connection for the end of the response, so its connection is reset.
+ *
+ * @example
+ * response.writeHead(200).write("the first part");
+ * abortResponse(response);
+ */
+export function abortResponse(response: ServerResponse): void {
+    if (response.headersSent && !response.chunkedEncoding) response.socket?.resetAndDestroy();
+    response.destroy();
+}
--- a/packages/gateway/src/runtime/http-response-writer.ts
+++ b/packages/gateway/src/runtime/http-response-writer.ts
@@ -1,3 +1,4 @@
+import { abortResponse } from "@skylarkmill/coordination";
 import { type Refusal, toRefusalBody } from "@skylarkmill/protocol";
 import type { ServerResponse } from "node:http";
 import type { ResponseWriter } from "../types/response-writer.ts";
@@ -71,7 +72,7 @@
     }
 
     abort(): void {
-        this.response.destroy();
+        abortResponse(this.response);
     }
 
     private startCloseDelimited(status: number, headers: readonly string[]): void {
--- a/packages/gateway/src/types/response-writer.ts
+++ b/packages/gateway/src/types/response-writer.ts
@@ -18,6 +18,6 @@
     end(): void;
     /** Writes a refusal as the whole response. */
     refuse(refusal: Refusal): void;
-    /** Closes the connection, so that a response that has started doesn't look complete. */
+    /** Closes or resets the connection, so that a response that has started doesn't look complete. */
     abort(): void;
 }
--- a/test/platform/streams-without-length.test.ts
+++ b/test/platform/streams-without-length.test.ts
@@ -96,6 +96,26 @@
         expectCut(await stream);
     }, 20_000);
 
+    // Guards against cut streams that look complete to callers of HTTP/1.0, which can't be sent chunks: the gateway closed
+    // their connection as at the end of a response.
+    it.each(cuts)("is reset for a caller of HTTP/1.0 $name", async ({ fault, deadlineMs, shouldStop }) => {
+        await startEngine(EVENT_COUNT);
+        const stream = startStream(await startGateway(), fault, "1.0", deadlineMs);
+        if (shouldStop) await stopGateway();
+        const result = await stream;
+        expect(result).toMatchObject({ framing: "none", ending: "reset" });
+        expectCut(result);
+    }, 20_000);
+
+    // Guards against a cut stream that looks complete because an engine that sends chunks was lost.
+    it("is reset for a caller of HTTP/1.0 when its engine, which sends chunks, closes its connection early", async () => {
+        await startEngine(EVENT_COUNT);
+        const stream = startStream(await startGateway(), "closed_between_events", "1.0", ROUTE_TIMEOUT_MS);
+        const result = await stream;
+        expect(result).toMatchObject({ framing: "none", ending: "reset" });
+        expectCut(result);
+    });
+
     it("does not look complete when its gateway's process is killed", async () => {
         await startEngine(EVENT_COUNT);
         await startGateway();
