fix(router): reset responses that are cut and can't be sent in chunks

Callers saw: a plain service's response without a length that was cut, since the agent's connection broke or the deadline passed, looked complete to a caller of HTTP/1.0.

Cause: the same as at the gateway: the response was destroyed, which closes the connection regularly.

Change: the router's writer uses the gateway's `abortResponse`. The test client that tells a reset from a close moves to test/support.

Evidence: test/router/streams.test.ts, the two cases fail before and pass after. The agent's relay needs no change: only routers call it, in HTTP/1.1, and a chunked response that breaks off has no end; its client of backend servers fails a response whose connection is reset (backend-client.test.ts).

--- a/packages/router/src/runtime/request-handler.ts
+++ b/packages/router/src/runtime/request-handler.ts
@@ -1,5 +1,5 @@
 import type { ConfiguredModel, ConfiguredService } from "@skylarkmill/config";
-import { rankByRendezvous } from "@skylarkmill/coordination";
+import { abortResponse, rankByRendezvous } from "@skylarkmill/coordination";
 import { type Refusal, type ServerId, type ServiceId } from "@skylarkmill/protocol";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { RouterContext } from "../types/context.ts";
@@ -113,7 +113,7 @@
     /** Ends a request whose handling failed with an unexpected error. */
     failRequest(outgoing: ServerResponse, error: unknown): void {
         this.context.logger.error({ step: "request.handle", peer: "local", err: error }, "request handling failed");
-        if (outgoing.headersSent) outgoing.destroy();
+        if (outgoing.headersSent) abortResponse(outgoing);
         else new ResponseWriter(outgoing, () => true).refuse(refusals.internalError());
     }
 
--- a/packages/router/src/runtime/response-writer.ts
+++ b/packages/router/src/runtime/response-writer.ts
@@ -1,3 +1,4 @@
+import { abortResponse } from "@skylarkmill/coordination";
 import { HEADERS, type Refusal, toRefusalBody, toRefusalHeaders } from "@skylarkmill/protocol";
 import type { ServerResponse } from "node:http";
 import type { ResponseHead } from "../types/request.ts";
@@ -80,18 +81,19 @@
 
     /**
      * Ends a response that can't be completed, in a way that the caller can't mistake for a complete one: with an
-     * error event if it is an event stream and can be written to, otherwise by closing the connection.
+     * error event if it is an event stream and can be written to, otherwise by closing or resetting the connection.
      */
     endWithError(refusal: Refusal): void {
         if (this.isClosed) return;
         if (this.isEventStream && !this.response.writableNeedDrain) {
             this.response.end(toErrorEvent(toRefusalBody(refusal)));
         }
-        else this.response.destroy();
+        else abortResponse(this.response);
     }
 
+    /** Ends a response whose caller has stopped reading. */
     destroy(): void {
-        this.response.destroy();
+        abortResponse(this.response);
     }
 
     private routerHeaders(): Record<string, string> {
--- a/test/platform/streams-without-length.test.ts
+++ b/test/platform/streams-without-length.test.ts
@@ -3,10 +3,10 @@
 import { join } from "node:path";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { eventually } from "../support/eventually.ts";
+import { callRaw, type RawResult } from "../support/raw-caller.ts";
 import { SpawnedProcess } from "../support/spawned-process.ts";
 import { createConfigurationDocument, HOST, PlatformFixture } from "./stand-ins/fixture.ts";
 import type { PlatformServerStandIn, ServerFault } from "./stand-ins/platform-server.ts";
-import { callRaw, type RawResult } from "./stand-ins/raw-caller.ts";
 
 const EVENT_COUNT = 300;
 const EVENT_INTERVAL_MS = 30;
--- a/test/router/streams.test.ts
+++ b/test/router/streams.test.ts
@@ -3,6 +3,7 @@
 import { connect } from "node:net";
 import { Client, request } from "undici";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { callRaw } from "../support/raw-caller.ts";
 import {
     type AgentBehaviour,
     breakConnection,
@@ -57,6 +58,24 @@
         expect(harness.receivedRequestCount()).toBe(1);
     });
 
+    // Guards against a cut response that looks complete to a caller of HTTP/1.0, which can't be sent chunks.
+    it.each([
+        ["connection breaks", (response: ServerResponse) => response.destroy()],
+        ["deadline passes", () => undefined],
+    ])("resets the connection of a caller of HTTP/1.0 if a plain service's %s", async (_name, end) => {
+        harness.agents["ledger-1"]!.behaviour = (_request, response) => {
+            response.writeHead(200, { "content-type": "text/plain" });
+            response.write("a part", () => end(response));
+        };
+        const result = await callRaw({
+            port: harness.ports.port,
+            path: "/services/parts-ledger/stock/7",
+            version: "1.0",
+            headers: { "host": "router.example", "x-request-timeout-ms": "300" },
+        });
+        expect(result).toEqual({ status: 200, text: "a part", framing: "none", ending: "reset", isComplete: false });
+    });
+
     it("forwards an agent's error event without adding another", async () => {
         harness.agents["engine-1"]!.behaviour = streamThen(response =>
             response.end('data: {"error":{"code":"gap"}}\n\n')
