fix(cli): continue a stop when SIGTERM is sent again

Callers saw: requests in progress were cut without a response, and the process exited with code 1, when a supervisor sent SIGTERM more than once.

Cause: a second signal of either kind ended the process at once, which is meant for somebody at a terminal.

Change: only SIGINT does so; a further SIGTERM is logged and the stop goes on.

Evidence: test/cli/signals.test.ts fails before (no response) and passes after.

--- a/packages/skylarkmill/src/commands/gateway.ts
+++ b/packages/skylarkmill/src/commands/gateway.ts
@@ -40,6 +40,6 @@
             logger.fatal({ step: started.error.step, peer: started.error.peer, err: started.error }, "start failed");
             return 1;
         }
-        return runUntilSignal(() => gateway.stop());
+        return runUntilSignal(() => gateway.stop(), logger);
     });
 }
--- a/packages/skylarkmill/src/node/process-context.ts
+++ b/packages/skylarkmill/src/node/process-context.ts
@@ -125,5 +125,5 @@
         await role.stop();
         await context.close();
         logger.info({ step: "stop" }, "stopped");
-    });
+    }, logger);
 }
--- /dev/null
+++ b/test/cli/signals.test.ts
@@ -0,0 +1,45 @@
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { HOST, PlatformFixture } from "../platform/stand-ins/fixture.ts";
+import { type GatewayProcess, startGatewayProcess } from "../platform/stand-ins/gateway-process.ts";
+import { eventually } from "../support/eventually.ts";
+import { callRaw } from "../support/raw-caller.ts";
+
+const SIGNAL_INTERVAL_MS = 100;
+
+let fixture: PlatformFixture;
+let folder: string;
+let gateway: GatewayProcess | undefined;
+
+beforeEach(async () => {
+    folder = mkdtempSync(join(tmpdir(), "skylarkmill-test-"));
+    fixture = await PlatformFixture.start();
+});
+
+afterEach(async () => {
+    await gateway?.process.end();
+    gateway = undefined;
+    await fixture.close();
+    rmSync(folder, { recursive: true });
+});
+
+describe("a gateway's process", () => {
+    // Guards against a stop that cuts requests and exits with code 1 because SIGTERM was sent twice.
+    it("completes its requests when SIGTERM is sent several times", async () => {
+        const desk = await fixture.addServer({ id: "d1", service: "desk", responseDelayMs: 1_500 });
+        gateway = await startGatewayProcess(await fixture.createSettings("edge-1"), folder, "d1");
+        const headers = { "host": HOST, "x-attempt-id": "order-1", "x-deadline-ms": "5000" };
+        const response = callRaw({ port: gateway.port, path: "/orders/x", version: "1.1", headers });
+        await eventually("the order runs", () => desk.countRuns("order-1") > 0 || undefined);
+        for (let count = 0; count < 3; count += 1) {
+            gateway.process.signal("SIGTERM");
+            await sleep(SIGNAL_INTERVAL_MS);
+        }
+        expect(await response).toMatchObject({ status: 200, isComplete: true });
+        await eventually("the process exits", () => gateway!.process.exitCode !== undefined || undefined);
+        expect(gateway.process.exitCode).toBe(0);
+    }, 40_000);
+});
--- a/test/platform/stand-ins/fixture.ts
+++ b/test/platform/stand-ins/fixture.ts
@@ -108,10 +108,11 @@
         return server;
     }
 
-    async addGateway(name: string, shouldWaitUntilReady = true): Promise<number> {
+    /** Creates the settings of a gateway on free ports. */
+    async createSettings(name: string): Promise<PlatformSettings> {
         const [front, ready, control] = [await findFreePort(), await findFreePort(), await findFreePort()];
         const listen = (port: number): { host: string; port: number; } => ({ host: "127.0.0.1", port });
-        const settings: PlatformSettings = {
+        return {
             node_name: name,
             zone: "z1",
             ip: "127.0.0.1",
@@ -132,6 +133,10 @@
             },
             provider: { address: this.store.address },
         };
+    }
+
+    async addGateway(name: string, shouldWaitUntilReady = true): Promise<number> {
+        const settings = await this.createSettings(name);
         const log: LogLine[] = [];
         const write = (fields: object, message: string): void => void log.push({ ...fields, message });
         const logger: Logger = { debug: write, info: write, warn: write, error: write };
--- a/test/platform/streams-without-length.test.ts
+++ b/test/platform/streams-without-length.test.ts
@@ -1,11 +1,11 @@
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { mkdtempSync, rmSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { eventually } from "../support/eventually.ts";
 import { callRaw, type RawResult } from "../support/raw-caller.ts";
-import { SpawnedProcess } from "../support/spawned-process.ts";
 import { createConfigurationDocument, HOST, PlatformFixture } from "./stand-ins/fixture.ts";
+import { startGatewayProcess } from "./stand-ins/gateway-process.ts";
 import type { PlatformServerStandIn, ServerFault } from "./stand-ins/platform-server.ts";
 
 const EVENT_COUNT = 300;
@@ -118,8 +118,7 @@
 
     it("does not look complete when its gateway's process is killed", async () => {
         await startEngine(EVENT_COUNT);
-        await startGateway();
-        const gateway = await moveGatewayToProcess();
+        const gateway = await startGatewayProcess(await fixture.createSettings("edge-1"), folder, "e1");
         const stream = startStream(gateway.port, "stream_without_length", "1.1", ROUTE_TIMEOUT_MS);
         await waitUntilRunning(engine);
         await gateway.process.end("SIGKILL");
@@ -131,8 +130,7 @@
     // Guards against a long response that looks complete although its gateway was killed while it was written.
     it("does not look complete when its gateway's process is killed", async () => {
         const desk = await fixture.addServer({ id: "e1", service: "desk", bodyByteCount: LONG_BODY_BYTES });
-        await startGateway();
-        const gateway = await moveGatewayToProcess();
+        const gateway = await startGatewayProcess(await fixture.createSettings("edge-1"), folder, "e1");
         desk.faults.push("without_length");
         const headers = { "host": HOST, "x-attempt-id": fixture.newId(), "x-deadline-ms": String(ROUTE_TIMEOUT_MS) };
         const call = { port: gateway.port, path: "/orders/x", version: "1.1", headers, readDelayMs: 1_500 } as const;
@@ -151,28 +149,6 @@
     await new Promise(resolve => setTimeout(resolve, 500));
 }
 
-/** Stops the gateway of this process and starts one with the same settings in a process of its own. */
-async function moveGatewayToProcess(): Promise<{ readonly process: SpawnedProcess; readonly port: number; }> {
-    const { settings } = fixture.gateways[0]!;
-    await stopGateway();
-    const nodeFile = join(folder, "settings.json");
-    const { front, ready, control } = settings.listen_addrs;
-    const addresses = { front: formatAddress(front), ready: formatAddress(ready), control: formatAddress(control!) };
-    writeFileSync(nodeFile, JSON.stringify({ ...settings, listen_addrs: addresses }));
-    const gateway = new SpawnedProcess({ name: "gateway", args: ["gateway", "--node-file", nodeFile] });
-    gateway.start();
-    await eventually("the gateway knows the server", async () => {
-        const response = await fetch(`http://${addresses.control}/v1/status`);
-        const { servers } = await response.json() as { servers: unknown[]; };
-        return servers.length > 0 ? true : undefined;
-    });
-    return { process: gateway, port: front.port };
-}
-
-function formatAddress({ host, port }: { readonly host: string; readonly port: number; }): string {
-    return `${host}:${port}`;
-}
-
 async function stopGateway(): Promise<void> {
     await eventually("no request waits", () => engine.faults.length === 0 || undefined);
     await fixture.gateways.pop()!.gateway.stop();
