fix(cli): survive SIGHUP while a daemon starts

Operators saw: a gateway that got SIGHUP in the first 0.3 s of its start ended by itself; a router or an agent at any time.

Cause: the default action of SIGHUP ends a process. The gateway replaced it only after its modules and its settings had been loaded, routers and agents never did.

Change: daemons ignore SIGHUP before the other modules are loaded; once there is a logger it is logged. Node itself takes about 40 ms to reach the first line (120 ms beside load), in which the signal still ends the process.

Evidence: test/cli/signals.test.ts holds the start in the reading of its settings and fails before (the process has ended) and passes after.

--- a/packages/skylarkmill/src/gateway-main.ts
+++ b/packages/skylarkmill/src/gateway-main.ts
@@ -1,3 +1,6 @@
+// Comes before the other modules: loading them takes most of the start, in which SIGHUP may arrive.
+import "./node/ignore-hangup.ts";
+
 import { parseArgs } from "node:util";
 import { runGateway } from "./commands/gateway.ts";
 import { gatewaySettings } from "./settings/gateway.ts";
--- a/packages/skylarkmill/src/main.ts
+++ b/packages/skylarkmill/src/main.ts
@@ -1,5 +1,7 @@
+import { ignoreHangup, isDaemonCommand } from "./node/hangup.ts";
 import { limitYoungGeneration } from "./node/young-generation.ts";
 
+if (isDaemonCommand(process.argv[2])) ignoreHangup();
 limitYoungGeneration();
 
 // Exits explicitly, because keep-alive connections of a stopped role could keep the process running.
--- /dev/null
+++ b/packages/skylarkmill/src/node/ignore-hangup.ts
@@ -0,0 +1,3 @@
+import { ignoreHangup } from "./hangup.ts";
+
+ignoreHangup();
--- a/packages/skylarkmill/src/node/process-context.ts
+++ b/packages/skylarkmill/src/node/process-context.ts
@@ -120,6 +120,7 @@
         return 1;
     }
     logger.info({ step: "start", processId: commonOptions.processId, ...started.value }, "listening");
+    process.on("SIGHUP", () => logger.info({ step: "reload" }, "SIGHUP received; it has no effect"));
     return runUntilSignal(async () => {
         logger.info({ step: "stop" }, "stopping after the requests in progress have finished");
         await role.stop();
--- a/test/cli/signals.test.ts
+++ b/test/cli/signals.test.ts
@@ -1,12 +1,20 @@
+import { execFileSync } from "node:child_process";
 import { mkdtempSync, rmSync } from "node:fs";
+import { open } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { HOST, PlatformFixture } from "../platform/stand-ins/fixture.ts";
-import { type GatewayProcess, startGatewayProcess } from "../platform/stand-ins/gateway-process.ts";
+import {
+    formatSettings,
+    type GatewayProcess,
+    startGatewayProcess,
+    waitUntilServerKnown,
+} from "../platform/stand-ins/gateway-process.ts";
 import { eventually } from "../support/eventually.ts";
 import { callRaw } from "../support/raw-caller.ts";
+import { SpawnedProcess } from "../support/spawned-process.ts";
 
 const SIGNAL_INTERVAL_MS = 100;
 
@@ -27,6 +35,25 @@
 });
 
 describe("a gateway's process", () => {
+    // Guards against a process that ends by itself because SIGHUP arrives while it starts.
+    it("continues to start when SIGHUP is sent before its settings are read", async () => {
+        await fixture.addServer({ id: "d1", service: "desk" });
+        const settings = await fixture.createSettings("edge-1");
+        // Reading a pipe blocks the process until the settings are written.
+        const nodeFile = join(folder, "settings.pipe");
+        execFileSync("mkfifo", [nodeFile]);
+        const spawned = new SpawnedProcess({ name: "edge-1", args: ["gateway", "--node-file", nodeFile] });
+        gateway = { process: spawned, port: settings.listen_addrs.front.port };
+        spawned.start();
+        const pipe = await open(nodeFile, "w");
+        spawned.signal("SIGHUP");
+        await sleep(SIGNAL_INTERVAL_MS);
+        expect(spawned.exitCode).toBeUndefined();
+        await pipe.writeFile(formatSettings(settings));
+        await pipe.close();
+        await waitUntilServerKnown(settings, "d1");
+    }, 40_000);
+
     // Guards against a stop that cuts requests and exits with code 1 because SIGTERM was sent twice.
     it("completes its requests when SIGTERM is sent several times", async () => {
         const desk = await fixture.addServer({ id: "d1", service: "desk", responseDelayMs: 1_500 });
