fix(cli): serve on and stop when the log can't be written

Callers saw: no response from a gateway whose log had been closed by its reader; the process used a whole processor and SIGTERM did not end it. A router or an agent ended by itself.

Cause: a failed write to standard output is an `error` event without a listener, that is an uncaught exception. The gateway logs uncaught exceptions and continues, which writes to the closed log again, without end.

Change: the logger handles errors of the standard streams and reports the first one on standard error.

Evidence: test/cli/daemon.test.ts, "serves requests and stops when its log is closed", fails before (timed out after 40 s) and passes after.

--- a/packages/skylarkmill/src/node/logger.ts
+++ b/packages/skylarkmill/src/node/logger.ts
@@ -43,6 +43,24 @@
     return redacted;
 }
 
+let isOutputGuarded = false;
+
+/**
+ * Keeps errors of the standard streams from ending the process: its log may be closed while it serves requests. An error
+ * of the log is reported on the standard error stream, once.
+ */
+function guardOutput(): void {
+    if (isOutputGuarded) return;
+    isOutputGuarded = true;
+    let isReported = false;
+    process.stderr.on("error", () => undefined);
+    process.stdout.on("error", (error: Error) => {
+        if (isReported) return;
+        isReported = true;
+        process.stderr.write(`skylarkmill: the log can't be written, further lines may be lost: ${error.message}\n`);
+    });
+}
+
 /**
  * Creates the logger of a process, which writes one JSON object per line and redacts tokens and keys.
  *
@@ -50,6 +68,7 @@
  * const logger = createLogger({ role: "router", hostId: "h1", level: "info", secrets: () => keys });
  */
 export function createLogger(options: LoggerOptions): bunyan {
+    if (options.output === undefined) guardOutput();
     const output = options.output ?? process.stdout;
     const stream = { write: (line: string) => output.write(redact(line, options.secrets())) };
     return bunyan.createLogger({
--- a/test/cli/signals.test.ts
+++ b/test/cli/daemon.test.ts
@@ -69,4 +69,20 @@
         await eventually("the process exits", () => gateway!.process.exitCode !== undefined || undefined);
         expect(gateway.process.exitCode).toBe(0);
     }, 40_000);
+
+    // Guards against a process that uses a whole processor and never exits because its log can't be written.
+    it("serves requests and stops when its log is closed", async () => {
+        await fixture.addServer({ id: "d1", service: "desk" });
+        gateway = await startGatewayProcess(await fixture.createSettings("edge-1"), folder, "d1");
+        gateway.process.closeOutput();
+        const headers = { "host": HOST, "x-attempt-id": "order-1", "x-deadline-ms": "5000" };
+        // A refusal is logged.
+        const refused = await callRaw({ port: gateway.port, path: "/nothing/x", version: "1.1", headers });
+        expect(refused.status).toBe(404);
+        gateway.process.signal("SIGTERM");
+        const response = await callRaw({ port: gateway.port, path: "/orders/x", version: "1.1", headers });
+        expect(response).toMatchObject({ status: 200, isComplete: true });
+        await eventually("the process exits", () => gateway!.process.exitCode !== undefined || undefined);
+        expect(gateway.process.exitCode).toBe(0);
+    }, 40_000);
 });
--- a/test/support/spawned-process.ts
+++ b/test/support/spawned-process.ts
@@ -80,6 +80,12 @@
         this.child?.kill(signal);
     }
 
+    /** Closes the reading ends of its output, as when a collector of logs ends. */
+    closeOutput(): void {
+        this.child?.stdout?.destroy();
+        this.child?.stderr?.destroy();
+    }
+
     /** Ends the process and resolves once it has exited. */
     async end(signal: NodeJS.Signals = "SIGKILL"): Promise<void> {
         if (this.child === undefined) return;
