fix(gateway): wait at the start for a port that is in use

Operators saw: a gateway ended by itself at its start with "cannot bind", when the local port of another process's connection was one of its own ports.

Cause: each port was tried once. Gateways open a connection for each request, so that on a host with several processes a port can be taken for a moment.

Change: a port in use is tried again for 5 s; the gateway says that it is ready only once it listens for callers.

Evidence: test/cli/daemon.test.ts, "waits for a port that is in use when it starts", fails before (the process has ended) and passes after.

--- a/packages/coordination/src/node/http-server.ts
+++ b/packages/coordination/src/node/http-server.ts
@@ -2,6 +2,7 @@
 import { ResultAsync } from "neverthrow";
 import type { Server, ServerResponse } from "node:http";
 import { type AddressInfo, Server as NetServer } from "node:net";
+import { sleep } from "../utils/sleep.ts";
 
 /** Address to bind; port 0 selects a free port. */
 export interface ListenAddress {
@@ -9,23 +10,25 @@
     readonly port: number;
 }
 
+/** Interval at which a port that is in use is tried again. */
+const BIND_RETRY_INTERVAL_MS = 100;
+
 /**
- * Binds a server exclusively and returns its port. Fails with `UnavailableError` when the port can't be bound;
+ * Binds a server exclusively and returns its port. A port that is in use is tried again for `retryMs`, since an outgoing
+ * connection of another process may hold it for a moment. Fails with `UnavailableError` when the port can't be bound;
  * `step` is the step of that error.
  *
  * @example
  * const port = await listen(server, { host: "127.0.0.1", port: 0 }, "caller.listen");
  */
-export function listen(server: Server, address: ListenAddress, step: string): ResultAsync<number, UnavailableError> {
-    const boundPort = new Promise<number>((resolve, reject) => {
-        server.once("error", reject);
-        server.listen({ host: address.host, port: address.port, exclusive: true }, () => {
-            server.off("error", reject);
-            resolve((server.address() as AddressInfo).port);
-        });
-    });
+export function listen(
+    server: Server,
+    address: ListenAddress,
+    step: string,
+    retryMs = 0,
+): ResultAsync<number, UnavailableError> {
     return ResultAsync.fromPromise(
-        boundPort,
+        bindWithRetries(server, address, performance.now() + retryMs),
         cause =>
             new UnavailableError(`cannot bind ${address.host}:${address.port}`, {
                 step,
@@ -35,6 +38,29 @@
     );
 }
 
+async function bindWithRetries(server: Server, address: ListenAddress, retryUntilMs: number): Promise<number> {
+    for (;;) {
+        try {
+            return await bind(server, address);
+        }
+        catch (error) {
+            const isInUse = (error as NodeJS.ErrnoException).code === "EADDRINUSE";
+            if (!isInUse || performance.now() >= retryUntilMs) throw error;
+            await sleep(BIND_RETRY_INTERVAL_MS);
+        }
+    }
+}
+
+function bind(server: Server, { host, port }: ListenAddress): Promise<number> {
+    return new Promise((resolve, reject) => {
+        server.once("error", reject);
+        server.listen({ host, port, exclusive: true }, () => {
+            server.off("error", reject);
+            resolve((server.address() as AddressInfo).port);
+        });
+    });
+}
+
 /**
  * Time after which connections that Node.js does not count as idle, such as ones that never carried a request, are
  * closed too; a request in transit can still arrive until then.
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -62,6 +62,8 @@
 const STOP_RETRY_MS = 50;
 /** Largest number of bytes of incomplete responses; a host may have as little as 250 MB. */
 const MAX_BUFFERED_RESPONSE_BYTES = 48 * 1024 * 1024;
+/** Time for which a port that is in use is tried again at the start. */
+const BIND_RETRY_MS = 5_000;
 /** Time for the last responses to be written to their sockets. */
 const STOP_FLUSH_MS = 100;
 
@@ -216,9 +218,10 @@
         this.peerServer = createAdaptorServer({ fetch: app.fetch, overrideGlobalObjects: false }) as Server;
     }
 
-    /** Whether the gateway accepts requests: it has a configuration and is not stopping. */
+    /** Whether the gateway accepts requests: it listens for them, has a configuration and is not stopping. */
     get isReady(): boolean {
-        return this.configuration !== undefined && this.view.isLoaded && !this.isStopping;
+        return this.callerServer.server.listening && this.configuration !== undefined && this.view.isLoaded
+            && !this.isStopping;
     }
 
     /** Starts the background tasks and binds the ports. `UnavailableError`: a port can't be bound. */
@@ -232,9 +235,9 @@
         this.planner.start();
         this.synchronizer.start();
         return ResultAsync.combine([
-            listen(this.callerServer.server, callerListen, "caller.listen"),
-            listen(this.readyServer, readyListen, "ready.listen"),
-            listen(this.peerServer, peerListen, "peer.listen"),
+            listen(this.callerServer.server, callerListen, "caller.listen", BIND_RETRY_MS),
+            listen(this.readyServer, readyListen, "ready.listen", BIND_RETRY_MS),
+            listen(this.peerServer, peerListen, "peer.listen", BIND_RETRY_MS),
         ]).map(() => logger.info({ step: "start", host }, "gateway started"));
     }
 
--- a/test/cli/daemon.test.ts
+++ b/test/cli/daemon.test.ts
@@ -1,6 +1,7 @@
 import { execFileSync } from "node:child_process";
 import { mkdtempSync, rmSync } from "node:fs";
 import { open } from "node:fs/promises";
+import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -17,6 +18,8 @@
 import { SpawnedProcess } from "../support/spawned-process.ts";
 
 const SIGNAL_INTERVAL_MS = 100;
+/** Longer than a process takes to reach the binding of its ports. */
+const PORT_HOLD_MS = 1_500;
 
 let fixture: PlatformFixture;
 let folder: string;
@@ -85,4 +88,25 @@
         await eventually("the process exits", () => gateway!.process.exitCode !== undefined || undefined);
         expect(gateway.process.exitCode).toBe(0);
     }, 40_000);
+
+    // Guards against a process that ends at its start because a connection of another process holds its port for a moment.
+    it("waits for a port that is in use when it starts", async () => {
+        await fixture.addServer({ id: "d1", service: "desk" });
+        const settings = await fixture.createSettings("edge-1");
+        const holder = createServer();
+        const { port } = settings.listen_addrs.front;
+        await new Promise<void>(resolve => holder.listen(port, "127.0.0.1", resolve));
+        const starting = startGatewayProcess(settings, folder, "d1");
+        await sleep(PORT_HOLD_MS);
+        await new Promise(resolve => holder.close(resolve));
+        gateway = await starting;
+        const { ready } = settings.listen_addrs;
+        await eventually("the gateway is ready", async () => {
+            const { status } = await fetch(`http://${ready.host}:${ready.port}/api/ready`);
+            return status === 200 || undefined;
+        });
+        const headers = { "host": HOST, "x-attempt-id": "order-1", "x-deadline-ms": "5000" };
+        const response = await callRaw({ port: gateway.port, path: "/orders/x", version: "1.1", headers });
+        expect(response).toMatchObject({ status: 200, isComplete: true });
+    }, 40_000);
 });
