fix(gateway): refuse requests that could outlast a stop

Report of other operators: requests that came late in the grace of a planned stop were taken and passed on, and cut at its end. Here they got a response, but for an order that had run that was 502, outcome unknown; another gateway would have served it.

Cause: requests that are no streams were taken until 0.5 s before the end, whatever their deadline.

Change: once the load balancer knows of the stop (2.5 s), a request whose deadline lies after the end is refused at once: 503, not run, Retry-After.

Evidence: test/platform/shutdown.test.ts, an order of 2 s that arrives 1.6 s before the end: 502 and one run before, 503 and no run after; one of 0.3 s with a deadline within the stop is served before and after. Longer work that is taken in the first 2.5 s may still end with 502.

--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -13,12 +13,14 @@
 import { OrderRights } from "../runtime/order-rights.ts";
 import { PlacementPlanner } from "../runtime/placement-planner.ts";
 import { RequestTask } from "../runtime/request-task.ts";
+import { computeRequestTiming } from "../runtime/request-timing.ts";
 import { ResponseBuffers } from "../runtime/response-buffers.ts";
 import { RetryBudget } from "../runtime/retry-budget.ts";
 import { ServerDirectory } from "../runtime/server-directory.ts";
 import { StoreView } from "../runtime/store-view.ts";
 import type { GatewayConfiguration, Route } from "../types/configuration.ts";
 import type { GatewayContext } from "../types/context.ts";
+import type { CallerRequest } from "../types/engine.ts";
 import type { GatewayOptions, RequestHead } from "../types/options.ts";
 import type { DemandMessage, EngineCommand } from "../types/placement.ts";
 import { nowMs } from "../utils/clock.ts";
@@ -92,8 +94,10 @@
     private configuration: GatewayConfiguration | undefined;
     private routes = new RouteTable([]);
     private isStopping = false;
-    /** Time from which streams are refused on arrival, since they could last longer than the process. */
-    private refuseStreamsFromMs = Infinity;
+    /** Time from which requests that could last longer than the process are refused on arrival. */
+    private refuseLongFromMs = Infinity;
+    /** Time by which a stop has ended. */
+    private stopEndsAtMs = Infinity;
     /** Time from which all requests are refused on arrival, since the process ends. */
     private refuseAllFromMs = Infinity;
     private isWakePending = false;
@@ -249,7 +253,8 @@
         logger.info({ step: "stop", open: this.tasks.size }, "gateway is stopping");
         const endAtMs = startedAtMs + limits.stopTimeoutMs - STOP_MARGIN_MS;
         this.refuseAllFromMs = endAtMs - STOP_REFUSE_ALL_MS;
-        this.refuseStreamsFromMs = startedAtMs + READINESS_DETECTION_MS;
+        this.refuseLongFromMs = startedAtMs + READINESS_DETECTION_MS;
+        this.stopEndsAtMs = endAtMs;
         await this.completeTasks(startedAtMs, endAtMs);
         this.refuseAllFromMs = 0;
         for (const task of [...this.tasks]) task.endNow();
@@ -322,17 +327,23 @@
             // A copy that was not confirmed recently may lack the route.
             return writer.refuse(this.view.isFresh ? refusals.noRoute() : refusals.routeUnconfirmed());
         }
-        if (route.kind === "streaming" && nowMs() >= this.refuseStreamsFromMs) {
-            return writer.refuse(refusals.unavailable("stopping", STOP_RETRY_MS));
-        }
         const request = this.options.decodeRequest(head, body);
         if (request.isErr()) return writer.refuse(request.error);
+        if (nowMs() >= this.refuseLongFromMs && this.canOutlastStop(route, request.value, startedAtMs)) {
+            return writer.refuse(refusals.unavailable("stopping", STOP_RETRY_MS));
+        }
         this.startTask(route, request.value, writer, startedAtMs);
     }
 
+    /** Whether a request could last longer than the stop; streams mostly do. */
+    private canOutlastStop(route: Route, request: CallerRequest, startedAtMs: number): boolean {
+        if (route.kind === "streaming") return true;
+        return computeRequestTiming(route, request, startedAtMs).deadlineAtMs > this.stopEndsAtMs;
+    }
+
     private startTask(
         route: Route,
-        request: ConstructorParameters<typeof RequestTask>[3],
+        request: CallerRequest,
         writer: HttpResponseWriter,
         startedAtMs: number,
     ): void {
--- a/test/platform/shutdown.test.ts
+++ b/test/platform/shutdown.test.ts
@@ -105,6 +105,42 @@
     }, 20_000);
 });
 
+// Guards against requests that a stopping process takes although it ends before their deadline: the end cut them, and
+// whether an order had run stayed unknown to its caller.
+describe("a request that arrives late in a stop and could outlast the process", () => {
+    it.each([
+        { deadlineMs: 5_000, responseDelayMs: 2_000, status: 503, runs: 0 },
+        { deadlineMs: 600, responseDelayMs: 300, status: 200, runs: 1 },
+    ])("with a deadline of $deadlineMs ms is answered with $status", async testCase => {
+        const { deadlineMs, responseDelayMs, status, runs } = testCase;
+        await fixture.addServer({
+            id: "e1",
+            service: "assistant",
+            models: ["m1"],
+            eventCount: 600,
+            eventIntervalMs: 20,
+        });
+        const desk = await fixture.addServer({ id: "d1", service: "desk", responseDelayMs });
+        fixture.store.put("op/config", createConfigurationDocument(2, {}, 20_000));
+        await fixture.addGateway("edge-1");
+        for (const id of ["e1", "d1"]) await fixture.waitUntilServerAvailable(0, id);
+        const headers = { "x-model": "m1", "x-deadline-ms": "20000" };
+        const stream = fixture.call(0, "/draft/x", { headers });
+        await new Promise(resolve => setTimeout(resolve, 100));
+        const stopped = fixture.gateways[0]!.gateway.stop();
+        await new Promise(resolve => setTimeout(resolve, 4_000));
+        const id = fixture.newId();
+        const order = await fixture.call(0, "/orders/x", {
+            headers: { "x-attempt-id": id, "x-deadline-ms": String(deadlineMs) },
+        });
+        await stopped;
+        fixture.gateways.length = 0;
+        expect({ status: order.status, runs: desk.countRuns(id) }).toEqual({ status, runs });
+        if (status === 503) expect(order.headers["retry-after"]).toBeDefined();
+        expect(await stream).toMatchObject({ isTruncated: true });
+    }, 15_000);
+});
+
 describe("starting a gateway", () => {
     it("responds with 503 and is not ready until it has a configuration, which it gets from a peer", async () => {
         await fixture.addServer({ id: "d1", service: "desk" });
