feat(gateway): send nothing more to servers that state that they leave

Callers' requests went on to it until its entry said so, or for good if the entry did not.

Cause: nothing read the header.

Change: platform/ decodes it from every response of a server, also to orders and reports; one with status 421 comes from another server. The directory keeps it until the server starts again (another `born`), whatever its entry or a peer's copy says, so that requests, retries, resumed streams, placement and orders see it in the way they see a draining entry. Gateways tell each other with the demand messages. Retry-After is decoded as well and has no effect yet; an invalid one is logged and costs only that header.

--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -20,7 +20,7 @@
 import { StoreView } from "../runtime/store-view.ts";
 import type { GatewayConfiguration, Route } from "../types/configuration.ts";
 import type { GatewayContext } from "../types/context.ts";
-import type { CallerRequest } from "../types/engine.ts";
+import type { CallerRequest, ServerNotice, ServerRecord } from "../types/engine.ts";
 import type { GatewayOptions, RequestHead } from "../types/options.ts";
 import type { DemandMessage, EngineCommand } from "../types/placement.ts";
 import { nowMs } from "../utils/clock.ts";
@@ -201,6 +201,7 @@
             getRetryBudget: serviceId => this.getRetryBudget(serviceId),
             getGatewayCount: () => this.synchronizer.gatewayCount,
         };
+        options.engineClient.onNotice((server, notice) => this.applyNotice(server, notice));
         this.callerServer = new CallerServer({
             maxConnections: options.maxConnections,
             isClosing: () => this.isStopping,
@@ -213,6 +214,7 @@
         const app = createPeerApp({
             planner: this.planner,
             commandRunner: this.commandRunner,
+            directory: this.directory,
             view: this.view,
             crashSuspects: this.crashSuspects,
             metrics: this.metrics,
@@ -409,6 +411,20 @@
         });
     }
 
+    private applyNotice(server: ServerRecord, { isLeaving, invalidHold }: ServerNotice): void {
+        const { logger } = this.options;
+        if (isLeaving && this.directory.recordLeaving(server)) {
+            this.metrics.serverNotices.inc({ kind: "leaving" });
+            this.synchronizer.scheduleDemand();
+        }
+        if (invalidHold === undefined) return;
+        this.metrics.serverNotices.inc({ kind: "invalid" });
+        logger.warn(
+            { step: "server.notice", server: server.serverId, retryAfter: invalidHold },
+            "a server's retry delay is invalid and has no effect",
+        );
+    }
+
     private onEntryPut(entry: KeyValueEntry): void {
         const { recordDecoder, logger } = this.options;
         clearTimeout(this.removalTimers.get(entry.key));
@@ -482,6 +498,7 @@
             arrivals: this.localDemand.flushArrivals(),
             engines: this.commandRunner.listEngineStates(),
             crashEvidence: this.crashSuspects.listEvidence(),
+            leaving: this.directory.listLeaving(),
         };
     }
 }
--- a/packages/gateway/src/node/peer-app.ts
+++ b/packages/gateway/src/node/peer-app.ts
@@ -3,6 +3,7 @@
 import type { EngineCommandRunner } from "../runtime/engine-command-runner.ts";
 import type { GatewayMetrics } from "../runtime/gateway-metrics.ts";
 import type { PlacementPlanner } from "../runtime/placement-planner.ts";
+import type { ServerDirectory } from "../runtime/server-directory.ts";
 import type { StoreView } from "../runtime/store-view.ts";
 import type { DemandResponse } from "../types/placement.ts";
 import { nowMs } from "../utils/clock.ts";
@@ -15,6 +16,7 @@
 export interface PeerAppOptions {
     readonly planner: PlacementPlanner;
     readonly commandRunner: EngineCommandRunner;
+    readonly directory: Pick<ServerDirectory, "recordLeaving" | "listLeaving">;
     readonly view: StoreView;
     readonly crashSuspects: CrashSuspects;
     readonly metrics: GatewayMetrics;
@@ -24,7 +26,7 @@
 
 /** Creates the HTTP interface for other gateways and for operators. */
 export function createPeerApp(options: PeerAppOptions): Hono {
-    const { planner, commandRunner, view, crashSuspects, metrics } = options;
+    const { planner, commandRunner, directory, view, crashSuspects, metrics } = options;
     const app = new Hono();
     app.post("/v1/demand", async c => {
         if (!planner.isActive) return respondNotPlanner(c);
@@ -32,9 +34,16 @@
         if (!message.success) return c.json({ error: "the demand breaks its schema" }, 400);
         planner.receiveDemand(message.data);
         crashSuspects.mergeEvidence(message.data.crashEvidence);
+        for (const start of message.data.leaving) directory.recordLeaving(start);
         const etas = await planner.estimateWaiting(message.data);
         const totals = planner.countRunningTotals();
-        return c.json({ totals, etas, crashEvidence: crashSuspects.listEvidence() } satisfies DemandResponse);
+        const response: DemandResponse = {
+            totals,
+            etas,
+            crashEvidence: crashSuspects.listEvidence(),
+            leaving: directory.listLeaving(),
+        };
+        return c.json(response);
     });
     app.post("/v1/commands", async c => {
         const command = commandSchema.safeParse(await readJson(c));
--- a/packages/gateway/src/node/placement-synchronizer.ts
+++ b/packages/gateway/src/node/placement-synchronizer.ts
@@ -152,6 +152,7 @@
         if (result.isOk() && result.value !== undefined) {
             directory.updateTotals(result.value.totals, message.running);
             crashSuspects.mergeEvidence(result.value.crashEvidence);
+            for (const start of result.value.leaving) directory.recordLeaving(start);
             directory.updateEtas(result.value.etas);
         }
         if (result.isErr()) logger.debug({ step: "peer.demand", err: result.error }, "failed to send the demand");
--- a/packages/gateway/src/runtime/gateway-metrics.ts
+++ b/packages/gateway/src/runtime/gateway-metrics.ts
@@ -12,6 +12,11 @@
     ]);
     readonly orders = this.counter("orders_total", "Orders to model engines by kind and outcome.", ["kind", "outcome"]);
     readonly storeCalls = this.counter("store_calls_total", "Calls to the key-value service by result.", ["result"]);
+    readonly serverNotices = this.counter(
+        "server_notices_total",
+        "Statements of servers in responses: leaving, hold, or an invalid time.",
+        ["kind"],
+    );
     readonly skippedLogLines = this.counter("log_lines_skipped_total", "Log lines left out by the rate limit.", []);
     readonly inProgress = this.gauge("requests_in_progress", "Requests without a complete answer.");
     readonly plansPlacement = this.gauge(
--- a/packages/gateway/src/runtime/server-directory.ts
+++ b/packages/gateway/src/runtime/server-directory.ts
@@ -1,6 +1,6 @@
 import type { Logger } from "@skylarkmill/coordination";
 import type { AdapterId, DataCentre, ModelId, ServerId, ServiceId } from "@skylarkmill/protocol";
-import type { ServerRecord } from "../types/engine.ts";
+import type { ServerRecord, ServerStart } from "../types/engine.ts";
 import type { EngineRequestTotal, ModelEta, PlacedEngine, PlacementState, RunningDemand } from "../types/placement.ts";
 import { nowMs } from "../utils/clock.ts";
 import { ServerState } from "./server-state.ts";
@@ -16,6 +16,8 @@
     private readonly servers = new Map<ServerId, ServerState>();
     /** Start times of servers that were seen draining; an older record of the same start can't make them available. */
     private readonly drainingServerStarts = new Map<ServerId, number>();
+    /** Start times of servers that stated that they leave, or of which a peer said so. */
+    private readonly announcedServerStarts = new Map<ServerId, number>();
     private readonly listeners = new Set<() => void>();
     private placement: { readonly term: number; readonly version: number; } | undefined;
     private readonly placedEngines = new Map<ServerId, PlacedEngine>();
@@ -72,6 +74,36 @@
         this.notifyListeners();
     }
 
+    /**
+     * Records that a server stated that it leaves. It stays draining until its next start, whatever its entry says.
+     * Returns whether that was unknown.
+     */
+    recordLeaving({ serverId, bornAtMs }: ServerStart): boolean {
+        const knownStart = this.drainingServerStarts.get(serverId);
+        if (knownStart !== undefined && knownStart >= bornAtMs) return false;
+        this.drainingServerStarts.set(serverId, bornAtMs);
+        this.announcedServerStarts.set(serverId, bornAtMs);
+        const server = this.servers.get(serverId);
+        if (server === undefined || server.record.bornAtMs > bornAtMs) return true;
+        server.update({ ...server.record, draining: true });
+        this.logger.info(
+            { step: "server.leave", server: serverId, reason: "announced" },
+            "server states that it leaves",
+        );
+        this.notifyListeners();
+        return true;
+    }
+
+    /** Lists the servers that stated that they leave and are still listed, for the peers. */
+    listLeaving(): ServerStart[] {
+        const leaving: ServerStart[] = [];
+        for (const [serverId, bornAtMs] of this.announcedServerStarts) {
+            if (this.servers.get(serverId)?.record.bornAtMs === bornAtMs) leaving.push({ serverId, bornAtMs });
+            else this.announcedServerStarts.delete(serverId);
+        }
+        return leaving;
+    }
+
     remove(serverId: ServerId, reason: string): void {
         if (!this.servers.delete(serverId)) return;
         this.logger.info({ step: "server.leave", server: serverId, reason }, "server removed");
--- a/packages/gateway/src/types/engine.ts
+++ b/packages/gateway/src/types/engine.ts
@@ -140,6 +140,22 @@
     readonly headers: readonly string[];
 }
 
+/** What a backend server states about itself in any of its responses. */
+export interface ServerNotice {
+    /** The server takes no more requests until it starts again. */
+    readonly isLeaving: boolean;
+    /** Time for which the server wants nothing from this host. */
+    readonly holdMs: number | undefined;
+    /** Text that should state such a time and is invalid. */
+    readonly invalidHold: string | undefined;
+}
+
+/** One start of a backend server. */
+export interface ServerStart {
+    readonly serverId: ServerId;
+    readonly bornAtMs: number;
+}
+
 /** Receives one response; either `onEnd` or `onFailure` is called once, as the last call. */
 export interface ResponseListener {
     onHead(head: ResponseHead): void;
@@ -159,6 +175,8 @@
 
 /** Sends requests and orders to backend servers. */
 export interface EngineClient {
+    /** Sets the listener for servers' notices, which is called before the response that contains one is passed on. */
+    onNotice(listener: (server: ServerRecord, notice: ServerNotice) => void): void;
     sendRequest(call: EngineCall, listener: ResponseListener): EngineExchange;
     sendOrder(server: ServerRecord, order: EngineOrder): Promise<OrderOutcome>;
     readReport(server: ServerRecord): ResultAsync<EngineReport, SkylarkmillError>;
--- a/packages/gateway/src/types/placement.ts
+++ b/packages/gateway/src/types/placement.ts
@@ -1,6 +1,7 @@
 import type { EngineModelOrder } from "@skylarkmill/policy";
 import type { AdapterId, ModelId, ServerId } from "@skylarkmill/protocol";
 import type { CrashEvidence } from "./crash-evidence.ts";
+import type { ServerStart } from "./engine.ts";
 
 /** Number of requests of one gateway that wait for a model or adapter. */
 export interface WaitingDemand {
@@ -73,6 +74,8 @@
     readonly engines: readonly EngineState[] | undefined;
     /** Evidence of this gateway, with what it has learnt from others. */
     readonly crashEvidence: readonly CrashEvidence[];
+    /** Servers that stated that they leave. */
+    readonly leaving: readonly ServerStart[];
 }
 
 /** Number of requests of all gateways in progress at one engine. */
@@ -86,6 +89,8 @@
     readonly totals: readonly EngineRequestTotal[];
     /** Evidence of all gateways. */
     readonly crashEvidence: readonly CrashEvidence[];
+    /** Servers that stated to any gateway that they leave. */
+    readonly leaving: readonly ServerStart[];
     /** Estimates for the models that the gateway's requests wait for. */
     readonly etas: readonly ModelEta[];
 }
--- a/packages/gateway/src/utils/peer-schemas.ts
+++ b/packages/gateway/src/utils/peer-schemas.ts
@@ -22,6 +22,9 @@
     coming: z.array(z.string()),
 });
 
+// Gateways of an earlier version send none.
+const leaving = z.array(z.object({ serverId, bornAtMs: z.number() })).default([]);
+
 const promptPartId = z.string() as unknown as z.ZodType<PromptPartId>;
 const crashEvidence = z.array(z.object({
     part: promptPartId,
@@ -38,6 +41,7 @@
     arrivals: z.array(z.object({ ...target, count })),
     engines: z.array(engineState).optional(),
     // Gateways of an earlier version send none.
+    leaving,
     crashEvidence: crashEvidence.default([]),
 }) as unknown as z.ZodType<DemandMessage>;
 
@@ -45,6 +49,7 @@
 
 export const demandResponseSchema: z.ZodType<DemandResponse> = z.object({
     totals: z.array(z.object({ serverId, count })),
+    leaving,
     crashEvidence: crashEvidence.default([]),
     etas: z.array(eta),
 });
--- a/test/gateway/cluster-demand.test.ts
+++ b/test/gateway/cluster-demand.test.ts
@@ -21,6 +21,7 @@
         arrivals: [],
         engines,
         crashEvidence: [],
+        leaving: [],
     };
 }
 
--- a/test/gateway/crash-suspects.test.ts
+++ b/test/gateway/crash-suspects.test.ts
@@ -221,6 +221,7 @@
         );
         let response: ResponseListener | undefined;
         attempt.start({
+            onNotice: undefined as never,
             sendRequest: (_call, receiver) => {
                 response = receiver;
                 return { cancel: () => undefined, pause: () => undefined, resume: () => undefined };
--- a/test/gateway/engine-controller.test.ts
+++ b/test/gateway/engine-controller.test.ts
@@ -39,6 +39,8 @@
 
 /** An engine that checks sequences, loses orders or responses as configured, and loads models immediately. */
 class FakeEngine implements EngineClient {
+    onNotice(): void {}
+
     readonly orders: EngineOrder[] = [];
     loadCount = 0;
     private sequence = 0;
@@ -126,6 +128,7 @@
         let token: number | undefined = 7;
         const controller = new EngineController(record, {
             engineClient: {
+                onNotice: () => undefined,
                 sendRequest: () => engineClient.sendRequest(),
                 readReport: () => engineClient.readReport(),
                 sendOrder: (server, order) => {
@@ -150,6 +153,8 @@
 
 /** An engine that advances its sequence with each adapter order and unloads adapters immediately. */
 class FakeAdapterEngine implements EngineClient {
+    onNotice(): void {}
+
     readonly outcomes: OrderOutcome[] = [];
     readonly adapters = new Set<AdapterId>();
     /** Numbers of adapters that the next reports show as being loaded. */
@@ -200,6 +205,7 @@
         host: "edge-1",
         getFencingToken: () => 7,
         onFenced: () => undefined,
+        getHoldMs: () => 0,
         logger: silentLogger,
         onChange: () => undefined,
         onOrder: () => undefined,
--- a/test/gateway/placement-planner.test.ts
+++ b/test/gateway/placement-planner.test.ts
@@ -106,6 +106,7 @@
             arrivals: [],
             engines: [state],
             crashEvidence: [],
+            leaving: [],
         };
         const planner = new PlacementPlanner({
             directory,
--- a/test/gateway/placement-responses.test.ts
+++ b/test/gateway/placement-responses.test.ts
@@ -45,6 +45,7 @@
         arrivals: [],
         engines,
         crashEvidence: [],
+        leaving: [],
     };
 }
 
@@ -60,6 +61,7 @@
         sendCommand: () => undefined,
     });
     const app = createPeerApp({
+        directory: { recordLeaving: () => false, listLeaving: () => [] },
         planner,
         commandRunner: undefined as never,
         view: undefined as never,
--- /dev/null
+++ b/test/platform/server-notice.test.ts
@@ -0,0 +1,122 @@
+import { decodeServerNotice } from "@skylarkmill/platform";
+import { describe, expect, it } from "vitest";
+import { eventually } from "../support/eventually.ts";
+import { PlatformFixture } from "./stand-ins/fixture.ts";
+import type { PlatformServerStandIn } from "./stand-ins/platform-server.ts";
+
+const CALL_COUNT = 30;
+/** Sooner than a request may no longer reach a server after a gateway has passed on that it leaves. */
+const PEER_NOTICE_MS = 1_500;
+
+function sleep(durationMs: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, durationMs));
+}
+
+describe("a server's notice", () => {
+    const cases: readonly { status: number; headers: Record<string, string>; notice: object | undefined; }[] = [
+        { status: 200, headers: {}, notice: undefined },
+        { status: 200, headers: { "server-leaving": "1" }, notice: { isLeaving: true, holdMs: undefined } },
+        { status: 500, headers: { "server-leaving": "1" }, notice: { isLeaving: true, holdMs: undefined } },
+        { status: 200, headers: { "server-leaving": "0" }, notice: undefined },
+        { status: 421, headers: { "server-leaving": "1", "retry-after": "2" }, notice: undefined },
+        { status: 503, headers: { "retry-after": "2" }, notice: { isLeaving: false, holdMs: 2_000 } },
+        { status: 503, headers: { "retry-after": "0.25" }, notice: { isLeaving: false, holdMs: 250 } },
+        { status: 503, headers: { "retry-after": "0" }, notice: { isLeaving: false, holdMs: 0 } },
+        { status: 503, headers: { "retry-after": "999999999" }, notice: { isLeaving: false, holdMs: 60_000 } },
+        { status: 200, headers: { "retry-after": "2" }, notice: undefined },
+        ...["", "-1", "1e3", "soon", "Wed, 21 Oct 2026 07:28:00 GMT", "9".repeat(400), "1,2"].map(text => ({
+            status: 503,
+            headers: { "server-leaving": "1", "retry-after": text },
+            notice: { isLeaving: true, holdMs: undefined, invalidHold: text.slice(0, 40) },
+        })),
+    ];
+
+    it.each(cases)("is decoded from status $status with $headers", ({ status, headers, notice }) => {
+        if (notice === undefined) expect(decodeServerNotice(status, headers)).toBeUndefined();
+        else expect(decodeServerNotice(status, headers)).toMatchObject(notice);
+    });
+});
+
+async function withDesks(
+    gatewayCount: number,
+    play: (fixture: PlatformFixture, desks: readonly PlatformServerStandIn[]) => Promise<void>,
+): Promise<void> {
+    const fixture = await PlatformFixture.start();
+    try {
+        const desks = [
+            await fixture.addServer({ id: "d1", service: "desk" }),
+            await fixture.addServer({ id: "d2", service: "desk" }),
+        ];
+        for (let index = 0; index < gatewayCount; index += 1) {
+            await fixture.addGateway(`edge-${index + 1}`);
+            for (const desk of desks) await fixture.waitUntilServerAvailable(index, desk.id);
+        }
+        await play(fixture, desks);
+    }
+    finally {
+        await fixture.close();
+    }
+}
+
+function countRequests(server: PlatformServerStandIn): number {
+    return server.requests.length;
+}
+
+/** Calls until the server has received a request. */
+async function callUntilReached(fixture: PlatformFixture, server: PlatformServerStandIn): Promise<void> {
+    await eventually("the server gets a request", async () => {
+        await fixture.call(0, "/lookup/x", { method: "GET" });
+        return countRequests(server) > 0 || undefined;
+    });
+}
+
+// Guards against requests to a server that has stated in a response that it leaves, while its record says that it is
+// ready.
+describe("a server that states that it leaves", () => {
+    it("gets no more requests from any gateway until it has started again", async () => {
+        await withDesks(2, async (fixture, [leaving, other]) => {
+            leaving!.isLeaving = true;
+            await callUntilReached(fixture, leaving!);
+            const countAtNotice = countRequests(leaving!);
+            for (let count = 0; count < CALL_COUNT; count += 1) {
+                expect(await fixture.call(0, "/orders/x")).toMatchObject({ status: 200 });
+            }
+            await sleep(PEER_NOTICE_MS);
+            for (let count = 0; count < CALL_COUNT; count += 1) {
+                expect(await fixture.call(1, "/orders/x")).toMatchObject({ status: 200 });
+            }
+            // Its heartbeat writes the same record again.
+            fixture.store.put("servers/d1", leaving!.toServerRecord());
+            fixture.store.put("servers/d3", { ...other!.toServerRecord(), state: "draining" });
+            await eventually("the entry is followed", () => {
+                const { servers } = fixture.gateways[0]!.gateway.status() as { servers: { serverId: string; }[]; };
+                return servers.some(({ serverId }) => serverId === "d3") || undefined;
+            });
+            expect(await fixture.call(0, "/orders/x")).toMatchObject({ status: 200 });
+            expect(countRequests(leaving!)).toBe(countAtNotice);
+            leaving!.isLeaving = false;
+            leaving!.bornAtMs += 1_000;
+            fixture.store.put("servers/d1", leaving!.toServerRecord());
+            await eventually("the new start gets requests", async () => {
+                await fixture.call(0, "/lookup/x", { method: "GET" });
+                return countRequests(leaving!) > countAtNotice || undefined;
+            });
+        });
+    }, 30_000);
+
+    it("serves a stream to its end", async () => {
+        await withDesks(1, async fixture => {
+            const engine = await fixture.addServer({
+                id: "e1",
+                service: "assistant",
+                models: ["m1"],
+                eventIntervalMs: 50,
+            });
+            await fixture.waitUntilServerAvailable(0, "e1");
+            engine.isLeaving = true;
+            const response = await fixture.call(0, "/chat/x", { headers: { "x-model": "m1" } });
+            expect(response).toMatchObject({ status: 200, isTruncated: false });
+            expect(response.text).toContain("id: 6\n");
+        });
+    }, 30_000);
+});
--- a/test/platform/stand-ins/platform-server.ts
+++ b/test/platform/stand-ins/platform-server.ts
@@ -122,6 +122,10 @@
     readonly faults: ServerFault[] = [];
     /** Applies to every call: `reset` resets the connection as a crashed server does; `silent` sends no response. */
     outage: "none" | "reset" | "silent" = "none";
+    /** States in all its responses that it leaves, though its record says that it is ready. */
+    isLeaving = false;
+    /** If set, each request is turned away with status 503 and this many seconds as `Retry-After`. */
+    holdSeconds: string | undefined;
     /** Part of a prompt with which the server crashes before it begins an answer. */
     deadlyPart: string | undefined;
     /** Times of the crashes. */
@@ -201,6 +205,7 @@
         const body = Buffer.concat(chunks).toString();
         if (this.outage === "silent") return;
         if (this.outage === "reset") return void request.socket.resetAndDestroy();
+        if (this.isLeaving) response.setHeader("server-leaving", "1");
         if (request.headers["x-expect-instance"] !== this.id) return void response.writeHead(421).end();
         if (request.url === "/api/report") return this.sendReport(response);
         if (request.url === "/api/order") return this.onOrder(JSON.parse(body) as Record<string, unknown>, response);
@@ -286,6 +291,10 @@
         response.once("close", () => {
             received.isAbandoned = !response.writableFinished;
         });
+        if (this.holdSeconds !== undefined) {
+            const headers = { "x-not-run": "1", "x-attempt-id": id, "retry-after": this.holdSeconds };
+            return void response.writeHead(503, headers).end();
+        }
         const fault = this.faults.shift();
         if (fault === "refused_as_not_run") {
             return void response.writeHead(503, { "x-not-run": "1", "x-attempt-id": id }).end();
