feat(gateway): leave servers alone for the time that they state

Cause: the header had no effect; a server that refuses was avoided for 100 ms.

If all servers that could take a request are on hold, it waits for the first one if its deadline allows, and is refused at once otherwise: 503, not run, with the rest of the hold as its Retry-After, which is spread. Whether a 503 has run is told by its mark, as before; a hold is neither a failure nor a reason to forget demand.

Evidence: test/platform/server-notice.test.ts, three cases on holds fail before and pass after.

--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -411,12 +411,16 @@
         });
     }
 
-    private applyNotice(server: ServerRecord, { isLeaving, invalidHold }: ServerNotice): void {
+    private applyNotice(server: ServerRecord, { isLeaving, holdMs, invalidHold }: ServerNotice): void {
         const { logger } = this.options;
         if (isLeaving && this.directory.recordLeaving(server)) {
             this.metrics.serverNotices.inc({ kind: "leaving" });
             this.synchronizer.scheduleDemand();
         }
+        if (holdMs !== undefined) {
+            this.metrics.serverNotices.inc({ kind: "hold" });
+            this.directory.recordHold(server.serverId, holdMs);
+        }
         if (invalidHold === undefined) return;
         this.metrics.serverNotices.inc({ kind: "invalid" });
         logger.warn(
--- a/packages/gateway/src/runtime/engine-command-runner.ts
+++ b/packages/gateway/src/runtime/engine-command-runner.ts
@@ -119,12 +119,13 @@
     }
 
     private createController(record: ServerRecord): EngineController {
-        const { engineClient, orderRights, host, logger, metrics, onChange } = this.options;
+        const { engineClient, orderRights, directory, host, logger, metrics, onChange } = this.options;
         return new EngineController(record, {
             engineClient,
             host,
             logger,
             getFencingToken: () => orderRights.getFencingToken(record.serverId),
+            getHoldMs: () => directory.get(record.serverId)?.holdMs(nowMs()) ?? 0,
             onFenced: () => orderRights.dropRight(record.serverId, "the engine saw a higher fencing token"),
             onChange,
             onOrder: (kind, outcome) => metrics.orders.inc({ kind, outcome }),
--- a/packages/gateway/src/runtime/engine-controller.ts
+++ b/packages/gateway/src/runtime/engine-controller.ts
@@ -42,6 +42,8 @@
     /** Fencing token for an order that is sent now; undefined if this host must not send orders to the engine. */
     readonly getFencingToken: () => number | undefined;
     readonly onFenced: () => void;
+    /** Time for which the engine still wants nothing from this host; 0 if orders and reads may be sent. */
+    readonly getHoldMs: () => number;
     readonly logger: Logger;
     readonly onChange: () => void;
     readonly onOrder: (kind: string, outcome: OrderOutcome | "no_right") => void;
@@ -124,6 +126,8 @@
 
     /** Reads the engine's state; returns false if the engine can't be reached or has restarted. */
     async readState(): Promise<boolean> {
+        await this.waitForHold();
+        if (this.isStopped) return false;
         const report = await this.options.engineClient.readReport(this.record);
         if (this.isStopped) return false;
         if (report.isErr() || report.value.bornAtMs !== this.record.bornAtMs) {
@@ -168,6 +172,7 @@
     /** Reads the cached weight copies again, since a load can evict copies from main memory and from the disk. */
     private async refreshCopies(): Promise<void> {
         await sleep(CACHED_COPIES_LAG_MS);
+        await this.waitForHold();
         if (this.isStopped || !this.isIdle) return;
         const report = await this.options.engineClient.readReport(this.record);
         if (report.isErr() || report.value.sequence !== this.sequence) return;
@@ -266,6 +271,7 @@
         isConfirmation: boolean,
     ): Promise<OrderOutcome | "no_right"> {
         const { getFencingToken, host: holder, onOrder, onFenced } = this.options;
+        await this.waitForHold();
         const fencingToken = getFencingToken();
         if (this.isStopped || fencingToken === undefined) return "no_right";
         const expectedSequence = this.sequence;
@@ -294,6 +300,7 @@
         const { engineClient, getFencingToken } = this.options;
         let outcome = await engineClient.sendOrder(this.record, order);
         for (let retryCount = 0; retryCount < MAX_ORDER_RETRIES && outcome === "unknown"; retryCount += 1) {
+            await this.waitForHold();
             if (this.isStopped || getFencingToken() !== order.fencingToken) return outcome;
             outcome = await engineClient.sendOrder(this.record, order);
             // Either the first attempt took effect or another order is in progress; the engine's state shows which.
@@ -328,6 +335,15 @@
         this.isStateKnown = !state.isBusy && state.pendingAdapterCount === 0;
     }
 
+    /** Waits while the engine wants nothing from this host; a hold may be extended meanwhile. */
+    private async waitForHold(): Promise<void> {
+        for (;;) {
+            const holdMs = this.options.getHoldMs();
+            if (holdMs <= 0 || this.isStopped) return;
+            await sleep(holdMs);
+        }
+    }
+
     private markUnreachable(): void {
         this.unreachableUntilMs = nowMs() + UNREACHABLE_PAUSE_MS;
     }
--- a/packages/gateway/src/runtime/gateway-metrics.ts
+++ b/packages/gateway/src/runtime/gateway-metrics.ts
@@ -17,6 +17,11 @@
         "Statements of servers in responses: leaving, hold, or an invalid time.",
         ["kind"],
     );
+    readonly heldRequests = this.counter(
+        "held_requests_total",
+        "Requests for which every server was on hold.",
+        [],
+    );
     readonly skippedLogLines = this.counter("log_lines_skipped_total", "Log lines left out by the rate limit.", []);
     readonly inProgress = this.gauge("requests_in_progress", "Requests without a complete answer.");
     readonly plansPlacement = this.gauge(
--- a/packages/gateway/src/runtime/request-task.ts
+++ b/packages/gateway/src/runtime/request-task.ts
@@ -53,6 +53,7 @@
     private lastEventId: number | undefined;
     private failure: Refusal | undefined;
     private isWaiting = false;
+    private wasHeld = false;
     private waitTimer: NodeJS.Timeout | undefined;
     private firstByteAtMs = 0;
     private lastByteAtMs = 0;
@@ -229,18 +230,30 @@
         return this.chooseServerAmong(undefined);
     }
 
-    /** Chooses the best usable server: one of `allowed`, or if undefined, one where the request can't have run. */
-    private chooseServerAmong(allowed: ReadonlyMap<ServerId, number> | undefined): ServerState | undefined {
-        const { directory, dataCentre } = this.context;
+    /** Lists the servers that can serve the request by what they hold, whatever their load. */
+    private listCandidates(): ServerState[] {
+        const { directory } = this.context;
         const { modelId, adapterId } = this.request;
-        const now = nowMs();
-        const candidates = modelId === undefined
+        return modelId === undefined
             ? directory.listNotDraining(this.serviceId)
             : directory.listWithModel(this.serviceId, modelId, adapterId);
-        const usable = candidates.filter(({ record: { serverId } }) =>
-            !this.rejectedBy.has(serverId) && (allowed?.has(serverId) ?? !this.possibleRuns.has(serverId))
-        );
-        const [best] = rankServers(usable, dataCentre, now);
+    }
+
+    /** Time until the first server takes requests again; undefined unless all candidates are on hold. */
+    private computeHoldMs(now: number): number | undefined {
+        const holds = this.listCandidates().map(server => server.holdMs(now));
+        return holds.length === 0 || holds.includes(0) ? undefined : Math.min(...holds);
+    }
+
+    /** Chooses the best usable server: one of `allowed`, or if undefined, one where the request can't have run. */
+    private chooseServerAmong(allowed: ReadonlyMap<ServerId, number> | undefined): ServerState | undefined {
+        const now = nowMs();
+        const usable = this.listCandidates().filter(server => {
+            const { serverId } = server.record;
+            return server.holdMs(now) === 0 && !this.rejectedBy.has(serverId)
+                && (allowed?.has(serverId) ?? !this.possibleRuns.has(serverId));
+        });
+        const [best] = rankServers(usable, this.context.dataCentre, now);
         return best === undefined || best.isSuspect(now) || best.isAtCapacity(now) ? undefined : best;
     }
 
@@ -287,19 +300,30 @@
         }
         // A server that rejected the request may have capacity again.
         this.rejectedBy.clear();
-        const etaMs = modelId === undefined ? undefined : this.context.directory.etaMs(modelId);
+        const holdMs = this.computeHoldMs(now);
+        if (holdMs !== undefined) this.recordHeld(holdMs);
+        const etaMs = holdMs ?? (modelId === undefined ? undefined : this.context.directory.etaMs(modelId));
         const timeLeftMs = this.isResuming ? this.remainingMs() : this.timing.firstByteDeadlineAtMs - now;
         const usefulWaitMs = timeLeftMs - (modelId === undefined ? MIN_ATTEMPT_MS : MIN_FIRST_EVENT_MS);
         const isInTime = etaMs !== undefined && etaMs < usefulWaitMs;
+        if (holdMs !== undefined && !isInTime) return this.abandon("servers_on_hold", holdMs);
         if (etaMs !== undefined && !isInTime) return this.abandon("model_not_in_time");
         if (!isInTime && now >= this.timing.waitDeadlineAtMs && !this.isResuming) return this.abandon("no_server");
         clearTimeout(this.waitTimer);
         this.waitTimer = setTimeout(
             () => this.runGuarded(() => this.dispatch()),
-            Math.max(1, Math.min(WAIT_CHECK_MS, usefulWaitMs, this.remainingMs())),
+            Math.max(1, Math.min(WAIT_CHECK_MS, holdMs ?? Infinity, usefulWaitMs, this.remainingMs())),
         );
     }
 
+    /** Logs and counts, once, that all servers of the request are on hold. */
+    private recordHeld(holdMs: number): void {
+        if (this.wasHeld) return;
+        this.wasHeld = true;
+        this.context.metrics.heldRequests.inc();
+        this.log({ step: "request.hold", holdMs: Math.round(holdMs) }, "every server of the request is on hold");
+    }
+
     private stopWaiting(): void {
         clearTimeout(this.waitTimer);
         if (!this.isWaiting) return;
@@ -335,10 +359,11 @@
         this.refuse(hasRun ? refusals.backendLost() : refusals.suspectPrompt(retryAfterMs));
     }
 
-    private abandon(code: string): void {
+    /** Gives the request up; `retryAfterMs` is the time after which it can be served, if that is known. */
+    private abandon(code: string, retryAfterMs = this.retryAfterMs()): void {
         if (this.firstHead !== undefined) return this.abortResponse();
         if (this.possibleRuns.size > 0) return this.refuse(refusals.backendLost());
-        const refusal = refusals.unavailable(code, this.retryAfterMs());
+        const refusal = refusals.unavailable(code, retryAfterMs);
         const { modelId, adapterId } = this.request;
         // The model must be ready when the caller returns, so the request counts as demand until then.
         if (this.isWaiting && modelId !== undefined && code !== "stopping") {
--- a/packages/gateway/src/runtime/server-directory.ts
+++ b/packages/gateway/src/runtime/server-directory.ts
@@ -104,6 +104,13 @@
         return leaving;
     }
 
+    /** Records that a server wants nothing from this host for a time. */
+    recordHold(serverId: ServerId, holdMs: number): void {
+        const server = this.servers.get(serverId);
+        if (server === undefined || !server.recordHold(holdMs, nowMs())) return;
+        this.logger.info({ step: "server.hold", server: serverId, holdMs: Math.round(holdMs) }, "server is on hold");
+    }
+
     remove(serverId: ServerId, reason: string): void {
         if (!this.servers.delete(serverId)) return;
         this.logger.info({ step: "server.leave", server: serverId, reason }, "server removed");
--- a/packages/gateway/src/runtime/server-state.ts
+++ b/packages/gateway/src/runtime/server-state.ts
@@ -33,6 +33,7 @@
     private consecutiveUnreachableCount = 0;
     private suspectUntilMs = -Infinity;
     private atCapacityUntilMs = -Infinity;
+    private holdUntilMs = -Infinity;
     private reportedLoad: ReportedLoad | undefined;
     private reportedLoadAtMs = -Infinity;
     private peerRequestCount = 0;
@@ -51,6 +52,7 @@
             this.consecutiveUnreachableCount = 0;
             this.failureRate = 0;
             this.suspectUntilMs = -Infinity;
+            this.holdUntilMs = -Infinity;
             this.missingUntilMs.clear();
         }
         if (record.models !== this.record.models) this.adaptersByModel = undefined;
@@ -87,6 +89,18 @@
         return now < this.atCapacityUntilMs;
     }
 
+    /** Time for which the server still wants nothing from this host; 0 if it takes requests. */
+    holdMs(now: number): number {
+        return Math.max(0, this.holdUntilMs - now);
+    }
+
+    /** Records a time for which the server wants nothing from this host; returns whether that is longer than known. */
+    recordHold(holdMs: number, now: number): boolean {
+        if (now + holdMs <= this.holdUntilMs) return false;
+        this.holdUntilMs = now + holdMs;
+        return true;
+    }
+
     /** Estimates the requests at the server from the gateways' counts or else its last reported load, by its age. */
     estimateRequestCount(now: number): number {
         if (now - this.peerRequestCountAtMs <= PEER_COUNT_VALID_MS) return this.inFlightCount + this.peerRequestCount;
--- a/test/platform/server-notice.test.ts
+++ b/test/platform/server-notice.test.ts
@@ -7,6 +7,7 @@
 const CALL_COUNT = 30;
 /** Sooner than a request may no longer reach a server after a gateway has passed on that it leaves. */
 const PEER_NOTICE_MS = 1_500;
+const HOLD_MS = 2_000;
 
 function sleep(durationMs: number): Promise<void> {
     return new Promise(resolve => setTimeout(resolve, durationMs));
@@ -120,3 +121,48 @@
         });
     }, 30_000);
 });
+
+// Guards against requests to a server within the time for which it has said that it wants none.
+describe("a server that turns requests away for a time", () => {
+    it("gets none from the gateway in that time, and some after it", async () => {
+        await withDesks(1, async (fixture, [held]) => {
+            held!.holdSeconds = String(HOLD_MS / 1_000);
+            await callUntilReached(fixture, held!);
+            const heldAtMs = performance.now();
+            const countAtNotice = countRequests(held!);
+            while (performance.now() - heldAtMs < HOLD_MS - 200) {
+                expect(await fixture.call(0, "/orders/x")).toMatchObject({ status: 200 });
+            }
+            expect(countRequests(held!)).toBe(countAtNotice);
+            held!.holdSeconds = undefined;
+            await sleep(400);
+            await eventually("the server gets requests", async () => {
+                await fixture.call(0, "/lookup/x", { method: "GET" });
+                return countRequests(held!) > countAtNotice || undefined;
+            });
+        });
+    }, 30_000);
+
+    it.each([
+        { name: "waits if its deadline allows", deadlineMs: 5_000, holdMs: 500, status: 200, minMs: 300, maxMs: 1_500 },
+        { name: "is refused at once if not", deadlineMs: 600, holdMs: 2_000, status: 503, minMs: 0, maxMs: 250 },
+    ])("when all servers do, a request $name", async ({ deadlineMs, holdMs, status, minMs, maxMs }) => {
+        await withDesks(1, async (fixture, desks) => {
+            for (const desk of desks) desk.holdSeconds = String(holdMs / 1_000);
+            // The second server is tried after the first has turned the request away, within the retry budget.
+            const warmUp = await fixture.call(0, "/orders/x", { headers: { "x-deadline-ms": "300" } });
+            expect(warmUp.status).toBe(503);
+            expect(desks.map(countRequests)).toEqual([1, 1]);
+            for (const desk of desks) desk.holdSeconds = undefined;
+            const startedAtMs = performance.now();
+            const headers = { "x-deadline-ms": String(deadlineMs) };
+            const response = await fixture.call(0, "/orders/x", { headers });
+            const tookMs = performance.now() - startedAtMs;
+            expect(response.status).toBe(status);
+            expect(tookMs).toBeGreaterThanOrEqual(minMs);
+            expect(tookMs).toBeLessThanOrEqual(maxMs);
+            if (status === 503) expect(Number(response.headers["retry-after"])).toBeGreaterThanOrEqual(1.5);
+            if (status === 503) expect(desks.map(countRequests)).toEqual([1, 1]);
+        });
+    }, 30_000);
+});
