fix(gateway): write responses to their end in a stop

An upload that had begun before the stop was not waited for, or got no response at its end.

Cause: a request counted as done once its response had been handed to the HTTP server. Node takes a connection for idle as soon as `end` was called on its response, so that `closeIdleConnections` destroyed it with the bytes that waited on it.

Change: the caller's server keeps the responses that are owed or not written completely. Idle connections are closed only while there are none, and the stop lasts until there are none or its time is over. Then requests that are still being read are refused as not run, and what is left is ended so that callers can tell.

--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -1,3 +1,4 @@
+import { abortResponse } from "@skylarkmill/coordination";
 import type { Refusal } from "@skylarkmill/protocol";
 import { err, ok, type Result } from "neverthrow";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
@@ -31,6 +32,8 @@
 /** Receives callers' HTTP requests and passes them on once their bodies are complete. */
 export class CallerServer {
     readonly server: Server;
+    /** Responses that are not completely written, including those of requests that are still being read. */
+    private readonly openResponses = new Set<ServerResponse>();
     private maxBodyBytes = DEFAULT_MAX_BODY_BYTES;
     private readonly options: CallerServerOptions;
 
@@ -65,10 +68,34 @@
         NetServer.prototype.close.call(this.server);
     }
 
+    /** Number of responses that are owed or not completely written. */
+    get openResponseCount(): number {
+        return this.openResponses.size;
+    }
+
+    /** Closes idle connections, unless bytes of a response wait on some connection: Node counts it as idle then. */
+    closeIdleConnections(): void {
+        if (this.openResponses.size === 0) this.server.closeIdleConnections();
+    }
+
+    /** Refuses the requests that are still being read, since the process ends now. */
+    refuseUploads(refusal: Refusal): void {
+        for (const response of this.openResponses) {
+            if (!response.headersSent) new HttpResponseWriter(response, this.options.isClosing).refuse(refusal);
+        }
+    }
+
+    /** Ends the responses that callers have not read in time, so that they can tell them from complete ones. */
+    abortOpenResponses(): void {
+        for (const response of this.openResponses) abortResponse(response);
+    }
+
     private async receiveRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const startedAtMs = performance.now();
         // The caller's connection can fail at any time; the `close` event that follows is handled.
         response.on("error", () => undefined);
+        this.openResponses.add(response);
+        response.once("close", () => this.openResponses.delete(response));
         const writer = new HttpResponseWriter(response, this.options.isClosing);
         try {
             const body = await readBody(request, this.maxBodyBytes);
@@ -77,7 +104,8 @@
                 return;
             }
             await waitForLoopTurn();
-            if (response.closed) return;
+            // A stop may have refused it meanwhile.
+            if (response.closed || response.headersSent) return;
             const head = {
                 method: request.method ?? "GET",
                 path: request.url ?? "/",
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -260,9 +260,12 @@
         await this.completeTasks(startedAtMs, endAtMs);
         this.refuseAllFromMs = 0;
         for (const task of [...this.tasks]) task.endNow();
+        this.callerServer.refuseUploads(refusals.unavailable("stopping", STOP_RETRY_MS));
         await sleep(STOP_FLUSH_MS);
+        const { openResponseCount } = this.callerServer;
+        this.callerServer.abortOpenResponses();
         logger.info(
-            { step: "stopped", open: this.tasks.size, tookMs: Math.round(nowMs() - startedAtMs) },
+            { step: "stopped", open: openResponseCount, tookMs: Math.round(nowMs() - startedAtMs) },
             "gateway stopped",
         );
         this.synchronizer.stop();
@@ -279,17 +282,18 @@
         await Promise.all([this.view.stop(), this.viewFollower.stop(), this.peerClient.close()]);
     }
 
-    /** Waits until all requests are complete, or until the stop time is nearly over. */
+    /** Waits until all responses are written to their callers, or until the stop time is nearly over. */
     private async completeTasks(startedAtMs: number, endAtMs: number): Promise<void> {
         let idleSinceMs: number | undefined;
         while (nowMs() < endAtMs) {
             const isDetectedAsNotReady = nowMs() - startedAtMs >= READINESS_DETECTION_MS;
             const isEnding = endAtMs - nowMs() < STOP_REFUSE_WAITING_MS;
             // Callers that can't connect try another gateway; a request that was read must get a response.
-            if (isDetectedAsNotReady && (this.tasks.size === 0 || isEnding)) this.callerServer.stopListening();
-            if (isDetectedAsNotReady) this.callerServer.server.closeIdleConnections();
+            const isIdle = this.tasks.size === 0 && this.callerServer.openResponseCount === 0;
+            if (isDetectedAsNotReady && (isIdle || isEnding)) this.callerServer.stopListening();
+            if (isDetectedAsNotReady) this.callerServer.closeIdleConnections();
             if (isEnding) { for (const task of [...this.tasks]) task.refuseIfWaiting(); }
-            if (!isDetectedAsNotReady || this.tasks.size > 0) idleSinceMs = undefined;
+            if (!isDetectedAsNotReady || !isIdle) idleSinceMs = undefined;
             else idleSinceMs ??= nowMs();
             if (idleSinceMs !== undefined && nowMs() - idleSinceMs >= STOP_IDLE_MS) return;
             await sleep(STOP_CHECK_MS);
--- a/test/platform/shutdown.test.ts
+++ b/test/platform/shutdown.test.ts
@@ -1,5 +1,8 @@
+import { connect } from "node:net";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
-import { type CallResult, createConfigurationDocument, PlatformFixture } from "./stand-ins/fixture.ts";
+import { eventually } from "../support/eventually.ts";
+import { callRaw } from "../support/raw-caller.ts";
+import { type CallResult, createConfigurationDocument, HOST, PlatformFixture } from "./stand-ins/fixture.ts";
 
 let fixture: PlatformFixture;
 
@@ -141,6 +144,66 @@
     }, 15_000);
 });
 
+describe("a caller that reads its response during a stop", () => {
+    const BODY_BYTES = 12 * 1024 * 1024;
+
+    // Guards against responses that are cut although their servers had sent them and time was left: the stop closed
+    // connections with bytes that were still to be written.
+    it.each([
+        { name: "slowly gets all of it", readDelayMs: 3_500, isComplete: true },
+        { name: "too slowly for the stop can tell that it was cut", readDelayMs: 7_500, isComplete: false },
+    ])("$name", async ({ readDelayMs, isComplete }) => {
+        const desk = await fixture.addServer({ id: "d1", service: "desk", bodyByteCount: BODY_BYTES });
+        fixture.store.put("op/config", createConfigurationDocument(2, {}, 20_000));
+        await fixture.addGateway("edge-1");
+        await fixture.waitUntilServerAvailable(0, "d1");
+        const headers = { "host": HOST, "x-attempt-id": fixture.newId(), "x-deadline-ms": "20000" };
+        const call = { port: fixture.frontPort(0), path: "/orders/x", version: "1.1", headers, readDelayMs } as const;
+        const response = callRaw(call);
+        await eventually("the order runs", () => desk.requests.some(({ hasStarted }) => hasStarted) || undefined);
+        await fixture.gateways.pop()!.gateway.stop();
+        const result = await response;
+        expect(result).toMatchObject({ status: 200, framing: "length", isComplete });
+        if (isComplete) expect(result.text.length).toBe(BODY_BYTES);
+    }, 20_000);
+});
+
+describe("an upload that is still coming in", () => {
+    async function upload(partCount: number): Promise<string> {
+        const desk = await fixture.addServer({ id: "d1", service: "desk" });
+        fixture.store.put("op/config", createConfigurationDocument(2, {}, 20_000));
+        await fixture.addGateway("edge-1");
+        await fixture.waitUntilServerAvailable(0, "d1");
+        const socket = connect(fixture.frontPort(0), "127.0.0.1");
+        const chunks: Buffer[] = [];
+        socket.on("data", chunk => chunks.push(chunk));
+        const closed = new Promise(resolve => socket.once("close", resolve));
+        socket.write(
+            `POST /orders/x HTTP/1.1\r\nHost: ${HOST}\r\nX-Attempt-Id: upload-1\r\nX-Deadline-Ms: 5000\r\nContent-Length: 20\r\n\r\n`,
+        );
+        socket.write("0123456789");
+        await new Promise(resolve => setTimeout(resolve, 200));
+        const stopped = fixture.gateways.pop()!.gateway.stop();
+        await new Promise(resolve => setTimeout(resolve, 3_000));
+        if (partCount === 2) socket.write("0123456789");
+        await stopped;
+        await closed;
+        expect(desk.countRuns("upload-1")).toBe(partCount === 2 ? 1 : 0);
+        return Buffer.concat(chunks).toString();
+    }
+
+    // Guards against a stop that ends before an upload that began before it.
+    it("is served when it ends within the stop", async () => {
+        expect(await upload(2)).toMatch(/^HTTP\/1.1 200 .*done by d1$/s);
+    }, 20_000);
+
+    it("is refused as not run at the end of the stop", async () => {
+        const response = await upload(1);
+        expect(response).toMatch(/^HTTP\/1.1 503 /);
+        expect(response).toMatch(/retry-after: /i);
+    }, 20_000);
+});
+
 describe("starting a gateway", () => {
     it("responds with 503 and is not ready until it has a configuration, which it gets from a peer", async () => {
         await fixture.addServer({ id: "d1", service: "desk" });
