fix(gateway): bound the bodies of all requests by the memory limit

Cause: each body was kept until the end of its response, and nothing bounded their sum. Only buffered responses had a bound, of 48 MB on any host.

Change: one budget of bytes, 0.3 of the memory limit in the settings, for bodies and buffered responses. Without room the request is refused at once, 503, not run, with Retry-After.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -3,6 +3,7 @@
 export { PeerClient } from "./node/peer-client.ts";
 export { ViewFollower, type ViewFollowerOptions } from "./node/view-follower.ts";
 export { Attempt, type AttemptListener } from "./runtime/attempt.ts";
+export { ByteBudget } from "./runtime/byte-budget.ts";
 export { ClusterDemandTracker } from "./runtime/cluster-demand-tracker.ts";
 export { type CrashDecision, CrashSuspects, type CrashSuspectsOptions } from "./runtime/crash-suspects.ts";
 export { EngineController, type EngineControllerOptions } from "./runtime/engine-controller.ts";
@@ -21,7 +22,6 @@
 export { PlacementPlanner, type PlacementPlannerOptions } from "./runtime/placement-planner.ts";
 export { RequestTask } from "./runtime/request-task.ts";
 export { computeRequestTiming, type RequestTiming } from "./runtime/request-timing.ts";
-export { ResponseBuffers } from "./runtime/response-buffers.ts";
 export { RetryBudget } from "./runtime/retry-budget.ts";
 export { ServerDirectory } from "./runtime/server-directory.ts";
 export { ServerState } from "./runtime/server-state.ts";
--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -1,11 +1,11 @@
 import { abortResponse } from "@skylarkmill/coordination";
 import type { Refusal } from "@skylarkmill/protocol";
-import { err, ok, type Result } from "neverthrow";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { Server as NetServer, type Socket } from "node:net";
+import type { ByteBudget } from "../runtime/byte-budget.ts";
 import { HttpResponseWriter } from "../runtime/http-response-writer.ts";
 import type { RequestHead } from "../types/options.ts";
-import { refusals } from "../utils/refusals.ts";
+import { BodyReader } from "./body-reader.ts";
 
 /** Largest request head; the configuration does not change it. */
 const MAX_HEADER_BYTES = 64 * 1024;
@@ -19,6 +19,8 @@
 
 export interface CallerServerOptions {
     readonly maxConnections: number;
+    /** Bytes of bodies and responses that the process may hold. */
+    readonly byteBudget: ByteBudget;
     readonly isClosing: () => boolean;
     readonly handleRequest: (
         head: RequestHead,
@@ -98,7 +100,9 @@
         response.once("close", () => this.openResponses.delete(response));
         const writer = new HttpResponseWriter(response, this.options.isClosing);
         try {
-            const body = await readBody(request, this.maxBodyBytes);
+            const reader = new BodyReader(request, this.maxBodyBytes, this.options.byteBudget);
+            response.once("close", () => reader.release());
+            const body = await reader.read();
             if (body.isErr()) {
                 if (body.error !== undefined) writer.refuse(body.error);
                 return;
@@ -129,27 +133,6 @@
     return new Promise(resolve => setImmediate(() => setImmediate(resolve)));
 }
 
-/** Reads a request's body; an `undefined` error means that the caller has disconnected. */
-function readBody(
-    request: IncomingMessage,
-    maxBytes: number,
-): Promise<Result<Buffer | undefined, Refusal | undefined>> {
-    return new Promise(resolve => {
-        const chunks: Buffer[] = [];
-        let byteCount = 0;
-        request.on("data", (chunk: Buffer) => {
-            byteCount += chunk.length;
-            if (byteCount <= maxBytes) chunks.push(chunk);
-        });
-        request.once("end", () => {
-            if (byteCount > maxBytes) resolve(err(refusals.invalidRequest("The body is too long.", 413)));
-            else resolve(ok(byteCount === 0 ? undefined : Buffer.concat(chunks)));
-        });
-        request.once("error", () => resolve(err(undefined)));
-        request.once("close", () => resolve(err(undefined)));
-    });
-}
-
 function onClientError(error: NodeJS.ErrnoException, socket: Socket): void {
     // A refusal that is written during a response would become part of that response.
     const pendingResponse = (socket as Socket & { _httpMessage?: unknown; })._httpMessage;
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -3,6 +3,7 @@
 import { type ServerId, type ServiceId, type SkylarkmillError } from "@skylarkmill/protocol";
 import { ResultAsync } from "neverthrow";
 import { createServer, type Server } from "node:http";
+import { ByteBudget } from "../runtime/byte-budget.ts";
 import { CrashSuspects } from "../runtime/crash-suspects.ts";
 import { EngineCommandRunner } from "../runtime/engine-command-runner.ts";
 import { GatewayMembership } from "../runtime/gateway-membership.ts";
@@ -14,7 +15,6 @@
 import { PlacementPlanner } from "../runtime/placement-planner.ts";
 import { RequestTask } from "../runtime/request-task.ts";
 import { computeRequestTiming } from "../runtime/request-timing.ts";
-import { ResponseBuffers } from "../runtime/response-buffers.ts";
 import { RetryBudget } from "../runtime/retry-budget.ts";
 import { ServerDirectory } from "../runtime/server-directory.ts";
 import { StoreView } from "../runtime/store-view.ts";
@@ -62,8 +62,8 @@
 const STOP_COORDINATION_TIMEOUT_MS = 200;
 /** Retry delay sent while stopping; it is short because another gateway can serve the request immediately. */
 const STOP_RETRY_MS = 50;
-/** Largest number of bytes of incomplete responses; a host may have as little as 250 MB. */
-const MAX_BUFFERED_RESPONSE_BYTES = 48 * 1024 * 1024;
+/** Share of the process's memory for buffered bytes; a byte takes up to twice its size until it is collected. */
+const BUFFERED_MEMORY_SHARE = 0.3;
 /** Time for which a port that is in use is tried again at the start. */
 const BIND_RETRY_MS = 5_000;
 /** Time for the last responses to be written to their sockets. */
@@ -192,7 +192,7 @@
             dataCentre: options.dataCentre,
             directory: this.directory,
             engineClient: options.engineClient,
-            responseBuffers: new ResponseBuffers(MAX_BUFFERED_RESPONSE_BYTES),
+            byteBudget: new ByteBudget(BUFFERED_MEMORY_SHARE * options.memoryLimitBytes),
             crashSuspects: this.crashSuspects,
             localDemand: this.localDemand,
             metrics: this.metrics,
@@ -204,6 +204,7 @@
         options.engineClient.onNotice((server, notice) => this.applyNotice(server, notice));
         this.callerServer = new CallerServer({
             maxConnections: options.maxConnections,
+            byteBudget: this.context.byteBudget,
             isClosing: () => this.isStopping,
             handleRequest: (head, body, writer, startedAtMs) => this.handleRequest(head, body, writer, startedAtMs),
             onError: error => logger.error({ step: "request", err: error }, "request handling failed unexpectedly"),
--- a/packages/gateway/src/runtime/attempt.ts
+++ b/packages/gateway/src/runtime/attempt.ts
@@ -1,8 +1,8 @@
 import type { EngineCall, EngineClient, EngineExchange, ResponseHead, ResponseListener } from "../types/engine.ts";
 import { nowMs } from "../utils/clock.ts";
+import type { ByteBudget } from "./byte-budget.ts";
 import type { CrashSuspects } from "./crash-suspects.ts";
 import { EventSplitter, type StreamEvent } from "./event-splitter.ts";
-import type { ResponseBuffers } from "./response-buffers.ts";
 import type { ServerState } from "./server-state.ts";
 
 /** Largest response that is buffered; an attempt with a larger one fails. */
@@ -32,7 +32,7 @@
     eventCount = 0;
     private readonly listener: AttemptListener;
     private readonly isStream: boolean;
-    private readonly buffers: ResponseBuffers;
+    private readonly buffers: ByteBudget;
     private readonly crashSuspects: CrashSuspects;
     private isUnanswered = false;
     private readonly splitter = new EventSplitter();
@@ -46,7 +46,7 @@
         server: ServerState,
         call: EngineCall,
         isStream: boolean,
-        buffers: ResponseBuffers,
+        buffers: ByteBudget,
         crashSuspects: CrashSuspects,
         listener: AttemptListener,
     ) {
--- a/packages/gateway/src/runtime/response-buffers.ts
+++ b/packages/gateway/src/runtime/byte-budget.ts
@@ -1,5 +1,5 @@
-/** Limits the bytes of incomplete responses that one process buffers, over all requests. */
-export class ResponseBuffers {
+/** Limits the bytes of requests and incomplete responses that one process buffers, over all requests. */
+export class ByteBudget {
     private usedByteCount = 0;
 
     constructor(private readonly maxByteCount: number) {}
--- a/packages/gateway/src/runtime/request-task.ts
+++ b/packages/gateway/src/runtime/request-task.ts
@@ -280,7 +280,7 @@
             server,
             call,
             route.kind === "streaming",
-            context.responseBuffers,
+            context.byteBudget,
             context.crashSuspects,
             guardListener(this, error => this.failUnexpectedly(error)),
         );
--- a/packages/gateway/src/types/context.ts
+++ b/packages/gateway/src/types/context.ts
@@ -1,9 +1,9 @@
 import type { Logger, LogLimiter } from "@skylarkmill/coordination";
 import type { DataCentre, ServiceId } from "@skylarkmill/protocol";
+import type { ByteBudget } from "../runtime/byte-budget.ts";
 import type { CrashSuspects } from "../runtime/crash-suspects.ts";
 import type { GatewayMetrics } from "../runtime/gateway-metrics.ts";
 import type { LocalDemandTracker } from "../runtime/local-demand-tracker.ts";
-import type { ResponseBuffers } from "../runtime/response-buffers.ts";
 import type { RetryBudget } from "../runtime/retry-budget.ts";
 import type { ServerDirectory } from "../runtime/server-directory.ts";
 import type { EngineClient } from "./engine.ts";
@@ -13,8 +13,8 @@
     readonly dataCentre: DataCentre;
     readonly directory: ServerDirectory;
     readonly engineClient: EngineClient;
-    /** Bytes of incomplete responses that this process holds. */
-    readonly responseBuffers: ResponseBuffers;
+    /** Bytes of request bodies and incomplete responses that this process holds. */
+    readonly byteBudget: ByteBudget;
     /** Parts of prompts that end engines. */
     readonly crashSuspects: CrashSuspects;
     readonly localDemand: LocalDemandTracker;
--- a/packages/gateway/src/types/options.ts
+++ b/packages/gateway/src/types/options.ts
@@ -49,6 +49,8 @@
     /** Whether engines refuse a lower fencing token after a higher one. */
     readonly enginesCheckFences: boolean;
     readonly maxConnections: number;
+    /** Memory beyond which the process is ended. */
+    readonly memoryLimitBytes: number;
     /** Processor cores that this host may use, such as 0.5. */
     readonly processorCores: number;
     /** Number of concurrent loads up to which the weight store delivers at full speed. */
--- a/packages/gateway/src/utils/refusals.ts
+++ b/packages/gateway/src/utils/refusals.ts
@@ -2,6 +2,8 @@
 
 /** Retry delay sent while this gateway has no current configuration; a failed server is replaced in about this time. */
 const NO_CONFIGURATION_RETRY_MS = 500;
+/** Retry delay sent while there is no memory for a body; requests end continually, and other gateways may have room. */
+const NO_MEMORY_RETRY_MS = 500;
 /** Random addition to a retry delay, as a share of it, so that callers refused together don't retry together. */
 const RETRY_JITTER_SHARE = 0.3;
 
@@ -49,6 +51,14 @@
         execution: "not_run",
         retryAfterMs: addJitter(retryAfterMs),
     }),
+    noMemory: (): Refusal => ({
+        status: 503,
+        type: "overloaded_error",
+        code: "no_memory",
+        message: "This gateway has no memory for the request's body.",
+        execution: "not_run",
+        retryAfterMs: addJitter(NO_MEMORY_RETRY_MS),
+    }),
     suspectPrompt: (retryAfterMs: number): Refusal => ({
         status: 503,
         type: "unavailable_error",
--- a/test/gateway/crash-suspects.test.ts
+++ b/test/gateway/crash-suspects.test.ts
@@ -2,9 +2,9 @@
 import {
     Attempt,
     type AttemptListener,
+    ByteBudget,
     type CallerRequest,
     CrashSuspects,
-    ResponseBuffers,
     type ResponseListener,
     type ServerRecord,
     ServerState,
@@ -210,7 +210,7 @@
         const suspects = create();
         const call = { request, server, deadlineMs: 1_000, priority: 5, lastEventId, weightVersion: undefined };
         const listener: Pick<AttemptListener, "onFailed"> = { onFailed: () => undefined };
-        const buffers = new ResponseBuffers(1_000);
+        const buffers = new ByteBudget(1_000);
         const attempt = new Attempt(
             new ServerState(server),
             call,
--- a/test/gateway/waiting.test.ts
+++ b/test/gateway/waiting.test.ts
@@ -1,12 +1,12 @@
 import { LogLimiter, silentLogger } from "@skylarkmill/coordination";
 import {
+    ByteBudget,
     type CallerRequest,
     CrashSuspects,
     type GatewayContext,
     GatewayMetrics,
     LocalDemandTracker,
     RequestTask,
-    ResponseBuffers,
     type ResponseWriter,
     RetryBudget,
     type Route,
@@ -70,7 +70,7 @@
         dataCentre: toId<DataCentre>("dc-1"),
         directory,
         engineClient: undefined as never,
-        responseBuffers: new ResponseBuffers(1_000),
+        byteBudget: new ByteBudget(1_000),
         crashSuspects: new CrashSuspects({ logger: silentLogger, onChange: () => undefined }),
         localDemand,
         metrics: new GatewayMetrics(),
