fix(gateway): answer all pipelined requests before a connection ends

Cause: each response in a stop had "Connection: close", and each response without a length ends its connection, whether or not later responses were owed.

Change: only the newest response on a connection may end it; a response without a length that others follow goes in chunks. Requests that arrive behind a response that ends the connection are not passed on.

--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -1,8 +1,8 @@
-import { abortResponse } from "@skylarkmill/coordination";
 import type { Refusal } from "@skylarkmill/protocol";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { Server as NetServer, type Socket } from "node:net";
 import type { ByteBudget } from "../runtime/byte-budget.ts";
+import { CallerConnection } from "../runtime/caller-connection.ts";
 import { HttpResponseWriter } from "../runtime/http-response-writer.ts";
 import type { RequestHead } from "../types/options.ts";
 import { BodyReader } from "./body-reader.ts";
@@ -35,7 +35,8 @@
 export class CallerServer {
     readonly server: Server;
     /** Responses that are not completely written, including those of requests that are still being read. */
-    private readonly openResponses = new Set<ServerResponse>();
+    private readonly openResponses = new Map<ServerResponse, HttpResponseWriter>();
+    private readonly connections = new WeakMap<Socket, CallerConnection>();
     private maxBodyBytes = DEFAULT_MAX_BODY_BYTES;
     private readonly options: CallerServerOptions;
 
@@ -82,23 +83,27 @@
 
     /** Refuses the requests that are still being read, since the process ends now. */
     refuseUploads(refusal: Refusal): void {
-        for (const response of this.openResponses) {
-            if (!response.headersSent) new HttpResponseWriter(response, this.options.isClosing).refuse(refusal);
+        for (const writer of this.openResponses.values()) {
+            if (!writer.hasStarted) writer.refuse(refusal);
         }
     }
 
     /** Ends the responses that callers have not read in time, so that they can tell them from complete ones. */
     abortOpenResponses(): void {
-        for (const response of this.openResponses) abortResponse(response);
+        for (const writer of this.openResponses.values()) writer.abort();
     }
 
     private async receiveRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const startedAtMs = performance.now();
         // The caller's connection can fail at any time; the `close` event that follows is handled.
         response.on("error", () => undefined);
-        this.openResponses.add(response);
+        const connection = this.connections.get(request.socket) ?? new CallerConnection();
+        this.connections.set(request.socket, connection);
+        // A request that crosses the end of its connection is not handled, since it can't be answered.
+        if (!connection.addResponse(response)) return;
+        const writer = new HttpResponseWriter(response, connection, this.options.isClosing);
+        this.openResponses.set(response, writer);
         response.once("close", () => this.openResponses.delete(response));
-        const writer = new HttpResponseWriter(response, this.options.isClosing);
         try {
             const reader = new BodyReader(request, this.maxBodyBytes, this.options.byteBudget);
             response.once("close", () => reader.release());
--- a/packages/gateway/src/runtime/http-response-writer.ts
+++ b/packages/gateway/src/runtime/http-response-writer.ts
@@ -2,6 +2,7 @@
 import { type Refusal, toRefusalBody } from "@skylarkmill/protocol";
 import type { ServerResponse } from "node:http";
 import type { ResponseWriter } from "../types/response-writer.ts";
+import type { CallerConnection } from "./caller-connection.ts";
 
 /**
  * Largest body that is sent without a length or chunks. A socket takes it at once, so the end of this process can't cut
@@ -12,11 +13,13 @@
 /** Writes the response of one request to Node's HTTP server. */
 export class HttpResponseWriter implements ResponseWriter {
     private readonly response: ServerResponse;
+    private readonly connection: CallerConnection;
     private readonly isClosing: () => boolean;
 
-    /** @param isClosing Whether the connection must be closed after this response. */
-    constructor(response: ServerResponse, isClosing: () => boolean) {
+    /** @param isClosing Whether connections must be closed after the last response that they owe. */
+    constructor(response: ServerResponse, connection: CallerConnection, isClosing: () => boolean) {
         this.response = response;
+        this.connection = connection;
         this.isClosing = isClosing;
     }
 
@@ -38,8 +41,9 @@
     }
 
     sendUnverified(status: number, headers: readonly string[], body: Buffer): void {
-        if (body.length > MAX_CLOSE_DELIMITED_BYTES) this.start(status, headers);
-        else this.startCloseDelimited(status, headers);
+        const canEndConnection = body.length <= MAX_CLOSE_DELIMITED_BYTES && this.connection.tryEndWith(this.response);
+        if (canEndConnection) this.startCloseDelimited(status, headers);
+        else this.start(status, headers);
         this.write(body);
         this.end();
     }
@@ -87,6 +91,6 @@
     }
 
     private createConnectionHeader(): string[] {
-        return this.isClosing() ? ["connection", "close"] : [];
+        return this.isClosing() && this.connection.tryEndWith(this.response) ? ["connection", "close"] : [];
     }
 }
--- a/test/platform/shutdown.test.ts
+++ b/test/platform/shutdown.test.ts
@@ -168,6 +168,48 @@
     }, 20_000);
 });
 
+// Guards against pipelined requests that are passed on and never answered: the first response closed their connection.
+describe("pipelined requests", () => {
+    const IDS = ["pipelined-1", "pipelined-2", "pipelined-3"];
+
+    async function sendPipelined(port: number, meanwhile: () => Promise<void>): Promise<string> {
+        const socket = connect(port, "127.0.0.1");
+        const chunks: Buffer[] = [];
+        socket.on("data", chunk => chunks.push(chunk));
+        const closed = new Promise(resolve => socket.once("close", resolve));
+        const format = (id: string): string =>
+            `GET /lookup/${id} HTTP/1.1\r\nHost: ${HOST}\r\nX-Attempt-Id: ${id}\r\n\r\n`;
+        socket.write(IDS.map(format).join(""));
+        await meanwhile();
+        // A connection that is kept open is closed here.
+        await Promise.race([closed, new Promise(resolve => setTimeout(resolve, 1_500))]);
+        socket.destroy();
+        return Buffer.concat(chunks).toString();
+    }
+
+    it.each([
+        { name: "that a stopping gateway has read", shouldStop: true, faults: [] },
+        { name: "behind a response without a length", shouldStop: false, faults: ["without_length"] as const },
+    ])("$name are all answered, in order", async ({ shouldStop, faults }) => {
+        const desk = await fixture.addServer({ id: "d1", service: "desk", responseDelayMs: 200 });
+        await fixture.addGateway("edge-1");
+        await fixture.waitUntilServerAvailable(0, "d1");
+        desk.faults.push(...faults);
+        const { gateway } = fixture.gateways[0]!;
+        let stopped: Promise<void> | undefined;
+        const text = await sendPipelined(fixture.frontPort(0), async () => {
+            await eventually("all requests run", () => desk.requests.length >= IDS.length || undefined);
+            if (shouldStop) stopped = gateway.stop();
+        });
+        await stopped;
+        if (shouldStop) fixture.gateways.length = 0;
+        const answeredIds = [...text.matchAll(/\r\nx-attempt-id: (\S+)/gi)].map(match => match[1]);
+        expect(answeredIds).toEqual(IDS);
+        expect(text.match(/HTTP\/1.1 200 /g)).toHaveLength(IDS.length);
+        if (shouldStop) expect(text.lastIndexOf("onnection: close")).toBeGreaterThan(text.indexOf(IDS[2]!));
+    }, 20_000);
+});
+
 describe("an upload that is still coming in", () => {
     async function upload(partCount: number): Promise<string> {
         const desk = await fixture.addServer({ id: "d1", service: "desk" });
