fix(gateway): close idle connections in a stop while streams run

Cause: since responses are written to their end in a stop, idle connections were closed only once no response was owed at all, so that they stayed open beside a stream, and requests could arrive on them until the end.

Change: only responses that have ended and still wait to be written hold the closing up, since Node takes only their connections for idle.

Evidence: test/platform/shutdown.test.ts, "an idle connection of a stopping gateway". Not run on the code before.

--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -76,9 +76,10 @@
         return this.openResponses.size;
     }
 
-    /** Closes idle connections, unless bytes of a response wait on some connection: Node counts it as idle then. */
+    /** Closes idle connections, unless a response has ended whose bytes still wait: Node counts its connection as idle. */
     closeIdleConnections(): void {
-        if (this.openResponses.size === 0) this.server.closeIdleConnections();
+        for (const response of this.openResponses.keys()) if (response.writableEnded) return;
+        this.server.closeIdleConnections();
     }
 
     /** Refuses the requests that are still being read, since the process ends now. */
--- a/test/platform/shutdown.test.ts
+++ b/test/platform/shutdown.test.ts
@@ -210,6 +210,32 @@
     }, 20_000);
 });
 
+// Guards against idle connections that stay open for a whole stop, on which requests arrive at its end.
+describe("an idle connection of a stopping gateway", () => {
+    it("is closed although a stream is in progress", async () => {
+        await fixture.addServer({
+            id: "e1",
+            service: "assistant",
+            models: ["m1"],
+            eventCount: 600,
+            eventIntervalMs: 20,
+        });
+        fixture.store.put("op/config", createConfigurationDocument(2, {}, 20_000));
+        await fixture.addGateway("edge-1");
+        await fixture.waitUntilServerAvailable(0, "e1");
+        const stream = fixture.call(0, "/draft/x", { headers: { "x-model": "m1", "x-deadline-ms": "20000" } });
+        const socket = connect(fixture.frontPort(0), "127.0.0.1");
+        socket.resume();
+        const closed = new Promise<number>(resolve => socket.once("close", () => resolve(performance.now())));
+        socket.write(`GET /nothing/x HTTP/1.1\r\nHost: ${HOST}\r\nX-Attempt-Id: idle-1\r\n\r\n`);
+        await new Promise(resolve => setTimeout(resolve, 200));
+        const startedAtMs = performance.now();
+        await fixture.gateways.pop()!.gateway.stop();
+        expect(await closed - startedAtMs).toBeLessThan(3_500);
+        await stream;
+    }, 20_000);
+});
+
 describe("an upload that is still coming in", () => {
     async function upload(partCount: number): Promise<string> {
         const desk = await fixture.addServer({ id: "d1", service: "desk" });
