--- a/packages/gateway/src/types/engine.ts
+++ b/packages/gateway/src/types/engine.ts
@@ -134,7 +134,7 @@
     readonly isGenuine: boolean;
     readonly weightVersion: number | undefined;
     readonly load: ReportedLoad | undefined;
-    /** The response has a length or chunked encoding; otherwise a connection that a server closes early looks like its end. */
+    /** The response has a length or chunked encoding; otherwise its end is that of the connection, also if it is early. */
     readonly isFramed: boolean;
     /** Headers for the caller, as alternating names and values. */
     readonly headers: readonly string[];
