fix(gateway): leave more memory for what was read and not yet collected

Cause: the budget counts what is kept. What was read and dropped, bodies of refused requests included, takes memory until it is collected, the longer the busier the machine is; the parts of a body were kept until it was complete.

Change: the share is 0.15, and a body of a stated length is read into place.

--- a/packages/gateway/src/node/body-reader.ts
+++ b/packages/gateway/src/node/body-reader.ts
@@ -31,25 +31,33 @@
         const { request } = this;
         const statedByteCount = Number(request.headers["content-length"] ?? 0);
         return new Promise(resolve => {
+            // A body of a stated length is read into place, so that its parts don't take memory until it is complete.
+            let whole: Buffer | undefined;
             let chunks: Buffer[] = [];
             let byteCount = 0;
             let isTaken = true;
             const refuse = (refusal: Refusal): void => {
                 isTaken = false;
+                whole = undefined;
                 chunks = [];
                 this.release();
                 resolve(err(refusal));
             };
             if (statedByteCount <= this.maxBytes && !this.tryReserve(statedByteCount)) refuse(refusals.noMemory());
             request.on("data", (chunk: Buffer) => {
+                const offset = byteCount;
                 byteCount += chunk.length;
                 if (!isTaken || byteCount > this.maxBytes) return;
                 if (!this.tryReserve(byteCount)) return refuse(refusals.noMemory());
-                chunks.push(chunk);
+                if (statedByteCount > 0 && statedByteCount <= this.maxBytes) {
+                    whole ??= Buffer.allocUnsafeSlow(statedByteCount);
+                    chunk.copy(whole, offset);
+                }
+                else chunks.push(chunk);
             });
             request.once("end", () => {
                 if (byteCount > this.maxBytes) resolve(err(refusals.invalidRequest("The body is too long.", 413)));
-                else resolve(ok(byteCount === 0 ? undefined : Buffer.concat(chunks, byteCount)));
+                else resolve(ok(byteCount === 0 ? undefined : whole ?? Buffer.concat(chunks, byteCount)));
                 chunks = [];
             });
             request.once("error", () => resolve(err(undefined)));
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -62,8 +62,8 @@
 const STOP_COORDINATION_TIMEOUT_MS = 200;
 /** Retry delay sent while stopping; it is short because another gateway can serve the request immediately. */
 const STOP_RETRY_MS = 50;
-/** Share of the process's memory for buffered bytes; a byte takes up to twice its size until it is collected. */
-const BUFFERED_MEMORY_SHARE = 0.3;
+/** Share of the process's memory for buffered bytes; parts that were read take memory too until they are collected. */
+const BUFFERED_MEMORY_SHARE = 0.15;
 /** Time for which a port that is in use is tried again at the start. */
 const BIND_RETRY_MS = 5_000;
 /** Time for the last responses to be written to their sockets. */
