--- a/test/platform/odd-entries.test.ts
+++ b/test/platform/odd-entries.test.ts
@@ -47,7 +47,7 @@
             name: "deep nesting in a field",
             createEntry: () => ({
                 ...desk.toServerRecord(),
-                models: JSON.parse("[".repeat(3_000) + "]".repeat(3_000)),
+                models: JSON.parse("[".repeat(3_000) + "]".repeat(3_000)) as unknown,
             }),
         },
         { name: "null", createEntry: () => "null" },
