test: pick ports that nothing else can take before the server listens

Only its three listens can return one, and they retry a port in use for 5 s. Ports came from the system's own range one at a time: of 20,000 gateways on the idle machine, 11 got the same port twice, which no retry mends, and a connection or a stand-in of another worker may take any of them before the gateway listens. That the failure was one of these is not shown, since the error's text was lost.

The fixture throws the gateway's own error.

--- a/test/platform/stand-ins/fixture.ts
+++ b/test/platform/stand-ins/fixture.ts
@@ -2,9 +2,9 @@
 import { Gateway } from "@skylarkmill/gateway";
 import { type PlatformSettings, toGatewayOptions } from "@skylarkmill/platform";
 import { DemandEngineModelsPolicy } from "@skylarkmill/policy";
-import { createServer } from "node:net";
 import { Agent, request as undiciRequest } from "undici";
 import { eventually } from "../../support/eventually.ts";
+import { findFreePort } from "../../support/free-ports.ts";
 import { type PlatformServerOptions, PlatformServerStandIn } from "./platform-server.ts";
 import { PlatformStoreStandIn } from "./platform-store.ts";
 
@@ -74,16 +74,6 @@
     };
 }
 
-async function findFreePort(): Promise<number> {
-    return new Promise(resolve => {
-        const server = createServer();
-        server.listen(0, "127.0.0.1", () => {
-            const address = server.address();
-            server.close(() => resolve(typeof address === "object" && address ? address.port : 0));
-        });
-    });
-}
-
 /** Runs gateways, backend server stand-ins and a store stand-in on sockets of this process. */
 export class PlatformFixture {
     readonly gateways: { readonly gateway: Gateway; readonly settings: PlatformSettings; readonly log: LogLine[]; }[] =
@@ -146,7 +136,8 @@
             logger,
         });
         const gateway = new Gateway(options);
-        (await gateway.start())._unsafeUnwrap();
+        const started = await gateway.start();
+        if (started.isErr()) throw started.error;
         const index = this.gateways.push({ gateway, settings, log }) - 1;
         if (shouldWaitUntilReady) {
             await eventually("the gateway is ready", () => gateway.isReady ? true : undefined, 4_000);
