fix(gateway): use the memory of ended bodies again

Cause: the budget returned a body's room when its response closed, but its memory stayed occupied until V8 collected it. Ruled out: dropped parts of refused bodies (they die young; nothing grows while only they come).

Change: bodies over 16 KB are kept in blocks of 64 KB from a pool. A body returns its blocks when its owner has discarded it and no attempt still sends it; an attempt holds it until its bytes are with the operating system or its connection is closed. A task discards it as soon as no further attempt is allowed. The budget is a fifth of the memory (0.15 before).

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -20,6 +20,7 @@
 } from "./runtime/member-selection.ts";
 export { OrderRights, type OrderRightsOptions } from "./runtime/order-rights.ts";
 export { PlacementPlanner, type PlacementPlannerOptions } from "./runtime/placement-planner.ts";
+export { BODY_BLOCK_BYTES, BodyBlockPool, RequestBody } from "./runtime/request-body.ts";
 export { RequestTask } from "./runtime/request-task.ts";
 export { computeRequestTiming, type RequestTiming } from "./runtime/request-timing.ts";
 export { RetryBudget } from "./runtime/retry-budget.ts";
--- a/packages/gateway/src/node/body-reader.ts
+++ b/packages/gateway/src/node/body-reader.ts
@@ -2,78 +2,125 @@
 import { err, ok, type Result } from "neverthrow";
 import type { IncomingMessage } from "node:http";
 import type { ByteBudget } from "../runtime/byte-budget.ts";
+import { BODY_BLOCK_BYTES, type BodyBlockPool, RequestBody } from "../runtime/request-body.ts";
 import { refusals } from "../utils/refusals.ts";
 
 /**
- * Bytes of each body that are not taken from the budget, so that large bodies leave room for small ones; the number of
- * connections limits them.
+ * Size up to which a body takes neither blocks nor room of the budget, so that large bodies leave room for small ones; the
+ * number of connections limits them.
  */
-const UNCOUNTED_BYTES = 16 * 1024;
+const MAX_SMALL_BODY_BYTES = 16 * 1024;
 
 /** Reads the body of one request within a limit for each body and a budget for all of them. */
 export class BodyReader {
     private readonly request: IncomingMessage;
     private readonly maxBytes: number;
     private readonly budget: ByteBudget;
+    private readonly pool: BodyBlockPool;
     private reservedByteCount = 0;
+    private byteCount = 0;
+    private smallChunks: Buffer[] = [];
+    private blocks: Buffer[] = [];
+    private body: RequestBody | undefined;
+    private isDiscarded = false;
 
-    constructor(request: IncomingMessage, maxBytes: number, budget: ByteBudget) {
+    constructor(request: IncomingMessage, maxBytes: number, budget: ByteBudget, pool: BodyBlockPool) {
         this.request = request;
         this.maxBytes = maxBytes;
         this.budget = budget;
+        this.pool = pool;
     }
 
     /**
      * Resolves with the whole body, or with a refusal as soon as it is clear that the body is not taken; the rest of it is
      * discarded then. An `undefined` error means that the caller has disconnected.
      */
-    read(): Promise<Result<Buffer | undefined, Refusal | undefined>> {
-        const { request } = this;
+    read(): Promise<Result<RequestBody | undefined, Refusal | undefined>> {
+        const { request, maxBytes } = this;
         const statedByteCount = Number(request.headers["content-length"] ?? 0);
         return new Promise(resolve => {
-            // A body of a stated length is read into place, so that its parts don't take memory until it is complete.
-            let whole: Buffer | undefined;
-            let chunks: Buffer[] = [];
-            let byteCount = 0;
-            let isTaken = true;
             const refuse = (refusal: Refusal): void => {
-                isTaken = false;
-                whole = undefined;
-                chunks = [];
-                this.release();
+                this.discard();
                 resolve(err(refusal));
             };
-            if (statedByteCount <= this.maxBytes && !this.tryReserve(statedByteCount)) refuse(refusals.noMemory());
+            let isTooLong = false;
+            if (statedByteCount <= maxBytes && !this.tryReserve(statedByteCount)) refuse(refusals.noMemory());
             request.on("data", (chunk: Buffer) => {
-                const offset = byteCount;
-                byteCount += chunk.length;
-                if (!isTaken || byteCount > this.maxBytes) return;
-                if (!this.tryReserve(byteCount)) return refuse(refusals.noMemory());
-                if (statedByteCount > 0 && statedByteCount <= this.maxBytes) {
-                    whole ??= Buffer.allocUnsafeSlow(statedByteCount);
-                    chunk.copy(whole, offset);
-                }
-                else chunks.push(chunk);
+                if (this.isDiscarded) return;
+                const byteCount = this.byteCount + chunk.length;
+                isTooLong = byteCount > maxBytes;
+                if (isTooLong) this.discard();
+                else if (!this.tryReserve(byteCount)) refuse(refusals.noMemory());
+                else this.append(chunk);
             });
             request.once("end", () => {
-                if (byteCount > this.maxBytes) resolve(err(refusals.invalidRequest("The body is too long.", 413)));
-                else resolve(ok(byteCount === 0 ? undefined : whole ?? Buffer.concat(chunks, byteCount)));
-                chunks = [];
+                if (isTooLong) resolve(err(refusals.invalidRequest("The body is too long.", 413)));
+                else if (!this.isDiscarded) resolve(ok(this.complete()));
             });
             request.once("error", () => resolve(err(undefined)));
             request.once("close", () => resolve(err(undefined)));
         });
     }
 
-    /** Returns the body's bytes to the budget, once nothing refers to the body. */
-    release(): void {
+    /** Gives up the body, whether it is complete or not. */
+    discard(): void {
+        this.isDiscarded = true;
+        if (this.body === undefined) this.free();
+        else this.body.discard();
+    }
+
+    private complete(): RequestBody | undefined {
+        if (this.byteCount === 0) return undefined;
+        const lastByteCount = this.byteCount % BODY_BLOCK_BYTES;
+        const parts = this.blocks.length === 0
+            ? this.smallChunks
+            : this.blocks.map((block, index) =>
+                lastByteCount > 0 && index === this.blocks.length - 1 ? block.subarray(0, lastByteCount) : block
+            );
+        this.body = new RequestBody(parts, this.byteCount, () => this.free());
+        return this.body;
+    }
+
+    private append(chunk: Buffer): void {
+        if (this.reservedByteCount === 0) {
+            this.smallChunks.push(chunk);
+            this.byteCount += chunk.length;
+            return;
+        }
+        const earlierChunks = this.smallChunks;
+        if (earlierChunks.length > 0) {
+            this.smallChunks = [];
+            this.byteCount = 0;
+            for (const earlierChunk of earlierChunks) this.copyToBlocks(earlierChunk);
+        }
+        this.copyToBlocks(chunk);
+    }
+
+    private copyToBlocks(chunk: Buffer): void {
+        let offset = 0;
+        while (offset < chunk.length) {
+            const blockOffset = this.byteCount % BODY_BLOCK_BYTES;
+            if (blockOffset === 0) this.blocks.push(this.pool.take());
+            const copiedByteCount = chunk.copy(this.blocks.at(-1)!, blockOffset, offset);
+            offset += copiedByteCount;
+            this.byteCount += copiedByteCount;
+        }
+    }
+
+    /** Returns the body's memory, once nothing reads it. */
+    private free(): void {
+        for (const block of this.blocks) this.pool.give(block);
+        this.blocks = [];
+        this.smallChunks = [];
         this.budget.release(this.reservedByteCount);
         this.reservedByteCount = 0;
     }
 
-    /** Reserves bytes until the body has `byteCount` in all; returns false if there is no room. */
+    /** Reserves the blocks for a body of `byteCount` in all; returns false if there is no room. */
     private tryReserve(byteCount: number): boolean {
-        const missingByteCount = byteCount - UNCOUNTED_BYTES - this.reservedByteCount;
+        if (byteCount <= MAX_SMALL_BODY_BYTES) return true;
+        const neededByteCount = Math.ceil(byteCount / BODY_BLOCK_BYTES) * BODY_BLOCK_BYTES;
+        const missingByteCount = neededByteCount - this.reservedByteCount;
         if (missingByteCount <= 0) return true;
         if (!this.budget.tryReserve(missingByteCount)) return false;
         this.reservedByteCount += missingByteCount;
--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -4,6 +4,7 @@
 import type { ByteBudget } from "../runtime/byte-budget.ts";
 import { CallerConnection } from "../runtime/caller-connection.ts";
 import { HttpResponseWriter } from "../runtime/http-response-writer.ts";
+import { BodyBlockPool, type RequestBody } from "../runtime/request-body.ts";
 import type { RequestHead } from "../types/options.ts";
 import { BodyReader } from "./body-reader.ts";
 
@@ -24,7 +25,7 @@
     readonly isClosing: () => boolean;
     readonly handleRequest: (
         head: RequestHead,
-        body: Buffer | undefined,
+        body: RequestBody | undefined,
         writer: HttpResponseWriter,
         startedAtMs: number,
     ) => void;
@@ -37,6 +38,7 @@
     /** Responses that are not completely written, including those of requests that are still being read. */
     private readonly openResponses = new Map<ServerResponse, HttpResponseWriter>();
     private readonly connections = new WeakMap<Socket, CallerConnection>();
+    private readonly bodyBlockPool = new BodyBlockPool();
     private maxBodyBytes = DEFAULT_MAX_BODY_BYTES;
     private readonly options: CallerServerOptions;
 
@@ -106,8 +108,8 @@
         this.openResponses.set(response, writer);
         response.once("close", () => this.openResponses.delete(response));
         try {
-            const reader = new BodyReader(request, this.maxBodyBytes, this.options.byteBudget);
-            response.once("close", () => reader.release());
+            const reader = new BodyReader(request, this.maxBodyBytes, this.options.byteBudget, this.bodyBlockPool);
+            response.once("close", () => reader.discard());
             const body = await reader.read();
             if (body.isErr()) {
                 if (body.error !== undefined) writer.refuse(body.error);
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -13,6 +13,7 @@
 import { MemberSelection, selectReaders } from "../runtime/member-selection.ts";
 import { OrderRights } from "../runtime/order-rights.ts";
 import { PlacementPlanner } from "../runtime/placement-planner.ts";
+import type { RequestBody } from "../runtime/request-body.ts";
 import { RequestTask } from "../runtime/request-task.ts";
 import { computeRequestTiming } from "../runtime/request-timing.ts";
 import { RetryBudget } from "../runtime/retry-budget.ts";
@@ -62,8 +63,11 @@
 const STOP_COORDINATION_TIMEOUT_MS = 200;
 /** Retry delay sent while stopping; it is short because another gateway can serve the request immediately. */
 const STOP_RETRY_MS = 50;
-/** Share of the process's memory for buffered bytes; parts that were read take memory too until they are collected. */
-const BUFFERED_MEMORY_SHARE = 0.15;
+/**
+ * Share of the process's memory for buffered bytes. Blocks of former bodies take as much at most, and parts that were
+ * read take memory too until they are collected.
+ */
+const BUFFERED_MEMORY_SHARE = 0.2;
 /** Time for which a port that is in use is tried again at the start. */
 const BIND_RETRY_MS = 5_000;
 /** Time for the last responses to be written to their sockets. */
@@ -323,7 +327,7 @@
 
     private handleRequest(
         head: RequestHead,
-        body: Buffer | undefined,
+        body: RequestBody | undefined,
         writer: HttpResponseWriter,
         startedAtMs: number,
     ): void {
--- a/packages/gateway/src/runtime/request-task.ts
+++ b/packages/gateway/src/runtime/request-task.ts
@@ -119,6 +119,7 @@
         }
         this.recordPause();
         if (event.id !== undefined) this.lastEventId = event.id;
+        if (!this.canRetry) this.request.body?.discard();
         if (this.canRetry) attempt.restartSilenceTimer(this.timing.pauseTimeoutMs);
         if (this.writer.write(event.raw)) return;
         attempt.pause();
@@ -427,6 +428,7 @@
     private finish(end: RequestEnd): void {
         clearTimeout(this.deadlineTimer);
         this.stopWaiting();
+        this.request.body?.discard();
         this.context.metrics.requests.inc({ kind: this.route.kind, end });
         if (end === "answered") this.logAnswered();
         this.onEnded(this, end);
--- a/packages/gateway/src/types/engine.ts
+++ b/packages/gateway/src/types/engine.ts
@@ -9,6 +9,7 @@
     SkylarkmillError,
 } from "@skylarkmill/protocol";
 import type { ResultAsync } from "neverthrow";
+import type { RequestBody } from "../runtime/request-body.ts";
 
 export interface Address {
     readonly host: string;
@@ -101,7 +102,7 @@
     readonly deadlineMs: number | undefined;
     /** Headers to forward, as alternating names and values. */
     readonly headers: readonly string[];
-    readonly body: Buffer | undefined;
+    readonly body: RequestBody | undefined;
 }
 
 /** One attempt of a request at one backend server. */
--- a/packages/gateway/src/types/options.ts
+++ b/packages/gateway/src/types/options.ts
@@ -2,6 +2,7 @@
 import type { EngineModelsPolicy } from "@skylarkmill/policy";
 import type { DataCentre, Refusal } from "@skylarkmill/protocol";
 import type { Result } from "neverthrow";
+import type { RequestBody } from "../runtime/request-body.ts";
 import type { Address, CallerRequest, EngineClient } from "./engine.ts";
 import type { RecordDecoder } from "./snapshot.ts";
 
@@ -15,7 +16,7 @@
 }
 
 /** Converts a request with the platform's headers into a caller request. */
-export type RequestDecoder = (head: RequestHead, body: Buffer | undefined) => Result<CallerRequest, Refusal>;
+export type RequestDecoder = (head: RequestHead, body: RequestBody | undefined) => Result<CallerRequest, Refusal>;
 
 /** Time limits and the retry budget of a gateway. */
 export interface GatewayLimits {
--- a/test/platform/stand-ins/platform-server.ts
+++ b/test/platform/stand-ins/platform-server.ts
@@ -107,6 +107,8 @@
     readonly eventIntervalMs?: number;
     readonly loadDurationMs?: number;
     readonly responseDelayMs?: number;
+    /** Time between the first event of a stream and the moment when the server reads the request's body. */
+    readonly uploadPauseMs?: number;
     /** Length of a plain service's response bodies; by default they only name the server. */
     readonly bodyByteCount?: number;
     /** Start of the server process as Unix time. */
@@ -200,9 +202,11 @@
     }
 
     private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-        const chunks: Buffer[] = [];
-        for await (const chunk of request) chunks.push(chunk as Buffer);
-        const body = Buffer.concat(chunks).toString();
+        const { uploadPauseMs } = this.options;
+        const isStream = request.headers["x-model"] !== undefined;
+        if (uploadPauseMs !== undefined && isStream) await this.sendFirstEvent(request, response, uploadPauseMs);
+        const body = await readBody(request);
+        if (body === undefined) return;
         if (this.outage === "silent") return;
         if (this.outage === "reset") return void request.socket.resetAndDestroy();
         if (this.isLeaving) response.setHeader("server-leaving", "1");
@@ -212,6 +216,16 @@
         await this.handleRequest(request, response, body);
     }
 
+    /** Begins a stream before the request's body has been read. */
+    private async sendFirstEvent(request: IncomingMessage, response: ServerResponse, pauseMs: number): Promise<void> {
+        this.sendStreamHead(response, {
+            "x-attempt-id": String(request.headers["x-attempt-id"]),
+            "x-response-seal": SEAL,
+        });
+        response.write("id: 1\ndata: piece 1\n\n");
+        await sleep(pauseMs);
+    }
+
     private sendReport(response: ServerResponse): void {
         const { sequence, isBusy, bornAtMs } = this;
         response.writeHead(200, { "content-type": "application/json" }).end(JSON.stringify({
@@ -376,6 +390,10 @@
         else response.end();
     }
 
+    private sendStreamHead(response: ServerResponse, headers: Record<string, string>): void {
+        response.writeHead(200, { ...headers, "content-type": "text/event-stream" });
+    }
+
     private async respondWithStream(
         request: IncomingMessage,
         response: ServerResponse,
@@ -384,13 +402,12 @@
     ): Promise<void> {
         const isUnframed = fault === "stream_without_length" || fault === "reset_stream_without_length";
         if (isUnframed) response.useChunkedEncodingByDefault = false;
-        response.writeHead(200, {
-            ...headers,
-            "content-type": "text/event-stream",
-            ...(isUnframed ? { connection: "close" } : {}),
-        });
+        const hasFirstEvent = response.headersSent;
+        if (!hasFirstEvent) {
+            this.sendStreamHead(response, { ...headers, ...(isUnframed ? { connection: "close" } : {}) });
+        }
         const count = this.options.eventCount ?? 6;
-        const first = Number(request.headers["last-event-id"] ?? 0) + 1;
+        const first = Number(request.headers["last-event-id"] ?? (hasFirstEvent ? 1 : 0)) + 1;
         for (let id = first; id <= count; id += 1) {
             const text = `id: ${id}\ndata: piece ${id}\n\n`;
             if (fault === "closed_within_event" && id === first + 2) {
@@ -434,6 +451,18 @@
     if (first !== undefined) setImmediate(clear);
 }
 
+/** Returns undefined if the connection closes before the end of the body. */
+async function readBody(request: IncomingMessage): Promise<string | undefined> {
+    const chunks: Buffer[] = [];
+    try {
+        for await (const chunk of request) chunks.push(chunk as Buffer);
+    }
+    catch {
+        return undefined;
+    }
+    return Buffer.concat(chunks).toString();
+}
+
 function sleep(durationMs: number): Promise<void> {
     return new Promise(resolve => setTimeout(resolve, durationMs));
 }
--- a/test/support/spawned-process.ts
+++ b/test/support/spawned-process.ts
@@ -1,5 +1,5 @@
 import { type ChildProcess, spawn } from "node:child_process";
-import { existsSync, readdirSync, statSync } from "node:fs";
+import { existsSync, readdirSync, readFileSync, statSync } from "node:fs";
 import { join } from "node:path";
 import { createInterface } from "node:readline";
 
@@ -75,6 +75,12 @@
         });
     }
 
+    /** Resident memory of the process. */
+    readMemoryBytes(): number {
+        const match = /^VmRSS:\s+(\d+) kB$/m.exec(readFileSync(`/proc/${this.pid}/status`, "utf8"));
+        return Number(match?.[1]) * 1024;
+    }
+
     /** Sends a signal to this process alone. */
     signal(signal: NodeJS.Signals): void {
         this.child?.kill(signal);
