--- a/bench/run.ts
+++ b/bench/run.ts
@@ -4,6 +4,7 @@
 import { coldStart } from "./cold-start.ts";
 import { deployments } from "./deployments.ts";
 import { idleHours } from "./idle-hours.ts";
+import { measureLargeBodies } from "./large-bodies.ts";
 import { peakLoad } from "./peak-load.ts";
 import { writePlots } from "./plot.ts";
 import { runRealSocketMeasures } from "./real-sockets.ts";
@@ -59,7 +60,11 @@
 }
 
 const includesSocketMeasures = flags.only === undefined || "real sockets".includes(flags.only);
-if (includesSocketMeasures) rows.push(...await runRealSocketMeasures(line => flags.detail && console.log(line)));
+const printDetail = (line: string): void => {
+    if (flags.detail) console.log(line);
+};
+if (includesSocketMeasures) rows.push(...await runRealSocketMeasures(printDetail));
+if ("large bodies".includes(flags.only ?? "")) rows.push(...await measureLargeBodies(printDetail));
 
 printTable(rows);
 if (flags.plot !== undefined) await writePlots(rows, flags.plot);
