fix(gateway): keep a server's hold while its entry is away

What a server saw: requests within the time for which it wants none, if its entry expires in an outage of the key-value service and returns; a new start of a server is avoided because of a late response of the one before.

Cause: the hold lay in the state of the listed server, which is dropped with its entry, and it was stored by the server's id alone.

Change: the directory owns holds, by server and start, and drops those that have ended. The log line of a held request names the server whose hold ends first.

--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -428,7 +428,7 @@
         }
         if (holdMs !== undefined) {
             this.metrics.serverNotices.inc({ kind: "hold" });
-            this.directory.recordHold(server.serverId, holdMs);
+            this.directory.recordHold(server, holdMs);
         }
         if (invalidHold === undefined) return;
         this.metrics.serverNotices.inc({ kind: "invalid" });
--- a/packages/gateway/src/runtime/request-task.ts
+++ b/packages/gateway/src/runtime/request-task.ts
@@ -240,10 +240,11 @@
             : directory.listWithModel(this.serviceId, modelId, adapterId);
     }
 
-    /** Time until the first server takes requests again; undefined unless all candidates are on hold. */
-    private computeHoldMs(now: number): number | undefined {
-        const holds = this.listCandidates().map(server => server.holdMs(now));
-        return holds.length === 0 || holds.includes(0) ? undefined : Math.min(...holds);
+    /** Returns the server whose hold ends first; undefined unless all candidates are on hold. */
+    private findFirstHeldServer(now: number): ServerState | undefined {
+        const candidates = this.listCandidates();
+        if (candidates.some(server => server.holdMs(now) === 0)) return undefined;
+        return candidates.sort((a, b) => a.holdMs(now) - b.holdMs(now))[0];
     }
 
     /** Chooses the best usable server: one of `allowed`, or if undefined, one where the request can't have run. */
@@ -301,8 +302,9 @@
         }
         // A server that rejected the request may have capacity again.
         this.rejectedBy.clear();
-        const holdMs = this.computeHoldMs(now);
-        if (holdMs !== undefined) this.recordHeld(holdMs);
+        const heldServer = this.findFirstHeldServer(now);
+        const holdMs = heldServer?.holdMs(now);
+        if (heldServer !== undefined) this.recordHeld(heldServer, now);
         const etaMs = holdMs ?? (modelId === undefined ? undefined : this.context.directory.etaMs(modelId));
         const timeLeftMs = this.isResuming ? this.remainingMs() : this.timing.firstByteDeadlineAtMs - now;
         const usefulWaitMs = timeLeftMs - (modelId === undefined ? MIN_ATTEMPT_MS : MIN_FIRST_EVENT_MS);
@@ -318,11 +320,12 @@
     }
 
     /** Logs and counts, once, that all servers of the request are on hold. */
-    private recordHeld(holdMs: number): void {
+    private recordHeld(server: ServerState, now: number): void {
         if (this.wasHeld) return;
         this.wasHeld = true;
         this.context.metrics.heldRequests.inc();
-        this.log({ step: "request.hold", holdMs: Math.round(holdMs) }, "every server of the request is on hold");
+        const fields = { server: server.record.serverId, holdMs: Math.round(server.holdMs(now)) };
+        this.log({ step: "request.hold", ...fields }, "every server of the request is on hold");
     }
 
     private stopWaiting(): void {
--- a/packages/gateway/src/runtime/server-directory.ts
+++ b/packages/gateway/src/runtime/server-directory.ts
@@ -18,6 +18,8 @@
     private readonly drainingServerStarts = new Map<ServerId, number>();
     /** Start times of servers that stated that they leave, or of which a peer said so. */
     private readonly announcedServerStarts = new Map<ServerId, number>();
+    /** Times until which servers want nothing from this host, with the starts that asked for it. */
+    private readonly holds = new Map<ServerId, { readonly bornAtMs: number; readonly untilMs: number; }>();
     private readonly listeners = new Set<() => void>();
     private placement: { readonly term: number; readonly version: number; } | undefined;
     private readonly placedEngines = new Map<ServerId, PlacedEngine>();
@@ -49,12 +51,14 @@
         if (existing !== undefined && existing.record.bornAtMs > record.bornAtMs) return;
         const next = { ...record, draining };
         if (existing === undefined) {
-            this.servers.set(record.serverId, new ServerState(next));
+            const added = new ServerState(next);
+            this.servers.set(record.serverId, added);
+            this.applyHoldTo(added);
             this.logger.info(
                 { step: "server.join", server: record.serverId, service: record.serviceId, draining },
                 "server joined",
             );
-            this.applyPlacementTo(this.servers.get(record.serverId)!);
+            this.applyPlacementTo(added);
         }
         else {
             if (draining && !existing.record.draining) {
@@ -104,13 +108,27 @@
         return leaving;
     }
 
-    /** Records that a server wants nothing from this host for a time. */
-    recordHold(serverId: ServerId, holdMs: number): void {
+    /** Records that a server wants nothing from this host for a time; its next start ends that. */
+    recordHold({ serverId, bornAtMs }: ServerStart, holdMs: number): void {
+        const now = nowMs();
+        const untilMs = now + holdMs;
+        for (const [id, hold] of this.holds) if (hold.untilMs <= now) this.holds.delete(id);
+        const known = this.holds.get(serverId);
+        if (known !== undefined && known.bornAtMs > bornAtMs) return;
+        if (known?.bornAtMs === bornAtMs && known.untilMs >= untilMs) return;
+        this.holds.set(serverId, { bornAtMs, untilMs });
         const server = this.servers.get(serverId);
-        if (server === undefined || !server.recordHold(holdMs, nowMs())) return;
+        if (server !== undefined) this.applyHoldTo(server);
         this.logger.info({ step: "server.hold", server: serverId, holdMs: Math.round(holdMs) }, "server is on hold");
     }
 
+    /** The entry may have been away since the server asked for the hold. */
+    private applyHoldTo(server: ServerState): void {
+        const { serverId, bornAtMs } = server.record;
+        const hold = this.holds.get(serverId);
+        if (hold?.bornAtMs === bornAtMs) server.holdUntilMs = hold.untilMs;
+    }
+
     remove(serverId: ServerId, reason: string): void {
         if (!this.servers.delete(serverId)) return;
         this.logger.info({ step: "server.leave", server: serverId, reason }, "server removed");
--- a/packages/gateway/src/runtime/server-state.ts
+++ b/packages/gateway/src/runtime/server-state.ts
@@ -23,6 +23,8 @@
     inFlightCount = 0;
     /** Time at which the last byte arrived from the server. */
     lastByteAtMs = -Infinity;
+    /** Time until which the server wants nothing from this host. */
+    holdUntilMs = -Infinity;
     /** Moving average of failed attempts, 0 to 1. */
     failureRate = 0;
     /** Number of this gateway's requests in progress at the server, by model and adapter. */
@@ -33,7 +35,6 @@
     private consecutiveUnreachableCount = 0;
     private suspectUntilMs = -Infinity;
     private atCapacityUntilMs = -Infinity;
-    private holdUntilMs = -Infinity;
     private reportedLoad: ReportedLoad | undefined;
     private reportedLoadAtMs = -Infinity;
     private peerRequestCount = 0;
@@ -94,13 +95,6 @@
         return Math.max(0, this.holdUntilMs - now);
     }
 
-    /** Records a time for which the server wants nothing from this host; returns whether that is longer than known. */
-    recordHold(holdMs: number, now: number): boolean {
-        if (now + holdMs <= this.holdUntilMs) return false;
-        this.holdUntilMs = now + holdMs;
-        return true;
-    }
-
     /** Estimates the requests at the server from the gateways' counts or else its last reported load, by its age. */
     estimateRequestCount(now: number): number {
         if (now - this.peerRequestCountAtMs <= PEER_COUNT_VALID_MS) return this.inFlightCount + this.peerRequestCount;
--- a/test/gateway/server-directory.test.ts
+++ b/test/gateway/server-directory.test.ts
@@ -87,3 +87,73 @@
         expect(directory.listLeaving()).toEqual([]);
     });
 });
+
+// Guards against requests to a server within the time for which it wants none from this host.
+describe("a server that turns requests away for a time", () => {
+    const cases: readonly {
+        name: string;
+        play: (directory: ServerDirectory) => void;
+        /** Time left 1 s after the first hold, which lasts 2 s. */
+        holdMs: number;
+    }[] = [
+        { name: "is on hold until its end", play: () => undefined, holdMs: 1_000 },
+        { name: "is on hold no shorter after a shorter one", play: d => d.recordHold(start, 100), holdMs: 1_000 },
+        { name: "is on hold longer after a longer one", play: d => d.recordHold(start, 3_000), holdMs: 3_000 },
+        { name: "stays so when its entry is written again", play: d => d.upsert({ ...record }), holdMs: 1_000 },
+        { name: "stays so after an older copy", play: d => d.upsert({ ...record, bornAtMs: 500 }), holdMs: 1_000 },
+        {
+            name: "stays so when its entry expires in an outage and returns",
+            play: d => {
+                d.remove(SERVER, "entry removed");
+                d.upsert({ ...record });
+            },
+            holdMs: 1_000,
+        },
+        {
+            name: "stays so if the longer hold came while its entry was away",
+            play: d => {
+                d.remove(SERVER, "entry removed");
+                d.recordHold(start, 3_000);
+                d.upsert({ ...record });
+            },
+            holdMs: 3_000,
+        },
+        {
+            name: "takes requests after a new start",
+            play: d => d.upsert({ ...record, bornAtMs: 2_000 }),
+            holdMs: 0,
+        },
+        {
+            name: "takes requests after a new start, though a response of the earlier one comes late",
+            play: d => {
+                d.upsert({ ...record, bornAtMs: 2_000 });
+                d.recordHold(start, 3_000);
+            },
+            holdMs: 0,
+        },
+        {
+            name: "is on hold again if its new start asks for less",
+            play: d => {
+                d.upsert({ ...record, bornAtMs: 2_000 });
+                d.recordHold({ ...start, bornAtMs: 2_000 }, 500);
+            },
+            holdMs: 500,
+        },
+        {
+            name: "is on hold for the same time if the wall clock is set back",
+            play: () => void vi.setSystemTime(Date.now() - 60_000),
+            holdMs: 1_000,
+        },
+    ];
+
+    it.each(cases)("$name", ({ play, holdMs }) => {
+        const directory = new ServerDirectory(silentLogger);
+        directory.upsert(record);
+        directory.recordHold(start, 2_000);
+        vi.advanceTimersByTime(1_000);
+        play(directory);
+        expect(directory.get(SERVER)!.holdMs(performance.now())).toBe(holdMs);
+        vi.advanceTimersByTime(holdMs);
+        expect(directory.get(SERVER)!.holdMs(performance.now())).toBe(0);
+    });
+});
