test: orders and reports in a hold, and its place in `explain`

Nothing tested that an engine on hold gets neither orders nor reports. `skylarkmill explain` prints the hold for which a request waited or was refused.

--- a/test/cli/explain.test.ts
+++ b/test/cli/explain.test.ts
@@ -29,6 +29,10 @@
                 })
             }`,
             formatLogLine(13, "edge-1", "request.refused", { requestId: "r2", model: "m9", waitedMs: 5 }),
+            formatLogLine(14, "edge-1", "server.hold", { server: "i-3", holdMs: 2_000 }),
+            formatLogLine(14, "edge-1", "server.leave", { server: "i-4", reason: "announced" }),
+            formatLogLine(15, "edge-1", "request.hold", { requestId: "r3", server: "i-3", waitedMs: 0, holdMs: 900 }),
+            formatLogLine(15, "edge-1", "request.refused", { requestId: "r3", code: "servers_on_hold", waitedMs: 0 }),
         ].join("\n"),
     );
     writeFileSync(
@@ -75,6 +79,12 @@
         expect(out).not.toContain("m6");
     });
 
+    it("names the server on hold for which a request waited or was refused", async () => {
+        const { out } = await runExplain(["r3", ...files]);
+        const steps = out.trim().split("\n").slice(1).map(row => /(\S+):/.exec(row)![1]);
+        expect(steps).toEqual(["server.hold", "request.hold", "request.refused"]);
+    });
+
     it("prints the history as JSON with --json", async () => {
         const { out } = await runExplain(["r2", "--json", ...files]);
         expect(JSON.parse(out)).toMatchObject({ requestId: "r2", own: [{ step: "request.refused" }] });
--- a/test/gateway/engine-controller.test.ts
+++ b/test/gateway/engine-controller.test.ts
@@ -42,6 +42,7 @@
     onNotice(): void {}
 
     readonly orders: EngineOrder[] = [];
+    reportCount = 0;
     loadCount = 0;
     private sequence = 0;
     private readonly loadedModels = new Set<ModelId>();
@@ -61,6 +62,7 @@
     }
 
     readReport(): ReturnType<EngineClient["readReport"]> {
+        this.reportCount += 1;
         const models = [...this.loadedModels].map(modelId => ({ modelId, adapterIds: [] }));
         const report: EngineReport = {
             bornAtMs: 1,
@@ -153,6 +155,40 @@
     });
 });
 
+// Guards against orders and reports within the time for which an engine wants nothing from this host.
+describe("an engine on hold", () => {
+    beforeEach(() => void vi.useFakeTimers());
+    afterEach(() => void vi.useRealTimers());
+
+    it.each([
+        { name: "its end", extensionMs: 0 },
+        { name: "the end of its extension", extensionMs: 1_500 },
+    ])("gets neither before $name", async ({ extensionMs }) => {
+        const engineClient = new FakeEngine([]);
+        let holdUntilMs = performance.now() + 2_000;
+        const controller = new EngineController(record, {
+            engineClient,
+            host: "edge-1",
+            getFencingToken: () => 7,
+            onFenced: () => undefined,
+            getHoldMs: () => Math.max(0, holdUntilMs - performance.now()),
+            logger: silentLogger,
+            onChange: () => undefined,
+            onOrder: () => undefined,
+        });
+        const synchronized = controller.syncState();
+        const done = controller.runModelJob({ load: MODEL, unload: undefined, origin: "disk", expectedMs: 0 });
+        await vi.advanceTimersByTimeAsync(1_000);
+        holdUntilMs += extensionMs;
+        await vi.advanceTimersByTimeAsync(990 + extensionMs);
+        expect(engineClient.orders).toHaveLength(0);
+        expect(engineClient.reportCount).toBe(0);
+        await vi.advanceTimersByTimeAsync(2_000);
+        await Promise.all([synchronized, done]);
+        expect(engineClient.loadCount).toBe(1);
+    });
+});
+
 /** An engine that advances its sequence with each adapter order and unloads adapters immediately. */
 class FakeAdapterEngine implements EngineClient {
     onNotice(): void {}
--- a/test/platform/server-notice.test.ts
+++ b/test/platform/server-notice.test.ts
@@ -1,13 +1,15 @@
 import { decodeServerNotice } from "@skylarkmill/platform";
 import { describe, expect, it } from "vitest";
 import { eventually } from "../support/eventually.ts";
-import { PlatformFixture } from "./stand-ins/fixture.ts";
+import { createConfigurationDocument, PlatformFixture } from "./stand-ins/fixture.ts";
 import type { PlatformServerStandIn } from "./stand-ins/platform-server.ts";
 
 const CALL_COUNT = 30;
 /** Sooner than a request may no longer reach a server after a gateway has passed on that it leaves. */
 const PEER_NOTICE_MS = 1_500;
 const HOLD_MS = 2_000;
+/** Time after the response that asks for a hold within which calls may still arrive. */
+const HOLD_GRACE_MS = 500;
 
 function sleep(durationMs: number): Promise<void> {
     return new Promise(resolve => setTimeout(resolve, durationMs));
@@ -143,6 +145,34 @@
         });
     }, 30_000);
 
+    it("gets no orders and reports in that time, and the model that is waited for after it", async () => {
+        const fixture = await PlatformFixture.start();
+        try {
+            const engine = await fixture.addServer({ id: "e1", service: "assistant", models: ["m1"] });
+            fixture.store.put("op/config", createConfigurationDocument(2, {}, 20_000));
+            await fixture.addGateway("edge-1");
+            await fixture.waitUntilServerAvailable(0, "e1");
+            engine.holdSeconds = String(HOLD_MS / 1_000);
+            const held = await fixture.call(0, "/chat/x", { headers: { "x-model": "m1", "x-deadline-ms": "400" } });
+            const heldAtMs = performance.now();
+            expect(held.status).toBe(503);
+            engine.holdSeconds = undefined;
+            const headers = { "x-model": "m3", "x-deadline-ms": "10000" };
+            await eventually(
+                "the model is served",
+                async () => (await fixture.call(0, "/chat/x", { headers })).status === 200 || undefined,
+            );
+            const callsAtMs = [...engine.orders.map(({ atMs }) => atMs), ...engine.reportedAtMs];
+            const isInHold = (atMs: number): boolean =>
+                atMs > heldAtMs + HOLD_GRACE_MS && atMs < heldAtMs + HOLD_MS - 100;
+            expect(callsAtMs.filter(isInHold)).toEqual([]);
+            expect(callsAtMs.some(atMs => atMs > heldAtMs + HOLD_MS - 100)).toBe(true);
+        }
+        finally {
+            await fixture.close();
+        }
+    }, 30_000);
+
     it.each([
         { name: "waits if its deadline allows", deadlineMs: 5_000, holdMs: 500, status: 200, minMs: 300, maxMs: 1_500 },
         { name: "is refused at once if not", deadlineMs: 600, holdMs: 2_000, status: 503, minMs: 0, maxMs: 250 },
--- a/test/platform/stand-ins/platform-server.ts
+++ b/test/platform/stand-ins/platform-server.ts
@@ -121,6 +121,8 @@
 export class PlatformServerStandIn {
     readonly requests: ReceivedRequest[] = [];
     readonly orders: ReceivedOrder[] = [];
+    /** Times at which reports were read. */
+    readonly reportedAtMs: number[] = [];
     readonly faults: ServerFault[] = [];
     /** Applies to every call: `reset` resets the connection as a crashed server does; `silent` sends no response. */
     outage: "none" | "reset" | "silent" = "none";
@@ -228,6 +230,7 @@
 
     private sendReport(response: ServerResponse): void {
         const { sequence, isBusy, bornAtMs } = this;
+        this.reportedAtMs.push(performance.now());
         response.writeHead(200, { "content-type": "application/json" }).end(JSON.stringify({
             stage: "both",
             born: bornAtMs,
