fix(router): ignore odd fields in an agent's refusal

Found by fuzzing. A refusal `{"error":null}` threw a TypeError in the handler of the response, and `retry_after_ms` of 1e999 or below 0 was passed on as `Retry-After`. Cause: `null` is an object, and any number was taken. Delays from 0 to 60 s are passed on now; anything else costs that field alone.

--- a/packages/router/src/utils/agent-refusal.ts
+++ b/packages/router/src/utils/agent-refusal.ts
@@ -11,6 +11,9 @@
     "unavailable_error",
 ]);
 
+/** Longest retry delay that is passed on to a caller; any other value of an agent is ignored. */
+const MAX_RETRY_AFTER_MS = 60_000;
+
 /**
  * Returns the execution state that an agent's refusal declares, or undefined if the response is not a refusal.
  *
@@ -25,7 +28,7 @@
 /** Parses an agent's refusal; missing or invalid fields get generic values. */
 export function readAgentRefusal(head: ResponseHead, execution: Execution, body: Buffer): Refusal {
     const error = parseErrorBody(body);
-    const retryAfterMs = typeof error?.retry_after_ms === "number" ? error.retry_after_ms : undefined;
+    const retryAfterMs = readRetryAfterMs(error?.retry_after_ms);
     return {
         status: head.status,
         type: error !== undefined && REFUSAL_TYPES.has(error.type) ? error.type : "backend_error",
@@ -36,10 +39,14 @@
     };
 }
 
+function readRetryAfterMs(value: unknown): number | undefined {
+    return typeof value === "number" && value >= 0 && value <= MAX_RETRY_AFTER_MS ? value : undefined;
+}
+
 function parseErrorBody(body: Buffer): RefusalBody["error"] | undefined {
     try {
         const parsed = JSON.parse(body.toString("utf8")) as Partial<RefusalBody> | undefined;
-        return typeof parsed?.error === "object" ? parsed.error : undefined;
+        return typeof parsed?.error === "object" && parsed.error ? parsed.error : undefined;
     }
     catch {
         return undefined;
