fix(coordination): reject stored records that peers can't receive

Found by fuzzing. A record with `writtenAtMs` 1.5 was read, but its conversion to a peer message threw a RangeError, with all records of that message. Cause: the schema took any number, the message holds an integer. Such a record is invalid now and costs itself alone.

--- a/packages/coordination/src/utils/record-codec.ts
+++ b/packages/coordination/src/utils/record-codec.ts
@@ -8,7 +8,7 @@
     version: z.int().positive(),
     nonce: z.string(),
     editId: z.string(),
-    writtenAtMs: z.number(),
+    writtenAtMs: z.int(),
     previousEditIds: z.array(z.string()).default([]),
     value: z.unknown().optional(),
 });
