fix(gateway): ignore event ids that are no exact integers

Found in the review for fuzzing. Two ids beyond 2^53 may be the same number, so that a resumed stream takes the second event for one it has relayed. Such ids count as none now.

--- a/packages/gateway/src/runtime/event-splitter.ts
+++ b/packages/gateway/src/runtime/event-splitter.ts
@@ -80,6 +80,7 @@
 }
 
 function parseEventId(raw: Buffer): number | undefined {
-    const match = /(?:^|\n)id: ?(\d+)/.exec(raw.toString("latin1"));
+    // A longer number is no exact integer, so it can't be told from the next one.
+    const match = /(?:^|\n)id: ?(\d{1,15})(?!\d)/.exec(raw.toString("latin1"));
     return match?.[1] === undefined ? undefined : Number(match[1]);
 }
--- a/test/gateway/event-splitter.test.ts
+++ b/test/gateway/event-splitter.test.ts
@@ -36,6 +36,17 @@
         );
     });
 
+    it.each([
+        { text: "id: 7\n\n", id: 7 },
+        { text: "data: x\nid:12\n\n", id: 12 },
+        { text: "id: 999999999999999\n\n", id: 999_999_999_999_999 },
+        { text: "id: 9007199254740993\n\n", id: undefined },
+        { text: `id: ${"9".repeat(400)}\n\n`, id: undefined },
+        { text: "id: x\n\n", id: undefined },
+    ])("reads the id $id of an event, and none that is no exact integer", ({ text, id }) => {
+        expect(new EventSplitter().push(Buffer.from(text))).toMatchObject([{ id }]);
+    });
+
     it("accepts any bytes", () => {
         fc.assert(
             fc.property(fc.array(fc.uint8Array({ maxLength: 64 }), { maxLength: 20 }), chunks => {
