--- a/packages/gateway/src/runtime/gateway-membership.ts
+++ b/packages/gateway/src/runtime/gateway-membership.ts
@@ -24,7 +24,7 @@
 /** Interval at which a gateway that is no member checks whether it should join. */
 const SELECTION_INTERVAL_MS = 200;
 
-const memberSchema = z.object({
+export const memberSchema = z.object({
     host: z.string(),
     address: z.string(),
     dataCentre: z.string().optional(),
--- a/packages/gateway/src/runtime/order-rights.ts
+++ b/packages/gateway/src/runtime/order-rights.ts
@@ -21,7 +21,7 @@
 /** Tolerance for wall clock jumps and for wall clock differences between hosts. */
 const CLOCK_SLACK_MS = 5_000;
 
-const orderRightSchema = z.object({
+export const orderRightSchema = z.object({
     holder: z.string(),
     address: z.string(),
     /** Host that held the right before the holder, if there was one. */
