fix(adapters): scan each byte of a watch once

Found in the review for fuzzing. Cause: for each chunk of an incomplete line, all pending bytes were copied and scanned again, so that a line of 16 MB, the limit, in chunks of 1 KB blocked its process for 39.4 s. Chunks are kept apart until the line ends now.

--- a/packages/adapters/src/runtime/etcd-watch.ts
+++ b/packages/adapters/src/runtime/etcd-watch.ts
@@ -17,18 +17,35 @@
 }
 
 const STEP = "kv.watch";
+const LINE_FEED = 0x0a;
 
-/** Splits a byte stream into lines; throws if an incomplete line exceeds `maxBytes`. */
-async function* readLines(body: AsyncIterable<Buffer>, maxBytes: number, peer: string): AsyncGenerator<string> {
-    let buffered: Buffer = Buffer.alloc(0);
+/**
+ * Splits a byte stream into lines; throws if an incomplete line exceeds `maxBytes`. Each byte is scanned once.
+ *
+ * @example
+ * for await (const line of readLines(response.body, 1024, peer)) handle(line);
+ */
+export async function* readLines(
+    body: AsyncIterable<Buffer>,
+    maxBytes: number,
+    peer: string,
+): AsyncGenerator<string> {
+    let pending: Buffer[] = [];
+    let pendingByteCount = 0;
     for await (const chunk of body) {
-        buffered = buffered.length === 0 ? chunk : Buffer.concat([buffered, chunk]);
-        for (let end = buffered.indexOf(10); end >= 0; end = buffered.indexOf(10)) {
-            const line = buffered.subarray(0, end).toString("utf8").trim();
-            buffered = buffered.subarray(end + 1);
+        let start = 0;
+        for (let end = chunk.indexOf(LINE_FEED); end >= 0; end = chunk.indexOf(LINE_FEED, start)) {
+            const line = Buffer.concat([...pending, chunk.subarray(start, end)]).toString("utf8").trim();
+            pending = [];
+            pendingByteCount = 0;
+            start = end + 1;
             if (line !== "") yield line;
         }
-        if (buffered.length > maxBytes) throw new ProtocolError("the watch message is too long", { step: STEP, peer });
+        if (start < chunk.length) pending.push(chunk.subarray(start));
+        pendingByteCount += chunk.length - start;
+        if (pendingByteCount > maxBytes) {
+            throw new ProtocolError("the watch message is too long", { step: STEP, peer });
+        }
     }
 }
 
