feat(agent): keep requests from an engine for the time it states

What an engine saw: it answered 429 with `Retry-After`, and the agent sent it the next queued request at once; the router was told to come back after 500 ms, whatever the engine had said.

Cause: the agent did not read the header. Now the queue waits until the time has passed; requests whose deadline lies before its end are refused as not run with the rest of the time, so that the router tries other servers.

--- a/packages/agent/src/runtime/attempt.ts
+++ b/packages/agent/src/runtime/attempt.ts
@@ -1,5 +1,5 @@
 import type { BackendClient, BackendRequest, BackendResponse } from "@skylarkmill/adapters";
-import { HEADERS, type Refusal, toRefusalBody, toRefusalHeaders } from "@skylarkmill/protocol";
+import { HEADERS, parseRetryAfterMs, type Refusal, toRefusalBody, toRefusalHeaders } from "@skylarkmill/protocol";
 import type { AttemptOutcome, RequestHead } from "../types/request.ts";
 import type { AgentResponse, ResponseCheckCounters } from "../types/response.ts";
 import { discardBody } from "../utils/discard-body.ts";
@@ -12,7 +12,7 @@
 /** Statuses of responses that never have a body (RFC 9110, 6.4.1). */
 const BODYLESS_STATUSES = new Set([204, 205, 304]);
 
-/** Retry delay sent to the router when the engine responds with status 429. */
+/** Retry delay sent to the router when the engine responds with status 429 and states no time. */
 const ENGINE_OVERLOAD_RETRY_MS = 500;
 
 export interface AttemptOptions {
@@ -140,8 +140,10 @@
         }
         if (response.statusCode === 429) {
             discardBody(response.body);
-            this.finish("not_run");
-            return createRefusalResponse(REFUSALS.overloaded("engine_overloaded", ENGINE_OVERLOAD_RETRY_MS));
+            const { "retry-after": retryAfter } = response.headers;
+            const holdMs = typeof retryAfter === "string" ? parseRetryAfterMs(retryAfter) : undefined;
+            this.finish("not_run", holdMs);
+            return createRefusalResponse(REFUSALS.overloaded("engine_overloaded", holdMs ?? ENGINE_OVERLOAD_RETRY_MS));
         }
         if (response.statusCode >= 500) {
             discardBody(response.body);
@@ -212,12 +214,13 @@
         this.abortController.abort();
     }
 
-    private finish(result: AttemptOutcome["result"]): void {
+    private finish(result: AttemptOutcome["result"], holdMs?: number): void {
         if (this.isFinished) return;
         this.isFinished = true;
         clearTimeout(this.deadlineTimer);
         this.options.signal.removeEventListener("abort", this.onRouterDisconnected);
-        this.options.onFinished({ firstByteMs: this.firstByteMs, durationMs: Date.now() - this.startedAtMs, result });
+        const durationMs = Date.now() - this.startedAtMs;
+        this.options.onFinished({ firstByteMs: this.firstByteMs, durationMs, result, holdMs });
     }
 }
 
--- a/packages/agent/src/runtime/backend-task.ts
+++ b/packages/agent/src/runtime/backend-task.ts
@@ -71,6 +71,9 @@
     private readonly arrivals: ArrivalCheck;
     private readonly indexReadWaiters = new IndexReadWaiters();
     private isDraining = false;
+    /** Time until which the backend server wants no requests. */
+    private holdUntilMs = -Infinity;
+    private holdTimer: NodeJS.Timeout | undefined;
     private lastMessageAtMs = Infinity;
     private slownessValue = 1;
     private idleWaiters: (() => void)[] = [];
@@ -130,6 +133,7 @@
     /** Handles messages until the mailbox closes. */
     async run(): Promise<void> {
         for await (const message of this.mailbox) this.handle(message, Date.now());
+        clearTimeout(this.holdTimer);
         this.indexReadWaiters.stop();
     }
 
@@ -201,7 +205,9 @@
 
     private handleArrival(head: RequestHead, onDecision: (decision: DispatchDecision) => void, nowMs: number): void {
         const entry = this.createEntry(head, onDecision, nowMs);
-        const refusal = this.isDraining ? REFUSALS.draining() : this.arrivals.findRefusal(entry, nowMs);
+        const refusal = this.isDraining
+            ? REFUSALS.draining()
+            : this.arrivals.findRefusal(entry, nowMs) ?? this.findHoldRefusal(entry, nowMs);
         if (refusal !== undefined) {
             if (refusal.code === "deadline_unreachable") this.keepDemand(head, nowMs);
             this.refuse(entry, refusal);
@@ -215,6 +221,24 @@
         this.queue.push(entry, nowMs);
     }
 
+    /** Returns the refusal for a request that the backend server wants no sooner than at its deadline, or undefined. */
+    private findHoldRefusal({ deadlineAtMs }: ScheduledRequest, nowMs: number): Refusal | undefined {
+        if (this.holdUntilMs <= nowMs || deadlineAtMs > this.holdUntilMs) return undefined;
+        return REFUSALS.overloaded("engine_overloaded", this.holdUntilMs - nowMs);
+    }
+
+    /** Sends nothing for a time, and refuses the queued requests that can't be served after it. */
+    private startHold(holdMs: number, nowMs: number): void {
+        if (nowMs + holdMs <= this.holdUntilMs) return;
+        this.holdUntilMs = nowMs + holdMs;
+        clearTimeout(this.holdTimer);
+        this.holdTimer = setTimeout(() => this.mailbox.post({ kind: "wake" }), Math.ceil(holdMs) + 1);
+        for (const entry of this.queue.removeWhere(({ deadlineAtMs }) => deadlineAtMs <= this.holdUntilMs)) {
+            this.releaseDeduplicationKeys(entry);
+            this.refuse(entry, REFUSALS.overloaded("engine_overloaded", holdMs));
+        }
+    }
+
     /** Keeps the demand for a model, so that it is loaded for later requests, after a refusal for its load time. */
     private keepDemand({ modelId }: RequestHead, nowMs: number): void {
         const { replicas } = this.options;
@@ -270,6 +294,7 @@
         if (outcome.result === "not_run") this.releaseDeduplicationKeys(entry);
         if (outcome.result === "answered") this.options.durations.record(entry.group, outcome.durationMs);
         if (outcome.firstByteMs !== undefined) this.recordFirstByte(entry, outcome.firstByteMs);
+        if (outcome.holdMs !== undefined) this.startHold(outcome.holdMs, nowMs);
     }
 
     private recordFirstByte(entry: ScheduledRequest, firstByteMs: number): void {
@@ -307,6 +332,7 @@
 
     private dispatchReadyRequests(nowMs: number): void {
         const { replicas } = this.options;
+        if (nowMs < this.holdUntilMs) return;
         const isReady = ({ head }: ScheduledRequest): boolean =>
             replicas === undefined || (head.modelId !== undefined && replicas.isReady(head.modelId, head.adapterId));
         while (this.queue.size > 0 && this.running.size < this.slotCount) {
--- a/packages/agent/src/types/request.ts
+++ b/packages/agent/src/types/request.ts
@@ -32,4 +32,6 @@
     readonly firstByteMs: number | undefined;
     readonly durationMs: number;
     readonly result: "answered" | "not_run" | "unknown" | "cancelled";
+    /** Time for which the backend server wants no requests, if it stated one. */
+    readonly holdMs: number | undefined;
 }
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -5,3 +5,4 @@
 export * from "./types/refusal.ts";
 export * from "./utils/hop-by-hop-headers.ts";
 export * from "./utils/refusal-body.ts";
+export * from "./utils/retry-after.ts";
--- a/test/agent/serving.test.ts
+++ b/test/agent/serving.test.ts
@@ -33,6 +33,37 @@
         expect(testAgent.engine.executedOrders("load")).toEqual(["load m1 1 1000000"]);
     });
 
+    // Guards against requests to an engine within the time for which it wants none.
+    it.each([
+        { retryAfter: "0.6", holdMs: 600 },
+        { retryAfter: "soon", holdMs: 0 },
+    ])(
+        "keeps requests from an engine that answers 429 with Retry-After '$retryAfter'",
+        async ({ retryAfter, holdMs }) => {
+            const { engine } = testAgent;
+            await testAgent.request(MODEL_HEADERS);
+            const respond = engine.responder;
+            engine.responder = () => createResponse(429, { "retry-after": retryAfter }, []);
+            const refused = await testAgent.request(MODEL_HEADERS);
+            expect(refused.headers.get(HEADERS.execution)).toBe("not_run");
+            const heldAtMs = performance.now();
+            engine.responder = respond;
+            const countAtHold = engine.requests.length;
+            const short = await testAgent.request({ ...MODEL_HEADERS, [HEADERS.remainingMs]: "300" });
+            const shortTookMs = performance.now() - heldAtMs;
+            expect(short.status).toBe(holdMs > 0 ? 503 : 200);
+            if (holdMs > 0) {
+                const { error } = await short.json() as RefusalBody;
+                expect(error).toMatchObject({ code: "engine_overloaded", execution: "not_run" });
+                expect(error.retry_after_ms).toBeGreaterThan(holdMs - shortTookMs - 50);
+                expect(engine.requests).toHaveLength(countAtHold);
+            }
+            const long = await testAgent.request(MODEL_HEADERS);
+            expect(long.status).toBe(200);
+            if (holdMs > 0) expect(performance.now() - heldAtMs).toBeGreaterThan(holdMs - 50);
+        },
+    );
+
     // Guards against exceeding the engine's memory when a model must be evicted.
     it("evicts an idle model before it loads another one", async () => {
         for (const model of ["m1", "m2", "m3", "m1"]) {
