--- a/packages/gateway/src/node/body-reader.ts
+++ b/packages/gateway/src/node/body-reader.ts
@@ -81,6 +81,7 @@
         return this.body;
     }
 
+    /** Keeps a small body in the chunks that came; one that exceeds the limit without a stated length moves to blocks. */
     private append(chunk: Buffer): void {
         if (this.reservedByteCount === 0) {
             this.smallChunks.push(chunk);
