fix(gateway): wait for a port that is in use for as long as it is

What operators saw: a gateway whose port another program held for more than 5 s ended by itself with exit code 1. An outgoing connection of any program may hold a port for as long as it lives, and a previous process through its whole stop.

Cause: the start tried a port that is in use for 5 s and then failed. The other ports were awaited together, so an address that can never be bound was reported only after the wait as well, and a SIGTERM during it ended the process by the signal, as nothing listened for it yet.

Change: `listenWhenFree` waits until the port is free or the gateway stops, with a line at the start of the wait, one every 5 s and one when the port was taken. Errors that waiting can't end fail the start at once. Signals are awaited alongside the start. A gateway is ready only when its callers' and its readiness port are bound; readiness checks, /readyz and /v1/status list why it isn't. A failed bind no longer leaves a listener at its server.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -1,6 +1,14 @@
 export { type ClaimWriterOptions, createClaimWriter } from "./node/claim-writer.ts";
 export { createDutyLease, type DutyLeaseOptions } from "./node/duty-lease.ts";
-export { abortResponse, closeServer, drainServer, listen, type ListenAddress } from "./node/http-server.ts";
+export {
+    abortResponse,
+    closeServer,
+    drainServer,
+    listen,
+    type ListenAddress,
+    listenWhenFree,
+    type ListenWhenFreeOptions,
+} from "./node/http-server.ts";
 export { createPeerClient, type PeerClient, type PeerClientOptions } from "./node/peer-client.ts";
 export { createPeerServer, isAcceptedSecret, type PeerServer, type PeerServerOptions } from "./node/peer-server.ts";
 export { createRecordStore, type RecordStoreOptions } from "./node/record-store.ts";
--- a/packages/coordination/src/node/http-server.ts
+++ b/packages/coordination/src/node/http-server.ts
@@ -2,6 +2,7 @@
 import { ResultAsync } from "neverthrow";
 import type { Server, ServerResponse } from "node:http";
 import { type AddressInfo, Server as NetServer } from "node:net";
+import type { Logger } from "../types/logger.ts";
 import { sleep } from "../utils/sleep.ts";
 
 /** Address to bind; port 0 selects a free port. */
@@ -10,13 +11,9 @@
     readonly port: number;
 }
 
-/** Interval at which a port that is in use is tried again. */
-const BIND_RETRY_INTERVAL_MS = 100;
-
 /**
- * Binds a server exclusively and returns its port. A port that is in use is tried again for `retryMs`, since an outgoing
- * connection of another process may hold it for a moment. Fails with `UnavailableError` when the port can't be bound;
- * `step` is the step of that error.
+ * Binds a server exclusively and returns its port. Fails with `UnavailableError` when the port can't be bound; `step` is
+ * the step of that error.
  *
  * @example
  * const port = await listen(server, { host: "127.0.0.1", port: 0 }, "caller.listen");
@@ -25,39 +22,97 @@
     server: Server,
     address: ListenAddress,
     step: string,
-    retryMs = 0,
 ): ResultAsync<number, UnavailableError> {
+    return ResultAsync.fromPromise(bind(server, address), cause => toUnavailableError(address, step, cause));
+}
+
+function toUnavailableError(address: ListenAddress, step: string, cause: unknown): UnavailableError {
+    const peer = `${address.host}:${address.port}`;
+    return new UnavailableError(`cannot bind ${peer}`, { step, peer, cause });
+}
+
+/** Interval at which a port that is in use is tried again. */
+const BIND_RETRY_INTERVAL_MS = 100;
+/** Interval at which a port that is still in use is logged. */
+const BIND_REPORT_INTERVAL_MS = 5_000;
+/** Errors of a bind whose cause can end while the process waits, such as another program that holds the port. */
+const TEMPORARY_BIND_ERRORS = new Set(["EADDRINUSE", "EMFILE", "ENFILE", "ENOBUFS", "ENOMEM"]);
+
+export interface ListenWhenFreeOptions {
+    /** Step of log lines and of the error. */
+    readonly step: string;
+    readonly logger: Logger;
+    /** Ends the wait. */
+    readonly signal: AbortSignal;
+}
+
+/**
+ * Binds a server exclusively as soon as its port is free, and returns the port, or undefined if the signal aborts first.
+ * An outgoing connection of any program may hold a port for as long as it lives. Fails with `UnavailableError` when
+ * waiting can't help, such as for an address of another host.
+ *
+ * @example
+ * const port = await listenWhenFree(server, address, { step: "caller.listen", logger, signal });
+ */
+export function listenWhenFree(
+    server: Server,
+    address: ListenAddress,
+    options: ListenWhenFreeOptions,
+): ResultAsync<number | undefined, UnavailableError> {
     return ResultAsync.fromPromise(
-        bindWithRetries(server, address, performance.now() + retryMs),
-        cause =>
-            new UnavailableError(`cannot bind ${address.host}:${address.port}`, {
-                step,
-                peer: `${address.host}:${address.port}`,
-                cause,
-            }),
+        bindWhenFree(server, address, options),
+        cause => toUnavailableError(address, options.step, cause),
     );
 }
 
-async function bindWithRetries(server: Server, address: ListenAddress, retryUntilMs: number): Promise<number> {
-    for (;;) {
+async function bindWhenFree(
+    server: Server,
+    address: ListenAddress,
+    { step, logger, signal }: ListenWhenFreeOptions,
+): Promise<number | undefined> {
+    const fields = { step, peer: `${address.host}:${address.port}` };
+    const startedAtMs = performance.now();
+    let reportedAtMs: number | undefined;
+    while (!signal.aborted) {
         try {
-            return await bind(server, address);
+            const port = await bind(server, address);
+            if (reportedAtMs !== undefined) {
+                const waitedMs = Math.round(performance.now() - startedAtMs);
+                logger.info({ ...fields, waitedMs }, "port is free and was taken");
+            }
+            return port;
         }
         catch (error) {
-            const isInUse = (error as NodeJS.ErrnoException).code === "EADDRINUSE";
-            if (!isInUse || performance.now() >= retryUntilMs) throw error;
-            await sleep(BIND_RETRY_INTERVAL_MS);
+            const { code } = error as NodeJS.ErrnoException;
+            if (code === undefined || !TEMPORARY_BIND_ERRORS.has(code)) throw error;
+            const nowMs = performance.now();
+            if (reportedAtMs === undefined || nowMs - reportedAtMs >= BIND_REPORT_INTERVAL_MS) {
+                reportedAtMs = nowMs;
+                logger.warn(
+                    { ...fields, cause: code, sinceMs: Math.round(nowMs - startedAtMs) },
+                    code === "EADDRINUSE"
+                        ? "port is in use; it is taken when it is free"
+                        : "port can't be bound; it is tried again",
+                );
+            }
+            await sleep(BIND_RETRY_INTERVAL_MS, signal);
         }
     }
+    return undefined;
 }
 
 function bind(server: Server, { host, port }: ListenAddress): Promise<number> {
     return new Promise((resolve, reject) => {
-        server.once("error", reject);
-        server.listen({ host, port, exclusive: true }, () => {
-            server.off("error", reject);
+        const onListening = (): void => {
+            server.off("error", onError);
             resolve((server.address() as AddressInfo).port);
-        });
+        };
+        const onError = (error: Error): void => {
+            server.off("listening", onListening);
+            reject(error);
+        };
+        server.once("error", onError).once("listening", onListening);
+        server.listen({ host, port, exclusive: true });
     });
 }
 
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -1,5 +1,5 @@
 import { createAdaptorServer } from "@hono/node-server";
-import { type KeyValueEntry, listen, LogLimiter, sleep } from "@skylarkmill/coordination";
+import { type KeyValueEntry, type ListenAddress, listenWhenFree, LogLimiter, sleep } from "@skylarkmill/coordination";
 import { type ServerId, type ServiceId, type SkylarkmillError } from "@skylarkmill/protocol";
 import { ResultAsync } from "neverthrow";
 import { createServer, type Server } from "node:http";
@@ -68,8 +68,9 @@
  * read take memory too until they are collected.
  */
 const BUFFERED_MEMORY_SHARE = 0.2;
-/** Time for which a port that is in use is tried again at the start. */
-const BIND_RETRY_MS = 5_000;
+/** Steps of the ports that the gateway needs to be ready. */
+const CALLER_LISTEN_STEP = "caller.listen";
+const READY_LISTEN_STEP = "ready.listen";
 /** Time for the last responses to be written to their sockets. */
 const STOP_FLUSH_MS = 100;
 
@@ -97,6 +98,7 @@
     private readonly removalTimers = new Map<string, NodeJS.Timeout>();
     private configuration: GatewayConfiguration | undefined;
     private routes = new RouteTable([]);
+    private readonly listenAbort = new AbortController();
     private isStopping = false;
     /** Time from which requests that could last longer than the process are refused on arrival. */
     private refuseLongFromMs = Infinity;
@@ -214,7 +216,10 @@
             onError: error => logger.error({ step: "request", err: error }, "request handling failed unexpectedly"),
         });
         this.readyServer = createServer((_request, response) => {
-            response.writeHead(this.isReady ? 200 : 503, { "content-length": 0 }).end();
+            const reasons = this.listNotReadyReasons();
+            const text = reasons.length === 0 ? "ready\n" : `not ready: ${reasons.join(", ")}\n`;
+            const headers = { "content-type": "text/plain", "content-length": Buffer.byteLength(text) };
+            response.writeHead(reasons.length === 0 ? 200 : 503, headers).end(text);
         });
         const app = createPeerApp({
             planner: this.planner,
@@ -223,19 +228,33 @@
             view: this.view,
             crashSuspects: this.crashSuspects,
             metrics: this.metrics,
-            isReady: () => this.isReady,
+            listNotReadyReasons: () => this.listNotReadyReasons(),
             getStatus: () => this.status(),
         });
         this.peerServer = createAdaptorServer({ fetch: app.fetch, overrideGlobalObjects: false }) as Server;
     }
 
-    /** Whether the gateway accepts requests: it listens for them, has a configuration and is not stopping. */
+    /** Whether the gateway accepts requests. */
     get isReady(): boolean {
-        return this.callerServer.server.listening && this.configuration !== undefined && this.view.isLoaded
-            && !this.isStopping;
+        return this.listNotReadyReasons().length === 0;
     }
 
-    /** Starts the background tasks and binds the ports. `UnavailableError`: a port can't be bound. */
+    /** Lists what the gateway lacks to accept requests. The peer port isn't needed for them. */
+    listNotReadyReasons(): string[] {
+        const conditions: readonly (readonly [string, boolean])[] = [
+            [CALLER_LISTEN_STEP, this.callerServer.server.listening],
+            [READY_LISTEN_STEP, this.readyServer.listening],
+            ["keys", this.view.isLoaded],
+            ["configuration", this.configuration !== undefined],
+            ["stopping", !this.isStopping],
+        ];
+        return conditions.filter(([, isMet]) => !isMet).map(([reason]) => reason);
+    }
+
+    /**
+     * Starts the background tasks and binds the ports, each as soon as it is free. Resolves when all are bound or when the
+     * gateway stops. `UnavailableError`: a port can never be bound.
+     */
     start(): ResultAsync<void, SkylarkmillError> {
         const { callerListen, readyListen, peerListen, logger, host } = this.options;
         this.view.start();
@@ -246,10 +265,22 @@
         this.planner.start();
         this.synchronizer.start();
         return ResultAsync.combine([
-            listen(this.callerServer.server, callerListen, "caller.listen", BIND_RETRY_MS),
-            listen(this.readyServer, readyListen, "ready.listen", BIND_RETRY_MS),
-            listen(this.peerServer, peerListen, "peer.listen", BIND_RETRY_MS),
-        ]).map(() => logger.info({ step: "start", host }, "gateway started"));
+            this.listen(this.callerServer.server, callerListen, CALLER_LISTEN_STEP),
+            this.listen(this.readyServer, readyListen, READY_LISTEN_STEP),
+            this.listen(this.peerServer, peerListen, "peer.listen"),
+        ]).map(() => {
+            if (!this.isStopping) logger.info({ step: "start", host }, "gateway started");
+        });
+    }
+
+    private listen(server: Server, address: ListenAddress, step: string): ResultAsync<void, SkylarkmillError> {
+        const { signal } = this.listenAbort;
+        return listenWhenFree(server, address, { step, logger: this.options.logger, signal })
+            .map(() => undefined)
+            .mapErr(error => {
+                this.listenAbort.abort();
+                return error;
+            });
     }
 
     /** Completes the requests in progress, refuses new ones near the end, and closes within the stop time. */
@@ -257,6 +288,7 @@
         const { logger, limits } = this.options;
         const startedAtMs = nowMs();
         this.isStopping = true;
+        this.listenAbort.abort();
         logger.info({ step: "stop", open: this.tasks.size }, "gateway is stopping");
         const endAtMs = startedAtMs + limits.stopTimeoutMs - STOP_MARGIN_MS;
         this.refuseAllFromMs = endAtMs - STOP_REFUSE_ALL_MS;
@@ -309,6 +341,7 @@
         return {
             host: this.options.host,
             ready: this.isReady,
+            notReadyReasons: this.listNotReadyReasons(),
             configurationVersion: this.configuration?.version,
             storeRevision: this.view.storeRevision,
             storeStaleMs: Math.round(Math.min(this.view.sinceLastResponseMs, Number.MAX_SAFE_INTEGER)),
--- a/packages/gateway/src/node/peer-app.ts
+++ b/packages/gateway/src/node/peer-app.ts
@@ -20,7 +20,8 @@
     readonly view: StoreView;
     readonly crashSuspects: CrashSuspects;
     readonly metrics: GatewayMetrics;
-    readonly isReady: () => boolean;
+    /** Lists why the gateway isn't ready; empty if it is. */
+    readonly listNotReadyReasons: () => readonly string[];
     readonly getStatus: () => object;
 }
 
@@ -70,7 +71,10 @@
         return view.isLoaded ? c.json(view.listChanges(revision)) : c.text("");
     });
     app.get("/healthz", c => c.json({ status: "ok" }));
-    app.get("/readyz", c => options.isReady() ? c.json({ status: "ready" }) : c.json({ status: "not_ready" }, 503));
+    app.get("/readyz", c => {
+        const reasons = options.listNotReadyReasons();
+        return reasons.length === 0 ? c.json({ status: "ready" }) : c.json({ status: "not_ready", reasons }, 503);
+    });
     app.get("/v1/status", c => c.json(options.getStatus()));
     app.get(
         "/metrics",
--- a/packages/skylarkmill/src/commands/gateway.ts
+++ b/packages/skylarkmill/src/commands/gateway.ts
@@ -7,6 +7,7 @@
 import type { ParsedArguments } from "../types/setting.ts";
 import { runWithSettings } from "../utils/with-settings.ts";
 
+const START_FAILURE_EXIT_CODE = 1;
 const USAGE_ERROR_EXIT_CODE = 2;
 
 /** Runs a gateway on the platform until a signal; resolves with the exit code. */
@@ -35,11 +36,13 @@
             "SIGHUP",
             () => logger.info({ step: "reload" }, "SIGHUP received; changed settings take effect after a restart"),
         );
-        const started = await gateway.start();
-        if (started.isErr()) {
-            logger.fatal({ step: started.error.step, peer: started.error.peer, err: started.error }, "start failed");
-            return 1;
-        }
-        return runUntilSignal(() => gateway.stop(), logger);
+        // A signal also ends a start that waits for its ports.
+        const startFailure = new Promise<number>(resolve => {
+            void gateway.start().mapErr(error => {
+                logger.fatal({ step: error.step, peer: error.peer, err: error }, "start failed");
+                resolve(START_FAILURE_EXIT_CODE);
+            });
+        });
+        return Promise.race([startFailure, runUntilSignal(() => gateway.stop(), logger)]);
     });
 }
--- /dev/null
+++ b/test/cli/ports-in-use.test.ts
@@ -0,0 +1,218 @@
+import type { PlatformSettings } from "@skylarkmill/platform";
+import { once } from "node:events";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { type AddressInfo, connect, createServer, type Server } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
+import { describe, expect, it } from "vitest";
+import { HOST, PlatformFixture } from "../platform/stand-ins/fixture.ts";
+import { formatSettings } from "../platform/stand-ins/gateway-process.ts";
+import { eventually } from "../support/eventually.ts";
+import { callRaw } from "../support/raw-caller.ts";
+import { SpawnedProcess } from "../support/spawned-process.ts";
+
+type Port = keyof PlatformSettings["listen_addrs"];
+type Holder = "connection" | "server";
+
+/** Longer than a process may take to start, and than the interval at which it reports the port again. */
+const PORT_HOLD_MS = 8_000;
+/** An address that no host has (RFC 5737). */
+const FOREIGN_ADDRESS = "192.0.2.1";
+
+interface SettingOptions {
+    /** Port that another program holds. */
+    readonly held: Port;
+    readonly holder?: Holder;
+    /** Port whose address is not one of the host's. */
+    readonly foreign?: Port;
+}
+
+/** A program that holds a port. */
+interface PortHolder {
+    readonly port: number;
+    free(): Promise<void>;
+}
+
+/** A gateway in a process of its own, with one port that another program holds. */
+class Setting {
+    readonly gateway: SpawnedProcess;
+
+    private constructor(
+        readonly fixture: PlatformFixture,
+        readonly settings: PlatformSettings,
+        readonly holder: PortHolder,
+        private readonly folder: string,
+    ) {
+        const nodeFile = join(folder, "edge-1.json");
+        writeFileSync(nodeFile, formatSettings(settings));
+        this.gateway = new SpawnedProcess({ name: "edge-1", args: ["gateway", "--node-file", nodeFile] });
+    }
+
+    static async create({ held, holder = "connection", foreign }: SettingOptions): Promise<Setting> {
+        const fixture = await PlatformFixture.start();
+        await fixture.addServer({ id: "d1", service: "desk" });
+        const settings = await fixture.createSettings("edge-1");
+        const portHolder = holder === "server" ? await holdByServer() : await holdByConnection();
+        const addresses = { ...settings.listen_addrs, [held]: { host: "127.0.0.1", port: portHolder.port } };
+        if (foreign !== undefined) addresses[foreign] = { ...addresses[foreign]!, host: FOREIGN_ADDRESS };
+        const folder = mkdtempSync(join(tmpdir(), "skylarkmill-test-"));
+        return new Setting(fixture, { ...settings, listen_addrs: addresses }, portHolder, folder);
+    }
+
+    port(name: Port): number {
+        return this.settings.listen_addrs[name]!.port;
+    }
+
+    async fetchReadiness(): Promise<{ status: number; text: string; }> {
+        const response = await fetch(`http://127.0.0.1:${this.port("ready")}/api/ready`);
+        return { status: response.status, text: await response.text() };
+    }
+
+    call(): ReturnType<typeof callRaw> {
+        const headers = { "host": HOST, "x-attempt-id": this.fixture.newId(), "x-deadline-ms": "2000" };
+        return callRaw({ port: this.port("front"), path: "/orders/x", version: "1.1", headers });
+    }
+
+    async close(): Promise<void> {
+        await this.gateway.end();
+        await this.holder.free();
+        await this.fixture.close();
+        rmSync(this.folder, { recursive: true });
+    }
+}
+
+function startServer(): Promise<Server> {
+    return new Promise(resolve => {
+        const server = createServer(socket => socket.on("error", () => undefined));
+        server.listen(0, "127.0.0.1", () => resolve(server));
+    });
+}
+
+async function holdByServer(): Promise<PortHolder> {
+    const server = await startServer();
+    const { port } = server.address() as AddressInfo;
+    return { port, free: async () => void server.close() };
+}
+
+/** The system chooses the port of an outgoing connection, and nothing else may listen on it meanwhile. */
+async function holdByConnection(): Promise<PortHolder> {
+    const server = await startServer();
+    const socket = connect((server.address() as AddressInfo).port, "127.0.0.1");
+    await once(socket, "connect");
+    return {
+        port: socket.localPort!,
+        free: async () => {
+            socket.resetAndDestroy();
+            server.close();
+        },
+    };
+}
+
+async function withSetting(options: SettingOptions, run: (setting: Setting) => Promise<void>): Promise<void> {
+    const setting = await Setting.create(options);
+    try {
+        await run(setting);
+    }
+    finally {
+        await setting.close();
+    }
+}
+
+/** What holds for a gateway while one of its ports is in use. */
+const cases: readonly {
+    readonly held: Port;
+    readonly holder: Holder;
+    readonly step: string;
+    /** Status of the readiness check; undefined if it can't be asked. */
+    readonly readyStatus: number | undefined;
+    readonly servesCallers: boolean;
+}[] = [
+    ...(["connection", "server"] as const).map(holder => ({
+        held: "front" as const,
+        holder,
+        step: "caller.listen",
+        readyStatus: 503,
+        servesCallers: false,
+    })),
+    {
+        held: "ready",
+        holder: "connection",
+        step: "ready.listen",
+        readyStatus: undefined,
+        servesCallers: true,
+    },
+    {
+        held: "control",
+        holder: "connection",
+        step: "peer.listen",
+        readyStatus: 200,
+        servesCallers: true,
+    },
+];
+const ports = ["front", "ready", "control"] as const;
+
+describe.concurrent("a gateway whose port is in use when it starts", () => {
+    // Guards against a process that ends by itself because another program holds one of its ports for long.
+    it.each(cases)(
+        "performs its other duties until a $holder frees port $held",
+        { timeout: 60_000 },
+        expected =>
+            withSetting(expected, async setting => {
+                const { gateway, holder } = setting;
+                const listLines = (text: string): string[] =>
+                    gateway.lines.filter(line =>
+                        line.includes(`"step":"${expected.step}","peer":"127.0.0.1:${holder.port}"`)
+                        && line.includes(text)
+                    );
+                gateway.start();
+                await sleep(PORT_HOLD_MS);
+                expect(gateway.exitCode).toBeUndefined();
+                // The first failure and at least one repeat.
+                expect(listLines("port is in use").length).toBeGreaterThan(1);
+                expect(gateway.lines.filter(line => line.includes("Warning"))).toEqual([]);
+                if (expected.readyStatus !== undefined) {
+                    const { status, text } = await setting.fetchReadiness();
+                    expect(status).toBe(expected.readyStatus);
+                    if (status !== 200) expect(text).toContain(expected.step);
+                }
+                if (expected.servesCallers) {
+                    expect(await setting.call()).toMatchObject({ status: 200, isComplete: true });
+                }
+                await holder.free();
+                await eventually("the port is taken", () => listLines("waitedMs").length > 0 || undefined);
+                await eventually("the gateway is ready", async () => {
+                    const { status } = await setting.fetchReadiness();
+                    return status === 200 || undefined;
+                });
+                expect(await setting.call()).toMatchObject({ status: 200, isComplete: true });
+            }),
+    );
+
+    // Guards against a stop that is cut, or that lasts until the port is free.
+    it.each(ports)(
+        "exits with code 0 on SIGTERM while it waits for port %s",
+        { timeout: 60_000 },
+        held =>
+            withSetting({ held }, async ({ gateway }) => {
+                gateway.start();
+                await gateway.waitForLine(/"step":"\w+\.listen"/);
+                gateway.signal("SIGTERM");
+                await eventually("the process exits", () => gateway.exitCode !== undefined || undefined);
+                expect(gateway.exitCode).toBe(0);
+            }),
+    );
+
+    // Guards against a process that waits for an address that it can never bind, here while it waits for another port.
+    it.each(ports)(
+        "exits with code 1 if the address of %s is not one of the host's",
+        { timeout: 60_000 },
+        foreign =>
+            withSetting({ held: foreign === "front" ? "ready" : "front", foreign }, async ({ gateway }) => {
+                gateway.start();
+                await eventually("the process exits", () => gateway.exitCode !== undefined || undefined);
+                expect(gateway.exitCode).toBe(1);
+                expect(gateway.lines.join("\n")).toContain("EADDRNOTAVAIL");
+            }),
+    );
+});
--- a/test/gateway/placement-responses.test.ts
+++ b/test/gateway/placement-responses.test.ts
@@ -67,7 +67,7 @@
         view: undefined as never,
         crashSuspects: new CrashSuspects({ logger: silentLogger, onChange: () => undefined }),
         metrics: new GatewayMetrics(),
-        isReady: () => true,
+        listNotReadyReasons: () => [],
         getStatus: () => ({}),
     });
     return { planner, app };
