fix(gateway): become a member only once the peer port is bound

What callers could see: while another program holds a gateway's peer port, the gateway is a member, so it may be the planner or hold order rights, and its peers can't reach it: engines with no orders and gateways with no placement. While the previous process of a host still stops, a second one takes over its member key at once, and its order rights without a handover delay.

Cause: the membership was started before the ports were bound.

Change: the membership starts once the peer port is bound. The port is bound exclusively, so a host has one member at a time. The order rights, the planner and the commands depend on the membership and wait with it; everything that a gateway without membership does goes on.

Evidence: test/cli/ports-in-use.test.ts, with real processes: "performs its other duties until a connection frees port control" failed before (the member key was written while the port was held), and "becomes a member only after the previous process of its host has stopped" failed before (the second process replaced the member key, nonce 5, within 2 s). Both pass after.

--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -258,7 +258,6 @@
     start(): ResultAsync<void, SkylarkmillError> {
         const { callerListen, readyListen, peerListen, logger, host } = this.options;
         this.view.start();
-        this.membership.start();
         this.viewFollower.start();
         this.orderRights.start();
         this.commandRunner.start();
@@ -267,7 +266,10 @@
         return ResultAsync.combine([
             this.listen(this.callerServer.server, callerListen, CALLER_LISTEN_STEP),
             this.listen(this.readyServer, readyListen, READY_LISTEN_STEP),
-            this.listen(this.peerServer, peerListen, "peer.listen"),
+            this.listen(this.peerServer, peerListen, "peer.listen").map(() => {
+                // Peers must be able to reach a member, and a host must not have two processes that act as one.
+                if (!this.listenAbort.signal.aborted) this.membership.start();
+            }),
         ]).map(() => {
             if (!this.isStopping) logger.info({ step: "start", host }, "gateway started");
         });
--- a/test/cli/ports-in-use.test.ts
+++ b/test/cli/ports-in-use.test.ts
@@ -17,12 +17,15 @@
 
 /** Longer than a process may take to start, and than the interval at which it reports the port again. */
 const PORT_HOLD_MS = 8_000;
+/** Longer than a process needs to become a member. */
+const OVERLAP_MS = 2_000;
+const MEMBER_KEY = "skylarkmill/gateways/edge-1";
 /** An address that no host has (RFC 5737). */
 const FOREIGN_ADDRESS = "192.0.2.1";
 
 interface SettingOptions {
     /** Port that another program holds. */
-    readonly held: Port;
+    readonly held: Port | undefined;
     readonly holder?: Holder;
     /** Port whose address is not one of the host's. */
     readonly foreign?: Port;
@@ -54,7 +57,8 @@
         await fixture.addServer({ id: "d1", service: "desk" });
         const settings = await fixture.createSettings("edge-1");
         const portHolder = holder === "server" ? await holdByServer() : await holdByConnection();
-        const addresses = { ...settings.listen_addrs, [held]: { host: "127.0.0.1", port: portHolder.port } };
+        const addresses = { ...settings.listen_addrs };
+        if (held !== undefined) addresses[held] = { host: "127.0.0.1", port: portHolder.port };
         if (foreign !== undefined) addresses[foreign] = { ...addresses[foreign]!, host: FOREIGN_ADDRESS };
         const folder = mkdtempSync(join(tmpdir(), "skylarkmill-test-"));
         return new Setting(fixture, { ...settings, listen_addrs: addresses }, portHolder, folder);
@@ -74,6 +78,11 @@
         return callRaw({ port: this.port("front"), path: "/orders/x", version: "1.1", headers });
     }
 
+    /** Value of the gateway's member key, which differs for each membership. */
+    get member(): string | undefined {
+        return this.fixture.store.read(MEMBER_KEY);
+    }
+
     async close(): Promise<void> {
         await this.gateway.end();
         await this.holder.free();
@@ -127,6 +136,7 @@
     /** Status of the readiness check; undefined if it can't be asked. */
     readonly readyStatus: number | undefined;
     readonly servesCallers: boolean;
+    readonly isMember: boolean;
 }[] = [
     ...(["connection", "server"] as const).map(holder => ({
         held: "front" as const,
@@ -134,6 +144,7 @@
         step: "caller.listen",
         readyStatus: 503,
         servesCallers: false,
+        isMember: true,
     })),
     {
         held: "ready",
@@ -141,6 +152,7 @@
         step: "ready.listen",
         readyStatus: undefined,
         servesCallers: true,
+        isMember: true,
     },
     {
         held: "control",
@@ -148,6 +160,7 @@
         step: "peer.listen",
         readyStatus: 200,
         servesCallers: true,
+        isMember: false,
     },
 ];
 const ports = ["front", "ready", "control"] as const;
@@ -170,6 +183,7 @@
                 expect(gateway.exitCode).toBeUndefined();
                 // The first failure and at least one repeat.
                 expect(listLines("port is in use").length).toBeGreaterThan(1);
+                expect(setting.member !== undefined).toBe(expected.isMember);
                 expect(gateway.lines.filter(line => line.includes("Warning"))).toEqual([]);
                 if (expected.readyStatus !== undefined) {
                     const { status, text } = await setting.fetchReadiness();
@@ -185,6 +199,7 @@
                     const { status } = await setting.fetchReadiness();
                     return status === 200 || undefined;
                 });
+                await eventually("the gateway is a member", () => setting.member);
                 expect(await setting.call()).toMatchObject({ status: 200, isComplete: true });
             }),
     );
@@ -215,4 +230,36 @@
                 expect(gateway.lines.join("\n")).toContain("EADDRNOTAVAIL");
             }),
     );
+
+    // Guards against two processes of one host that both order the same engines, while the first one still stops.
+    it(
+        "becomes a member only after the previous process of its host has stopped",
+        { timeout: 60_000 },
+        () =>
+            withSetting({ held: undefined }, async setting => {
+                const { gateway: previous } = setting;
+                const next = new SpawnedProcess({ ...previous.spec, name: "edge-1 again" });
+                try {
+                    previous.start();
+                    const member = await eventually("the first process is a member", () => setting.member);
+                    next.start();
+                    await next.waitForLine(/configuration\.apply/);
+                    await sleep(OVERLAP_MS);
+                    expect(setting.member).toBe(member);
+                    previous.signal("SIGTERM");
+                    await next.waitForLine(/member\.join/);
+                    await eventually("the first process exits", () => previous.exitCode !== undefined || undefined);
+                    expect(previous.exitCode).toBe(0);
+                    expect(previous.lines.filter(line => line.includes("member.lost"))).toEqual([]);
+                    await eventually("the second process is ready", async () => {
+                        const { status } = await setting.fetchReadiness();
+                        return status === 200 || undefined;
+                    });
+                    expect(await setting.call()).toMatchObject({ status: 200, isComplete: true });
+                }
+                finally {
+                    await next.end();
+                }
+            }),
+    );
 });
