fix(adapters): decide an order by its own response alone

Seen: an engine that wrote an earlier response once more on a kept connection decided the next order with it. An order that the engine had refused or failed counted as carried out, and one that it had carried out counted as refused, which is "not run". An index read could take an order's response.

Cause: the engine control kept its connections, and an engine's responses to orders name no request, so undici matched the copy to whichever order came next on the connection. The backend client uses a connection for each request for this reason; the engine control of the same engine did not.

Change: createSingleUsePool holds the choice in one place: a connection serves one exchange, also if the peer keeps it open. The engine control uses it for orders and index reads.

--- a/packages/adapters/src/node/triton-engine-control.ts
+++ b/packages/adapters/src/node/triton-engine-control.ts
@@ -7,9 +7,10 @@
     toId,
 } from "@skylarkmill/protocol";
 import { err, ok, type Result, ResultAsync } from "neverthrow";
-import { type Dispatcher, Pool } from "undici";
+import type { Dispatcher, Pool } from "undici";
 import { z } from "zod";
 import { type JsonResponse, parseJson, sendJsonRequest } from "../runtime/json-request.ts";
+import { createSingleUsePool } from "../runtime/single-use-pool.ts";
 import { trackSend } from "../runtime/tracked-dispatch.ts";
 import type {
     AdapterOrder,
@@ -35,6 +36,7 @@
     close(): Promise<void>;
 }
 
+const MAX_CONNECTIONS = 64;
 const MAX_INDEX_BYTES = 4 * 1024 * 1024;
 const MAX_ORDER_RESPONSE_BYTES = 64 * 1024;
 /** Maximum number of models in the index, and of adapters of one model. */
@@ -88,7 +90,7 @@
         this.peer = url.host;
         this.timeoutMs = options.timeoutMs ?? 2000;
         this.orderTimeoutMs = options.orderTimeoutMs ?? 600_000;
-        this.pool = new Pool(url.origin, { connections: 64, pipelining: 1 });
+        this.pool = createSingleUsePool(url.origin, MAX_CONNECTIONS);
         this.dispatcher = this.pool.compose(trackSend);
     }
 
