--- a/test/adapters/repeated-responses.test.ts
+++ b/test/adapters/repeated-responses.test.ts
@@ -10,7 +10,7 @@
 });
 
 async function startServer(respond: (request: RepeatingRequest) => RepeatingResponse) {
-    const server = await startRepeatingServer(respond);
+    const server = await startRepeatingServer({ respond });
     cleanups.push(() => server.close());
     return server;
 }
--- a/test/platform/stand-ins/platform-server.ts
+++ b/test/platform/stand-ins/platform-server.ts
@@ -212,7 +212,10 @@
         if (this.outage === "silent") return;
         if (this.outage === "reset") return void request.socket.resetAndDestroy();
         if (this.isLeaving) response.setHeader("server-leaving", "1");
-        if (request.headers["x-expect-instance"] !== this.id) return void response.writeHead(421).end();
+        if (request.headers["x-expect-instance"] !== this.id) {
+            const id = request.headers["x-attempt-id"];
+            return void response.writeHead(421, id === undefined ? {} : { "x-attempt-id": id }).end();
+        }
         if (request.url === "/api/report") return this.sendReport(response);
         if (request.url === "/api/order") return this.onOrder(JSON.parse(body) as Record<string, unknown>, response);
         await this.handleRequest(request, response, body);
--- a/test/support/repeating-server.ts
+++ b/test/support/repeating-server.ts
@@ -13,6 +13,24 @@
     readonly body: string;
 }
 
+/**
+ * What a faulty server sends once more, and when.
+ *
+ * - `next_request`: the previous response of the connection, when the next request has arrived on it.
+ * - `connect`: the response to repeat, on each new connection before its request.
+ * - `before_response`, `after_response`: the response to repeat, on the request's connection before or after the
+ *   request's own response.
+ */
+export type Repetition = "next_request" | "connect" | "before_response" | "after_response";
+
+export interface RepeatingServerOptions {
+    readonly respond: (request: RepeatingRequest) => RepeatingResponse;
+    /** @default "next_request" */
+    readonly repetition?: Repetition;
+    /** Response that is sent once more, if there is one yet; doesn't apply to `next_request`. */
+    readonly responseToRepeat?: (request: RepeatingRequest | undefined) => RepeatingResponse | undefined;
+}
+
 export interface RepeatingServer {
     readonly url: string;
     /** Every request with the response that was meant for it. */
@@ -23,6 +41,7 @@
 
 const COPY_DELAY_MS = 10;
 const OWN_RESPONSE_DELAY_MS = 30;
+const COPY_AFTER_RESPONSE_DELAY_MS = 31;
 
 function formatResponse({ status, headers = {}, body }: RepeatingResponse): string {
     const lines = Object.entries({ ...headers, "content-length": String(Buffer.byteLength(body)) })
@@ -46,36 +65,41 @@
     return { request: { method, path, headers, body: text.slice(bodyStart, bodyEnd) }, rest: text.slice(bodyEnd) };
 }
 
-/**
- * Starts a faulty server that keeps connections whatever the client asks for, and sends the previous response of a
- * connection once more when the next request has arrived on it, ahead of that request's own response.
- */
-export async function startRepeatingServer(
-    respond: (request: RepeatingRequest) => RepeatingResponse,
-): Promise<RepeatingServer> {
+/** Starts a faulty server that keeps connections whatever the client asks for, and sends responses once more. */
+export async function startRepeatingServer(options: RepeatingServerOptions): Promise<RepeatingServer> {
+    const { respond, repetition = "next_request", responseToRepeat = () => undefined } = options;
     const journal: { request: RepeatingRequest; response: RepeatingResponse; }[] = [];
     const sockets = new Set<Socket>();
     let connectionCount = 0;
+
+    const selectCopy = (request: RepeatingRequest | undefined, previous: RepeatingResponse | undefined) =>
+        repetition === "next_request" ? previous : responseToRepeat(request);
+
     const server = createServer(socket => {
         connectionCount += 1;
         sockets.add(socket);
         let received = "";
-        let previous: string | undefined;
-        const send = (text: string, delayMs: number): void => {
+        let previous: RepeatingResponse | undefined;
+        const send = (response: RepeatingResponse | undefined, delayMs: number): void => {
+            if (response === undefined) return;
             setTimeout(() => {
-                if (!socket.destroyed) socket.write(text);
+                if (!socket.destroyed) socket.write(formatResponse(response));
             }, delayMs);
         };
         socket.on("error", () => undefined);
+        socket.once("close", () => sockets.delete(socket));
+        if (repetition === "connect") send(responseToRepeat(undefined), 0);
         socket.on("data", chunk => {
             received += chunk.toString("latin1");
             for (let parsed = parseRequest(received); parsed !== undefined; parsed = parseRequest(received)) {
-                received = parsed.rest;
-                const response = respond(parsed.request);
-                journal.push({ request: parsed.request, response });
-                if (previous !== undefined) send(previous, COPY_DELAY_MS);
-                previous = formatResponse(response);
-                send(previous, OWN_RESPONSE_DELAY_MS);
+                const { request, rest } = parsed;
+                received = rest;
+                const copy = repetition === "connect" ? undefined : selectCopy(request, previous);
+                const response = respond(request);
+                journal.push({ request, response });
+                send(copy, repetition === "after_response" ? COPY_AFTER_RESPONSE_DELAY_MS : COPY_DELAY_MS);
+                send(response, OWN_RESPONSE_DELAY_MS);
+                previous = response;
             }
         });
     });
