fix(gateway): relay nothing but events that continue the stream

Callers of a resumable stream that broke off got the text of the next engine's error as part of their stream if the response had a 2xx status and a blank line in its body, and the stream then ended as if it were complete. An error that an engine wrote into its own stream reached the caller the same way, with its whole head.

Cause: the gateway took everything up to a blank line for an event, and checked the place of an event only by its id; one without an id passed.

Now a response continues a stream only with the status and the media type of the first one and with the next id. A stream that ends before a new event is a failed attempt. In any stream, bytes without a field that the event stream format defines fail the attempt and are not relayed.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -7,7 +7,7 @@
 export { ClusterDemandTracker } from "./runtime/cluster-demand-tracker.ts";
 export { type CrashDecision, CrashSuspects, type CrashSuspectsOptions } from "./runtime/crash-suspects.ts";
 export { EngineController, type EngineControllerOptions } from "./runtime/engine-controller.ts";
-export { EventSplitter, MAX_EVENT_BYTES, type StreamEvent } from "./runtime/event-splitter.ts";
+export { classifyUnnumberedEvent, EventSplitter, MAX_EVENT_BYTES, type StreamEvent } from "./runtime/event-splitter.ts";
 export { type GatewayMember, GatewayMembership, type GatewayMembershipOptions } from "./runtime/gateway-membership.ts";
 export { GatewayMetrics } from "./runtime/gateway-metrics.ts";
 export { LocalDemandTracker } from "./runtime/local-demand-tracker.ts";
--- a/packages/gateway/src/runtime/event-splitter.ts
+++ b/packages/gateway/src/runtime/event-splitter.ts
@@ -84,3 +84,21 @@
     const match = /(?:^|\n)id: ?(\d{1,15})(?!\d)/.exec(raw.toString("latin1"));
     return match?.[1] === undefined ? undefined : Number(match[1]);
 }
+
+/**
+ * What an event without an id is: `data` reaches the caller's code, `control` is a comment or another field, and
+ * `foreign` has no field that the event stream format defines, such as the text of an error.
+ */
+export type UnnumberedKind = "data" | "control" | "foreign";
+
+/**
+ * Classifies an event that has no id.
+ *
+ * @example
+ * classifyUnnumberedEvent(Buffer.from("internal error\n\n")); // "foreign"
+ */
+export function classifyUnnumberedEvent(raw: Buffer): UnnumberedKind {
+    const lines = raw.toString("latin1").split(/\r?\n/).filter(line => line !== "");
+    if (lines.some(line => /^data(?::|$)/.test(line))) return "data";
+    return lines.every(line => /^(?::|(?:event|id|retry)(?::|$))/.test(line)) ? "control" : "foreign";
+}
--- a/packages/gateway/src/runtime/request-task.ts
+++ b/packages/gateway/src/runtime/request-task.ts
@@ -8,7 +8,7 @@
 import { refusals } from "../utils/refusals.ts";
 import { buildTransitionTable } from "../utils/transition-table.ts";
 import { Attempt, type AttemptListener, guardListener } from "./attempt.ts";
-import type { StreamEvent } from "./event-splitter.ts";
+import { classifyUnnumberedEvent, type StreamEvent } from "./event-splitter.ts";
 import type { WaitingRequest } from "./local-demand-tracker.ts";
 import {
     computeRequestTiming,
@@ -34,6 +34,8 @@
 /** Interval at which another server is searched for while the current one sends nothing. */
 const SILENCE_CHECK_MS = 200;
 
+type EventVerdict = "relay" | "skip" | { readonly fault: string; };
+
 /** How a request ended, for the metrics. */
 export type RequestEnd = "answered" | "refused" | "broken" | "caller_gone";
 
@@ -104,12 +106,11 @@
 
     onEvent(attempt: Attempt, event: StreamEvent): void {
         const head = attempt.head!;
-        if (this.state === "resent" && event.id !== undefined && this.lastEventId !== undefined) {
-            if (event.id <= this.lastEventId) return;
-            if (event.id !== this.lastEventId + 1) {
-                attempt.cancel();
-                return this.onFailed(attempt, `event ${event.id} received after event ${this.lastEventId}`, true);
-            }
+        const verdict = this.checkEvent(head, event);
+        if (verdict === "skip") return;
+        if (verdict !== "relay") {
+            attempt.cancel();
+            return this.onFailed(attempt, verdict.fault, true);
         }
         if (this.state !== "relaying") this.applyEvent("ANSWER");
         if (this.firstHead === undefined) {
@@ -126,7 +127,8 @@
         this.writer.onDrain(() => attempt.resume());
     }
 
-    onStreamEnd(): void {
+    onStreamEnd(attempt: Attempt): void {
+        if (this.state !== "relaying") return this.onFailed(attempt, "the stream ended without a new event", true);
         this.applyEvent("END");
         this.writer.end();
         this.finish("answered");
@@ -142,6 +144,25 @@
         this.finish("answered");
     }
 
+    /** Checks an event by its place in the stream; nothing that a resumed stream does not continue with is relayed. */
+    private checkEvent(head: ResponseHead, event: StreamEvent): EventVerdict {
+        const { lastEventId, firstHead } = this;
+        const isResumed = this.state === "resent";
+        if (this.state === "resent" && firstHead !== undefined && !isSameKind(head, firstHead)) {
+            return { fault: `response with status ${head.status} in place of the rest of the stream` };
+        }
+        if (event.id === undefined) {
+            const kind = classifyUnnumberedEvent(event.raw);
+            if (kind === "foreign") return { fault: "bytes that are no event" };
+            if (!isResumed) return "relay";
+            return kind === "control" ? "skip" : { fault: "event without an id in a resumed stream" };
+        }
+        if (!isResumed || lastEventId === undefined) return "relay";
+        if (event.id <= lastEventId) return "skip";
+        if (event.id === lastEventId + 1) return "relay";
+        return { fault: `event ${event.id} received after event ${lastEventId}` };
+    }
+
     private writeResponse(head: ResponseHead, body: Buffer): void {
         if (head.isFramed) return this.writer.sendComplete(head.status, head.headers, body);
         this.writer.sendUnverified(head.status, head.headers, body);
@@ -519,3 +540,13 @@
         this.context.logger.info({ ...requestFields, ...fields, ...(skipped > 0 ? { skipped } : {}) }, message);
     }
 }
+
+/** Whether the response can be the rest of one that began with the first head. */
+function isSameKind(head: ResponseHead, first: ResponseHead): boolean {
+    return head.status === first.status && findMediaType(head.headers) === findMediaType(first.headers);
+}
+
+function findMediaType(headers: readonly string[]): string | undefined {
+    const index = headers.findIndex((name, position) => position % 2 === 0 && name.toLowerCase() === "content-type");
+    return index < 0 ? undefined : headers[index + 1]!.split(";")[0]!.trim().toLowerCase();
+}
--- a/test/gateway/event-splitter.test.ts
+++ b/test/gateway/event-splitter.test.ts
@@ -1,4 +1,4 @@
-import { EventSplitter, MAX_EVENT_BYTES } from "@skylarkmill/gateway";
+import { classifyUnnumberedEvent, EventSplitter, MAX_EVENT_BYTES } from "@skylarkmill/gateway";
 import fc from "fast-check";
 import { describe, expect, it } from "vitest";
 import { seeded } from "../support/seed.ts";
@@ -83,3 +83,19 @@
         expect(shortest(LONG_EVENT_BYTES)).toBeLessThanOrEqual(MAX_WORK_GROWTH * shortest(LONG_EVENT_BYTES / 16));
     });
 });
+
+// Guards against bytes that are relayed as an event although no reader of event streams would take them for one.
+describe("an event without an id", () => {
+    it.each([
+        ["data: x\n\n", "data"],
+        [": note\ndata\r\n\r\n", "data"],
+        ["data: \n\n", "data"],
+        [": ping\n\n", "control"],
+        ["event: end\nretry: 10\n\n", "control"],
+        ["\n", "control"],
+        ["internal error\n\n", "foreign"],
+        ["database: down\n\n", "foreign"],
+        ["HTTP/1.1 500 Error\r\nContent-Length: 4\r\n\r\n", "foreign"],
+        [': ping\n{"error": 1}\n\n', "foreign"],
+    ])("%j is %s", (raw, kind) => expect(classifyUnnumberedEvent(Buffer.from(raw))).toBe(kind));
+});
--- a/test/platform/stand-ins/fixture.ts
+++ b/test/platform/stand-ins/fixture.ts
@@ -79,6 +79,8 @@
     readonly gateways: { readonly gateway: Gateway; readonly settings: PlatformSettings; readonly log: LogLine[]; }[] =
         [];
     readonly servers: PlatformServerStandIn[] = [];
+    /** Retries in addition to the ratio that the settings of gateways allow. */
+    retrySlack = 58;
     private readonly agent = new Agent({ keepAliveTimeout: 1_000 });
     private nextId = 1;
 
@@ -118,7 +120,7 @@
                 config_apply_ms: 2_000,
                 require_fence: true,
                 retry_budget_ratio: 0.2,
-                retry_slack: 58,
+                retry_slack: this.retrySlack,
                 budget_window_s: 10,
             },
             provider: { address: this.store.address },
--- a/test/platform/stand-ins/platform-server.ts
+++ b/test/platform/stand-ins/platform-server.ts
@@ -92,12 +92,21 @@
 const MAX_FILLER_MS = 8_000;
 const TRICKLE_INTERVAL_MS = 100;
 const SLOW_EVENT_INTERVAL_MS = 600;
+const RESET_DELAY_MS = 20;
 /** Time for which a crashed server is down. */
 const RESTART_MS = 300;
 
 /** Exceeds the time that a gateway waits for the first event before it tries another server. */
 const DELAYED_START_MS = 1_200;
 
+/** A response of which each byte is given. */
+export interface RawReply {
+    /** `identity` holds the headers that name the request and sign the response. */
+    readonly format: (identity: string) => string;
+    /** How the connection ends after the last byte. */
+    readonly ending: "close" | "reset";
+}
+
 export interface PlatformServerOptions {
     readonly id: string;
     readonly service: string;
@@ -124,6 +133,8 @@
     /** Times at which reports were read. */
     readonly reportedAtMs: number[] = [];
     readonly faults: ServerFault[] = [];
+    /** Responses to the next requests in place of the usual ones; several servers may share a list. */
+    replies: RawReply[] = [];
     /** Applies to every call: `reset` resets the connection as a crashed server does; `silent` sends no response. */
     outage: "none" | "reset" | "silent" = "none";
     /** States in all its responses that it leaves, though its record says that it is ready. */
@@ -324,6 +335,8 @@
         const parts = String(request.headers["x-prompt-prefix"] ?? "").split(",").map(pair => pair.split(":")[0]);
         if (this.deadlyPart !== undefined && parts.includes(this.deadlyPart)) return this.crash();
         if (fault === "silent") return;
+        const reply = this.replies.shift();
+        if (reply !== undefined) return this.sendRaw(request.socket, reply, id);
         const isEndless = fault !== undefined && ENDLESS_STARTS[fault] !== undefined;
         if (isEndless) return this.sendEndlessBytes(request, received, fault);
         if (fault === "delayed_start") await sleep(DELAYED_START_MS);
@@ -336,6 +349,14 @@
         this.respondAsService(request, response, headers, fault);
     }
 
+    private sendRaw(socket: Socket, { format, ending }: RawReply, id: string): void {
+        socket.on("error", () => undefined);
+        const bytes = format(`X-Attempt-Id: ${id}\r\nX-Response-Seal: ${SEAL}\r\n`);
+        if (ending === "close") return void socket.end(bytes, "latin1");
+        // Bytes that the gateway has not read when the connection is reset are lost.
+        socket.write(bytes, "latin1", () => setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS));
+    }
+
     /** Breaks all connections and starts again a little later. */
     private crash(): void {
         this.crashedAtMs.push(performance.now());
