fix(gateway): keep the order of events in all of a resumed stream

After a resumption, events that came twice, went back or skipped one were relayed, and the stream ended as if it were complete. A caller that asked for the rest with the id of its last event got such a stream from the first event on, also the whole stream once more from an engine that ignored the id, and an error event in place of the rest.

Cause: the gateway checked ids up to the first new event of an attempt that it had resumed itself, and not in attempts that the caller resumed.

Now all events of an attempt that was sent with a last event id have to continue after it: earlier ones are skipped, and a gap or an event without an id fails the attempt.

--- a/packages/gateway/src/runtime/request-task.ts
+++ b/packages/gateway/src/runtime/request-task.ts
@@ -106,7 +106,7 @@
 
     onEvent(attempt: Attempt, event: StreamEvent): void {
         const head = attempt.head!;
-        const verdict = this.checkEvent(head, event);
+        const verdict = this.checkEvent(attempt, head, event);
         if (verdict === "skip") return;
         if (verdict !== "relay") {
             attempt.cancel();
@@ -145,9 +145,9 @@
     }
 
     /** Checks an event by its place in the stream; nothing that a resumed stream does not continue with is relayed. */
-    private checkEvent(head: ResponseHead, event: StreamEvent): EventVerdict {
+    private checkEvent(attempt: Attempt, head: ResponseHead, event: StreamEvent): EventVerdict {
         const { lastEventId, firstHead } = this;
-        const isResumed = this.state === "resent";
+        const isResumed = this.isRetryable && attempt.call.lastEventId !== undefined;
         if (this.state === "resent" && firstHead !== undefined && !isSameKind(head, firstHead)) {
             return { fault: `response with status ${head.status} in place of the rest of the stream` };
         }
--- a/test/platform/resumed-streams.test.ts
+++ b/test/platform/resumed-streams.test.ts
@@ -146,3 +146,42 @@
         expect(isComplete).toBe(false);
     });
 });
+
+// Guards against events that come twice or out of order after a resumption, also one that the caller asked for with the id
+// of the last event that it has.
+describe("a resumed stream whose event ids are out of order", () => {
+    const sequences = [[4, 4, 5, 6], [4, 5, 4, 5, 6], [4, 6], [5, 6], [1, 2, 3, 4, 5, 6], [3, 4, 6, 5], [
+        4,
+        5,
+        6,
+        1,
+        2,
+    ]];
+    const starts = ["an engine's lost connection", "the caller's last event id"] as const;
+    const cases = sequences.flatMap(ids => starts.map(start => ({ ids, start })));
+    it.each(cases)("reaches the caller in order: $ids after $start", async ({ ids, start }) => {
+        const isCallers = start === "the caller's last event id";
+        const body = ids.map(id => eventText(id, id)).join("");
+        const segment = reply(identity => formatResponse(identity, "chunked", body));
+        if (!isCallers) replies.push(brokenStream("close"));
+        replies.push(segment, segment, segment);
+        const first = isCallers ? 4 : 1;
+        const result = await callStream(isCallers ? { "last-event-id": "3" } : {});
+        const whole = eventText(first, EVENT_COUNT);
+        if (result.status === 502) return;
+        expect(whole.startsWith(result.text), result.text).toBe(true);
+        if (result.isComplete) expect(result.text).toBe(whole);
+    });
+
+    // Without a first response to compare with, events with the right ids are the rest whatever their type.
+    const errors = ERROR_BODIES.filter(({ body }) => body !== eventText(4, 6));
+    it.each(errors)("gets no byte of an error in place of the rest: $name", async ({ body, type }) => {
+        for (const framing of FRAMINGS) {
+            const failure = reply(identity => formatResponse(identity, framing, body, "200 OK", type));
+            replies.splice(0);
+            replies.push(failure, failure);
+            const result = await callStream({ "last-event-id": "3" });
+            expect(result).toMatchObject({ status: 502, isComplete: true });
+        }
+    });
+});
