gateway: tell from log and metrics why a stream ended

What was seen: a caller took a stream for complete although events were missing, and no line of its gateway named the request. The log couldn't tell a stream that its server ended by closing the connection from one that the end of the process cut, and a cut that the gateway noticed could fall to the rate limit.

Change: - A stream whose server gave neither a length nor chunks is counted (unverified_stream_ends_total) and logged (request.end_unverified) with server, events and last event id when its end is that of the connection. - request.broken has the server and the cause.

--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -32,11 +32,17 @@
     readonly onError: (error: unknown) => void;
 }
 
+/** A response that is not completely written, and the head of its request. */
+interface OpenResponse {
+    readonly writer: HttpResponseWriter;
+    readonly head: RequestHead;
+}
+
 /** Receives callers' HTTP requests and passes them on once their bodies are complete. */
 export class CallerServer {
     readonly server: Server;
     /** Responses that are not completely written, including those of requests that are still being read. */
-    private readonly openResponses = new Map<ServerResponse, HttpResponseWriter>();
+    private readonly openResponses = new Map<ServerResponse, OpenResponse>();
     private readonly connections = new WeakMap<Socket, CallerConnection>();
     private readonly bodyBlockPool = new BodyBlockPool();
     private maxBodyBytes = DEFAULT_MAX_BODY_BYTES;
@@ -84,16 +90,21 @@
         this.server.closeIdleConnections();
     }
 
-    /** Refuses the requests that are still being read, since the process ends now. */
-    refuseUploads(refusal: Refusal): void {
-        for (const writer of this.openResponses.values()) {
-            if (!writer.hasStarted) writer.refuse(refusal);
-        }
+    /** Refuses the requests that are still being read, since the process ends now; returns their heads. */
+    refuseUploads(refusal: Refusal): RequestHead[] {
+        const uploads = [...this.openResponses.values()].filter(({ writer }) => !writer.hasStarted);
+        for (const { writer } of uploads) writer.refuse(refusal);
+        return uploads.map(({ head }) => head);
     }
 
-    /** Ends the responses that callers have not read in time, so that they can tell them from complete ones. */
-    abortOpenResponses(): void {
-        for (const writer of this.openResponses.values()) writer.abort();
+    /**
+     * Ends the responses that callers have not read in time, so that they can tell them from complete ones; returns the
+     * heads of their requests.
+     */
+    abortOpenResponses(): RequestHead[] {
+        const responses = [...this.openResponses.values()];
+        for (const { writer } of responses) writer.abort();
+        return responses.map(({ head }) => head);
     }
 
     private async receiveRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -105,7 +116,8 @@
         // A request that crosses the end of its connection is not handled, since it can't be answered.
         if (!connection.addResponse(response)) return;
         const writer = new HttpResponseWriter(response, connection, this.options.isClosing);
-        this.openResponses.set(response, writer);
+        const head = toRequestHead(request);
+        this.openResponses.set(response, { writer, head });
         response.once("close", () => this.openResponses.delete(response));
         try {
             const reader = new BodyReader(request, this.maxBodyBytes, this.options.byteBudget, this.bodyBlockPool);
@@ -118,12 +130,6 @@
             await waitForLoopTurn();
             // A stop may have refused it meanwhile.
             if (response.closed || response.headersSent) return;
-            const head = {
-                method: request.method ?? "GET",
-                path: request.url ?? "/",
-                host: request.headers.host ?? "",
-                rawHeaders: request.rawHeaders,
-            };
             this.options.handleRequest(head, body.value, writer, startedAtMs);
         }
         catch (error) {
@@ -133,6 +139,15 @@
     }
 }
 
+function toRequestHead(request: IncomingMessage): RequestHead {
+    return {
+        method: request.method ?? "GET",
+        path: request.url ?? "/",
+        host: request.headers.host ?? "",
+        rawHeaders: request.rawHeaders,
+    };
+}
+
 /**
  * Lets the event loop read its sockets once more. After a pause of the process, a request and the end of its connection
  * arrive in the same turn, and a request whose caller has disconnected must not be sent to a backend server.
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -264,13 +264,12 @@
         this.stopEndsAtMs = endAtMs;
         await this.completeTasks(startedAtMs, endAtMs);
         this.refuseAllFromMs = 0;
-        for (const task of [...this.tasks]) task.endNow();
-        this.callerServer.refuseUploads(refusals.unavailable("stopping", STOP_RETRY_MS));
+        this.endOpenRequests();
         await sleep(STOP_FLUSH_MS);
-        const { openResponseCount } = this.callerServer;
-        this.callerServer.abortOpenResponses();
+        const aborted = this.callerServer.abortOpenResponses();
+        for (const head of aborted) this.logEndedByStop(this.readRequestId(head), "writing", "aborted");
         logger.info(
-            { step: "stopped", open: openResponseCount, tookMs: Math.round(nowMs() - startedAtMs) },
+            { step: "stopped", open: aborted.length, tookMs: Math.round(nowMs() - startedAtMs) },
             "gateway stopped",
         );
         this.synchronizer.stop();
@@ -280,6 +279,29 @@
         for (const server of [this.callerServer.server, this.readyServer, this.peerServer]) server.close();
     }
 
+    /** Refuses the requests that have no response yet, and aborts the responses of those that servers work on. */
+    private endOpenRequests(): void {
+        this.context.requestLogLimiter.lift();
+        for (const task of [...this.tasks]) {
+            const outcome = task.endNow();
+            if (outcome !== undefined) this.logEndedByStop(task.requestId, "serving", outcome);
+        }
+        const uploads = this.callerServer.refuseUploads(refusals.unavailable("stopping", STOP_RETRY_MS));
+        for (const head of uploads) this.logEndedByStop(this.readRequestId(head), "reading", "refused");
+    }
+
+    private logEndedByStop(
+        requestId: string | undefined,
+        during: "reading" | "serving" | "writing",
+        outcome: "refused" | "aborted",
+    ): void {
+        this.options.logger.info({ step: "request.stopped", requestId, during, outcome }, "request ended by the stop");
+    }
+
+    private readRequestId(head: RequestHead): string | undefined {
+        return this.options.decodeRequest(head, undefined).map(({ requestId }) => requestId).unwrapOr(undefined);
+    }
+
     private async stopCoordination(): Promise<void> {
         await this.orderRights.stop();
         // The lease is left to expire, so that this host keeps its order rights if it restarts before that.
--- a/packages/gateway/src/runtime/gateway-metrics.ts
+++ b/packages/gateway/src/runtime/gateway-metrics.ts
@@ -22,6 +22,11 @@
         "Requests for which every server was on hold.",
         [],
     );
+    readonly unverifiedEnds = this.counter(
+        "unverified_stream_ends_total",
+        "Streams that ended with their server's connection, without a length or chunks.",
+        [],
+    );
     readonly skippedLogLines = this.counter("log_lines_skipped_total", "Log lines left out by the rate limit.", []);
     readonly inProgress = this.gauge("requests_in_progress", "Requests without a complete answer.");
     readonly plansPlacement = this.gauge(
--- a/packages/gateway/src/runtime/request-task.ts
+++ b/packages/gateway/src/runtime/request-task.ts
@@ -1,4 +1,5 @@
-import type { Refusal, ServerId, ServiceId } from "@skylarkmill/protocol";
+import type { EventGravity } from "@skylarkmill/coordination";
+import type { Refusal, RequestId, ServerId, ServiceId } from "@skylarkmill/protocol";
 import chart from "../charts/request.json" with { type: "json" };
 import type { Route } from "../types/configuration.ts";
 import type { GatewayContext } from "../types/context.ts";
@@ -78,6 +79,10 @@
         writer.onCallerDisconnect(() => this.runGuarded(() => this.onCallerDisconnect()));
     }
 
+    get requestId(): RequestId {
+        return this.request.requestId;
+    }
+
     start(): void {
         const { modelId, adapterId } = this.request;
         if (modelId !== undefined) this.context.localDemand.recordArrival(modelId, adapterId);
@@ -95,11 +100,15 @@
         if (this.isWaiting && !this.isResuming) this.abandon("stopping");
     }
 
-    /** Refuses the request, or aborts its response if that has started, since this process ends now. */
-    endNow(): void {
-        if (this.state === "done") return;
+    /**
+     * Refuses the request, or aborts its response if that has started, since this process ends now. Returns which of the
+     * two; undefined if the request has ended.
+     */
+    endNow(): "refused" | "aborted" | undefined {
+        if (this.state === "done") return undefined;
         this.attempt?.cancel();
         this.abandon("stopping");
+        return this.firstHead === undefined ? "refused" : "aborted";
     }
 
     onEvent(attempt: Attempt, event: StreamEvent): void {
@@ -126,15 +135,16 @@
         this.writer.onDrain(() => attempt.resume());
     }
 
-    onStreamEnd(): void {
+    onStreamEnd(attempt: Attempt): void {
         this.applyEvent("END");
+        if (attempt.head?.isFramed === false) this.recordUnverifiedEnd(attempt);
         this.writer.end();
         this.finish("answered");
     }
 
     onResponse(attempt: Attempt, head: ResponseHead, body: Buffer): void {
         if (head.status >= 500 && this.tryRetry(attempt, `status ${head.status}`)) return;
-        if (this.state === "resent") return this.abortResponse();
+        if (this.state === "resent") return this.abortResponse(`resumed with status ${head.status}`);
         this.applyEvent("ANSWER");
         this.recordFirstByte();
         this.writeResponse(head, body);
@@ -165,7 +175,7 @@
             return this.retryElsewhere(attempt, cause);
         }
         if (this.tryRetry(attempt, cause)) return;
-        if (this.firstHead !== undefined) return this.abortResponse();
+        if (this.firstHead !== undefined) return this.abortResponse(cause);
         this.logFailure("request.lost", attempt, cause);
         this.refuse(refusals.backendLost());
     }
@@ -365,7 +375,7 @@
 
     /** Gives the request up; `retryAfterMs` is the time after which it can be served, if that is known. */
     private abandon(code: string, retryAfterMs = this.retryAfterMs()): void {
-        if (this.firstHead !== undefined) return this.abortResponse();
+        if (this.firstHead !== undefined) return this.abortResponse(code);
         if (this.possibleRuns.size > 0) return this.refuse(refusals.backendLost());
         const refusal = refusals.unavailable(code, retryAfterMs);
         const { modelId, adapterId } = this.request;
@@ -390,10 +400,10 @@
         this.finish("refused");
     }
 
-    private abortResponse(): void {
+    private abortResponse(cause: string): void {
         this.applyEvent("BREAK");
         this.attempt?.cancel();
-        this.logEnd("request.broken", "response aborted before its end");
+        this.logBroken(cause);
         this.writer.abort();
         this.finish("broken");
     }
@@ -401,7 +411,7 @@
     private onDeadline(): void {
         if (this.state === "done") return;
         this.attempt?.cancel();
-        if (this.firstHead !== undefined) return this.abortResponse();
+        if (this.firstHead !== undefined) return this.abortResponse("deadline");
         this.refuse(
             this.possibleRuns.size > 0
                 ? refusals.deadlineExceeded()
@@ -448,7 +458,10 @@
 
     /** Ends this request after an unexpected error, so that it costs no other request, timer or place. */
     private failUnexpectedly(error: unknown): void {
-        this.context.logger.error({ step: "request", err: error }, "request failed unexpectedly");
+        this.context.logger.error(
+            { step: "request", requestId: this.request.requestId, err: error },
+            "request failed unexpectedly",
+        );
         if (this.state === "done") return;
         const hasStarted = this.firstHead !== undefined;
         this.state = "done";
@@ -500,12 +513,22 @@
         this.log({ step: "request.refused", status, code, execution, retryAfterMs, ...inputs }, "request refused");
     }
 
-    private logEnd(step: string, message: string): void {
-        this.log({ step, lastEventId: this.lastEventId, sends: this.sendCount }, message);
+    private logBroken(cause: string): void {
+        const fields = { step: "request.broken", cause, server: this.attempt?.server.record.serverId };
+        const progress = { lastEventId: this.lastEventId, sends: this.sendCount };
+        this.log({ ...fields, ...progress }, "response aborted before its end", "grave");
+    }
+
+    /** The end of a stream without a length or chunks can't be told from a cut between two events. */
+    private recordUnverifiedEnd(attempt: Attempt): void {
+        this.context.metrics.unverifiedEnds.inc();
+        const fields = { step: "request.end_unverified", server: attempt.server.record.serverId };
+        const progress = { events: attempt.eventCount, lastEventId: this.lastEventId, sends: this.sendCount };
+        this.log({ ...fields, ...progress }, "stream ended with its server's connection");
     }
 
-    private log(fields: object, message: string): void {
-        const skipped = this.context.requestLogLimiter.admitEvent(nowMs());
+    private log(fields: object, message: string, gravity: EventGravity = "normal"): void {
+        const skipped = this.context.requestLogLimiter.admitEvent(nowMs(), gravity);
         if (skipped === undefined) return this.context.metrics.skippedLogLines.inc();
         const { requestId, modelId, adapterId } = this.request;
         const requestFields = {
--- a/packages/skylarkmill/src/explain/request-history.ts
+++ b/packages/skylarkmill/src/explain/request-history.ts
@@ -5,9 +5,22 @@
 /** Steps of the lines that explain why a server or a model was not available. */
 const CAUSE_STEPS = /^(server|right|member|view|configuration|engine|placement|stop|start)/;
 
+/** Steps of the lines that tell whether a process ended in order; they follow the requests that it cut. */
+const PROCESS_STEPS = /^(stop|stopped|start)$/;
+/** What the line that ends a request says about its end. */
+const ENDS: Readonly<Record<string, string>> = {
+    "request.answered": "it was answered",
+    "request.refused": "it was refused",
+    "request.broken": "its response was cut by the gateway",
+    "request.stopped": "the stop of its gateway ended it",
+    "request.end_unverified": "its stream ended with its server's connection, which may have cut it",
+};
+
 /** The log lines of one request, and the lines that may explain its outcome. */
 export interface RequestHistory {
     readonly requestId: string;
+    /** How the request ended, if a line says so. */
+    readonly end: string | undefined;
     /** Lines with the request's id. */
     readonly own: readonly LogLine[];
     /** Decisions about the request's servers, models and hosts around the same time. */
@@ -22,15 +35,16 @@
  */
 export function collectRequestHistory(requestId: string, lines: readonly LogLine[]): RequestHistory {
     const own = lines.filter(line => line.requestId === requestId).sort(compareByTime);
-    if (own.length === 0) return { requestId, own, causes: [] };
+    if (own.length === 0) return { requestId, end: undefined, own, causes: [] };
     const causesFromMs = findArrivalMs(own) - CAUSE_WINDOW_MS;
     const causesToMs = own.at(-1)!.atMs;
     const servers = collectFieldValues(own, "server");
     const models = collectFieldValues(own, "model");
     const hosts = new Set(own.map(line => line.host));
     const causes = lines.filter(line => {
+        const toMs = PROCESS_STEPS.test(line.step) ? causesToMs + CAUSE_WINDOW_MS : causesToMs;
         if (
-            line.requestId !== undefined || line.atMs < causesFromMs || line.atMs > causesToMs
+            line.requestId !== undefined || line.atMs < causesFromMs || line.atMs > toMs
             || !CAUSE_STEPS.test(line.step)
         ) {
             return false;
@@ -42,7 +56,8 @@
         if (typeof server === "string") return servers.has(server) && hosts.has(line.host);
         return hosts.has(line.host);
     });
-    return { requestId, own, causes: causes.sort(compareByTime) };
+    const end = own.map(line => ENDS[line.step]).filter(text => text !== undefined).at(-1);
+    return { requestId, end, own, causes: causes.sort(compareByTime) };
 }
 
 /** Finds the request's arrival time: a line is logged when its step ends, and `waitedMs` is the time since arrival. */
@@ -61,7 +76,7 @@
 }
 
 /** Formats a history, one line per log line; the lines with the request's id are marked with `*`. */
-export function formatRequestHistory({ requestId, own, causes }: RequestHistory): string {
+export function formatRequestHistory({ requestId, end, own, causes }: RequestHistory): string {
     if (own.length === 0) return `no line names request ${requestId}`;
     const originMs = findArrivalMs(own);
     const marked = [...own.map(line => ({ line, mark: "*" })), ...causes.map(line => ({ line, mark: " " }))];
@@ -70,7 +85,8 @@
         const fields = Object.entries(line.fields).map(([name, value]) => `${name}=${formatValue(value)}`).join(" ");
         return `${mark} ${atS} s  ${line.host}  ${line.step}: ${line.message}  ${fields}`;
     });
-    return [`request ${requestId}; times count from its arrival; * marks its own lines`, ...rows].join("\n");
+    const heading = [`request ${requestId}`, end, "times count from its arrival", "* marks its own lines"];
+    return [heading.filter(part => part !== undefined).join("; "), ...rows].join("\n");
 }
 
 function formatValue(value: unknown): string {
--- a/test/cli/explain.test.ts
+++ b/test/cli/explain.test.ts
@@ -33,6 +33,12 @@
             formatLogLine(14, "edge-1", "server.leave", { server: "i-4", reason: "announced" }),
             formatLogLine(15, "edge-1", "request.hold", { requestId: "r3", server: "i-3", waitedMs: 0, holdMs: 900 }),
             formatLogLine(15, "edge-1", "request.refused", { requestId: "r3", code: "servers_on_hold", waitedMs: 0 }),
+            formatLogLine(40, "edge-1", "request.end_unverified", { requestId: "r4", server: "i-1", waitedMs: 0 }),
+            formatLogLine(41, "edge-1", "request.broken", { requestId: "r5", cause: "stopping", waitedMs: 0 }),
+            formatLogLine(41, "edge-1", "request.stopped", { requestId: "r5", during: "serving", outcome: "aborted" }),
+            formatLogLine(42, "edge-1", "stopped", { open: 0 }),
+            formatLogLine(43, "edge-1", "start", { host: "edge-1" }),
+            formatLogLine(44, "edge-1", "server.leave", { server: "i-1", reason: "draining" }),
         ].join("\n"),
     );
     writeFileSync(
@@ -85,6 +91,28 @@
         expect(steps).toEqual(["server.hold", "request.hold", "request.refused"]);
     });
 
+    // Guards against a history from which it can't be told why a stream ended.
+    it.each([
+        {
+            requestId: "r4",
+            end: "its stream ended with its server's connection, which may have cut it",
+            steps: ["request.end_unverified", "stopped", "start"],
+        },
+        {
+            requestId: "r5",
+            end: "the stop of its gateway ended it",
+            steps: ["request.broken", "request.stopped", "stopped", "start"],
+        },
+    ])(
+        "says how request $requestId ended, and whether its process ended after it",
+        async ({ requestId, end, steps }) => {
+            const { out } = await runExplain([requestId, ...files]);
+            const [heading, ...rows] = out.trim().split("\n");
+            expect(heading).toBe(`request ${requestId}; ${end}; times count from its arrival; * marks its own lines`);
+            expect(rows.map(row => / {2}(\S+):/.exec(row)![1])).toEqual(steps);
+        },
+    );
+
     it("prints the history as JSON with --json", async () => {
         const { out } = await runExplain(["r2", "--json", ...files]);
         expect(JSON.parse(out)).toMatchObject({ requestId: "r2", own: [{ step: "request.refused" }] });
