gateway, agent: don't take a reset for the end of a response

What callers saw: a response without a length, or a stream with neither a length nor chunks, came with status 200, without its last part, and complete by its chunks. No line of the log named the request.

Cause: an engine's connection was reset while the last bytes were on their way. libuv reads them, gets fewer than it has room for, and then takes a hangup of the connection for its regular end (uv__stream_io, UV_HANDLE_READ_PARTIAL) without looking at the error. Node's HTTP client then ends the response as complete. The guard of `reset` relied on the error event, which Node emits only if the reset arrives later.

Change: at the end of the connection detectReset writes no bytes, which sends nothing and fails with the error that the socket still has: ECONNRESET after a reset, EPIPE if the peer had ended the connection before.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -1,4 +1,5 @@
 export { type ClaimWriterOptions, createClaimWriter } from "./node/claim-writer.ts";
+export { detectReset } from "./node/detect-reset.ts";
 export { createDutyLease, type DutyLeaseOptions } from "./node/duty-lease.ts";
 export { abortResponse, closeServer, drainServer, listen, type ListenAddress } from "./node/http-server.ts";
 export { createPeerClient, type PeerClient, type PeerClientOptions } from "./node/peer-client.ts";
--- a/test/adapters/backend-client.test.ts
+++ b/test/adapters/backend-client.test.ts
@@ -63,18 +63,18 @@
 });
 
 // Guards against a response that broke off halfway and looks complete: undici ends a response without a length normally
-// when its connection is reset.
+// when its connection is reset, and Node's client does if the reset arrives together with the last bytes.
 describe("a response without a length", () => {
-    it.each([{ isReset: true }, { isReset: false }])(
-        "is complete only if it is not reset: $isReset",
-        async ({ isReset }) => {
+    it.each([{ resetDelayMs: 0 }, { resetDelayMs: DUPLICATE_DELAY_MS }, { resetDelayMs: undefined }])(
+        "is complete only if it is not reset: $resetDelayMs",
+        async ({ resetDelayMs }) => {
             const unframed = createServer(socket => {
                 socket.on("error", () => undefined);
                 socket.once("data", () => {
-                    socket.write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf of", () => {
-                        if (isReset) setTimeout(() => socket.resetAndDestroy(), DUPLICATE_DELAY_MS);
-                        else socket.end(" it");
-                    });
+                    socket.write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf of");
+                    if (resetDelayMs === undefined) socket.end(" it");
+                    else if (resetDelayMs === 0) socket.resetAndDestroy();
+                    else setTimeout(() => socket.resetAndDestroy(), resetDelayMs);
                 });
             });
             await new Promise<void>(resolve => unframed.listen(0, "127.0.0.1", resolve));
@@ -84,7 +84,7 @@
             const { signal } = new AbortController();
             const response = await client.send({ method: "GET", path: "/", headers: {}, body: undefined, signal });
             const body = text(response._unsafeUnwrap().body);
-            if (isReset) await expect(body).rejects.toThrow();
+            if (resetDelayMs !== undefined) await expect(body).rejects.toThrow();
             else expect(await body).toBe("half of it");
             await client.close();
             await new Promise(resolve => unframed.close(resolve));
--- a/test/platform/path.test.ts
+++ b/test/platform/path.test.ts
@@ -130,6 +130,18 @@
             expect(response.headers["connection"]).toBe("close");
         },
     );
+
+    // Guards against cut responses that look complete: Node reports a reset that arrives with the last bytes as a regular
+    // end of the connection.
+    it.each([
+        { path: "/orders/x", expected: { status: 502, runs: 1 } },
+        { path: "/lookup/x", expected: { status: 200, runs: 2 } },
+    ])("are lost if they are reset with their last bytes on $path", async ({ path, expected }) => {
+        failOnce([desk1, desk2], "reset_with_last_bytes");
+        const id = fixture.newId();
+        const response = await fixture.call(0, path, { headers: { "x-attempt-id": id } });
+        expect({ status: response.status, runs: countRuns(id) }).toEqual(expected);
+    });
 });
 
 // Guards against missing or duplicate events, and against interrupted streams that end as if they were complete.
--- a/test/platform/stand-ins/platform-server.ts
+++ b/test/platform/stand-ins/platform-server.ts
@@ -35,6 +35,8 @@
  * - `closed_between_events`, `closed_within_event`: the connection of a stream closes after three events, or within the
  *   third one.
  * - `without_length`: a complete response without a length, which ends with the connection.
+ * - `reset_with_last_bytes`: a response with neither a length nor chunks whose connection is reset at the moment at which
+ *   it sends its body or the third event.
  * - `stream_without_length`, `reset_stream_without_length`: a stream with neither a length nor chunks, which ends with its
  *   connection; the second one is reset after three events.
  * - `duplicate_response`: two identical responses on one connection.
@@ -55,6 +57,7 @@
     | "closed_within_event"
     | "without_length"
     | "reset_without_length"
+    | "reset_with_last_bytes"
     | "stream_without_length"
     | "reset_stream_without_length"
     | "duplicate_response"
@@ -376,6 +379,10 @@
     ): void {
         const body = `done by ${this.id}`.padEnd(this.options.bodyByteCount ?? 0, ".");
         const rawHeaders = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join("");
+        if (fault === "reset_with_last_bytes") {
+            request.socket.write(`HTTP/1.1 200 OK\r\n${rawHeaders}Connection: close\r\n\r\n${body}`);
+            return void request.socket.resetAndDestroy();
+        }
         if (fault === "without_length" || fault === "reset_without_length") {
             request.socket.write(`HTTP/1.1 200 OK\r\n${rawHeaders}Connection: close\r\n\r\n${body}`);
             if (fault === "without_length") return void request.socket.end();
@@ -403,7 +410,8 @@
         headers: Record<string, string>,
         fault: ServerFault | undefined,
     ): Promise<void> {
-        const isUnframed = fault === "stream_without_length" || fault === "reset_stream_without_length";
+        const isUnframed = fault === "stream_without_length" || fault === "reset_stream_without_length"
+            || fault === "reset_with_last_bytes";
         if (isUnframed) response.useChunkedEncodingByDefault = false;
         const hasFirstEvent = response.headersSent;
         if (!hasFirstEvent) {
@@ -420,6 +428,10 @@
             }
             if (fault === "trickled_event" && id === first + 2) return this.trickle(response, text);
             response.write(text);
+            if (fault === "reset_with_last_bytes" && id === first + 2) {
+                // Node hands the event to the operating system first.
+                return void process.nextTick(() => request.socket.resetAndDestroy());
+            }
             await sleep(fault === "slow_events" ? SLOW_EVENT_INTERVAL_MS : this.options.eventIntervalMs ?? 2);
             if (fault === "closed_between_events" && id === first + 2) return void request.socket.destroy();
             if (fault === "reset_stream_without_length" && id === first + 2) {
--- a/test/platform/streams-without-length.test.ts
+++ b/test/platform/streams-without-length.test.ts
@@ -86,6 +86,12 @@
             deadlineMs: ROUTE_TIMEOUT_MS,
             shouldStop: false,
         },
+        {
+            name: "when its engine's connection is reset together with its last bytes",
+            fault: "reset_with_last_bytes",
+            deadlineMs: ROUTE_TIMEOUT_MS,
+            shouldStop: false,
+        },
         { name: "when its deadline passes", fault: "stream_without_length", deadlineMs: 500, shouldStop: false },
     ];
 
--- a/test/support/raw-caller.ts
+++ b/test/support/raw-caller.ts
@@ -1,3 +1,4 @@
+import { detectReset } from "@skylarkmill/coordination";
 import { connect } from "node:net";
 
 export interface RawCall {
@@ -33,7 +34,10 @@
         const chunks: Buffer[] = [];
         let ending: RawResult["ending"] = "closed";
         socket.on("data", chunk => chunks.push(chunk));
-        socket.once("error", (error: NodeJS.ErrnoException) => {
+        detectReset(socket, () => {
+            ending = "reset";
+        });
+        socket.on("error", (error: NodeJS.ErrnoException) => {
             if (error.code === "ECONNRESET") ending = "reset";
             else reject(error);
         });
