fix(gateway): don't resume a stream after data without an id

Callers of a resumable stream whose events had no ids got its data twice when the first engine's connection broke: the second engine was asked for the whole stream, and all of it followed what the caller already had.

Cause: a stream was resumed without a last event id.

Now data without an id ends the attempts, and the caller's response is aborted. A stream that only had comments is still resumed.

--- a/packages/gateway/src/runtime/request-task.ts
+++ b/packages/gateway/src/runtime/request-task.ts
@@ -53,6 +53,8 @@
     private sendCount = 0;
     private firstHead: ResponseHead | undefined;
     private lastEventId: number | undefined;
+    /** The caller received data without an id, after which the stream can't be resumed. */
+    private hasUnnumberedData = false;
     private failure: Refusal | undefined;
     private isWaiting = false;
     private wasHeld = false;
@@ -154,7 +156,10 @@
         if (event.id === undefined) {
             const kind = classifyUnnumberedEvent(event.raw);
             if (kind === "foreign") return { fault: "bytes that are no event" };
-            if (!isResumed) return "relay";
+            if (!isResumed) {
+                this.hasUnnumberedData ||= kind === "data";
+                return "relay";
+            }
             return kind === "control" ? "skip" : { fault: "event without an id in a resumed stream" };
         }
         if (!isResumed || lastEventId === undefined) return "relay";
@@ -222,7 +227,7 @@
 
     /** Whether another attempt is allowed after one that may have run the request. */
     private get canRetry(): boolean {
-        return this.isRetryable && this.possibleRunCount < this.route.maxAttempts;
+        return this.isRetryable && !this.hasUnnumberedData && this.possibleRunCount < this.route.maxAttempts;
     }
 
     private get isResuming(): boolean {
--- a/test/platform/resumed-streams.test.ts
+++ b/test/platform/resumed-streams.test.ts
@@ -185,3 +185,23 @@
         }
     });
 });
+
+// Guards against data that comes twice: a stream without ids began anew at the next engine.
+describe("a stream that breaks off after data without an id", () => {
+    it.each([
+        { name: "no ids at all", body: "data: a\n\ndata: b\n\n" },
+        { name: "data without an id after some with one", body: `${eventText(1, 3)}data: b\n\n` },
+    ])("ends as cut: $name", async ({ body }) => {
+        replies.push(brokenStream("close", body), reply(identity => formatResponse(identity, "chunked", body)));
+        const { text, isComplete } = await callStream();
+        expect(body.startsWith(text), text).toBe(true);
+        expect(isComplete).toBe(false);
+    });
+
+    it("is resumed if it only had comments", async () => {
+        replies.push(brokenStream("close", ": hello\n\n"));
+        const { text, isComplete } = await callStream();
+        expect(text.replaceAll(": hello\n\n", "")).toBe(eventText(1, 6));
+        expect(isComplete).toBe(true);
+    });
+});
