fix(adapters): don't take a cut response to an order for its success

An engine's response to a load or unload with status 200 and neither a length nor chunks counted as success when its connection was reset after the head, within the body or before it.

Cause: undici ends such a response normally when its connection is reset, and the text of a response to an order is not read.

Now a response without a length or chunks is a success only if its text is JSON, which a part of it is not; otherwise the outcome is unknown, and the agent reads the index. Responses of engines that state a length, as the KServe extension's do, are handled as before.

--- a/packages/adapters/src/node/triton-engine-control.ts
+++ b/packages/adapters/src/node/triton-engine-control.ts
@@ -9,7 +9,7 @@
 import { err, ok, type Result, ResultAsync } from "neverthrow";
 import { type Dispatcher, Pool } from "undici";
 import { z } from "zod";
-import { type JsonResponse, parseJson, sendJsonRequest } from "../runtime/json-request.ts";
+import { isWholeResponse, type JsonResponse, parseJson, sendJsonRequest } from "../runtime/json-request.ts";
 import { trackSend } from "../runtime/tracked-dispatch.ts";
 import type {
     AdapterOrder,
@@ -153,7 +153,10 @@
 
     private toOrderResult(step: string, response: JsonResponse): Result<void, EngineError> {
         const context = { step, peer: this.peer };
-        if (response.status === 200) return ok(undefined);
+        if (response.status === 200) {
+            if (isWholeResponse(response)) return ok(undefined);
+            return err(new OutcomeUnknownError("the engine's response has no length and may be cut", context));
+        }
         const message = `the engine returned status ${response.status}: ${response.text.slice(0, 200)}`;
         if (response.status < 500) return err(new RefusedError(message, context));
         return err(new OutcomeUnknownError(message, context));
--- a/packages/adapters/src/runtime/json-request.ts
+++ b/packages/adapters/src/runtime/json-request.ts
@@ -68,6 +68,21 @@
     }
 }
 
+/**
+ * Whether the response is known to be whole. undici ends a response without a length or chunks normally when its
+ * connection is reset, so that only its text can show it.
+ */
+export function isWholeResponse({ headers, text }: JsonResponse): boolean {
+    if (headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined) return true;
+    try {
+        JSON.parse(text);
+        return true;
+    }
+    catch {
+        return false;
+    }
+}
+
 /** Parses the JSON text of a response and validates it against the schema. */
 export function parseJson<Schema extends z.ZodType>(
     schema: Schema,
