fix(adapters): take the outcome of a key-value call from its own response

Seen: a key-value service, or a proxy ahead of it, that sent an earlier response once more on a kept connection decided the next call with it. A transaction whose comparison failed counted as committed, a renewal of an ended lease as a success, a grant got the id of another lease, and a key the value of an earlier read.

Cause: the store kept its connections, and the service's responses name no call. The revision in the header can't replace an id: the response to a failed transaction, a renewal or a read may carry the same one as an earlier response.

Change: calls use the pool whose connections serve one exchange. Watches had a connection each already.

Result: test/adapters/repeated-responses.test.ts: the 5 cases of the key-value service fail before (of six calls, four got the outcome of an earlier one) and pass after; test/adapters passes.

--- a/packages/adapters/src/node/etcd-key-value-store.ts
+++ b/packages/adapters/src/node/etcd-key-value-store.ts
@@ -10,11 +10,12 @@
 } from "@skylarkmill/coordination";
 import { OutcomeUnknownError, ProtocolError, UnavailableError } from "@skylarkmill/protocol";
 import { err, ok, type Result, ResultAsync } from "neverthrow";
-import { type Dispatcher, Pool } from "undici";
+import type { Dispatcher, Pool } from "undici";
 import type { z } from "zod";
 import * as schemas from "../runtime/etcd-schemas.ts";
 import { readWatchStream } from "../runtime/etcd-watch.ts";
 import { parseJson, sendJsonRequest } from "../runtime/json-request.ts";
+import { createSingleUsePool } from "../runtime/single-use-pool.ts";
 import { trackSend } from "../runtime/tracked-dispatch.ts";
 import { prefixEndBase64, toBase64, toKeyValueEntry, toTxnRequest } from "../utils/etcd-keys.ts";
 
@@ -24,8 +25,8 @@
     /** Timeout of one call; doesn't apply to watches. @default 2000 */
     readonly timeoutMs?: number;
     /**
-     * Maximum number of connections per endpoint for calls; each watch opens one more.
-     * A call without a response occupies its connection until it times out. @default 16
+     * Maximum number of concurrent calls per endpoint. Each call and each watch opens a connection.
+     * A call without a response counts until it times out. @default 16
      */
     readonly maxConnections?: number;
     /** Maximum number of keys per page of a range read. @default 200 */
@@ -70,7 +71,7 @@
     constructor(options: ResolvedOptions) {
         this.options = options;
         this.endpoints = options.endpoints.map(url => {
-            const pool = new Pool(url, { connections: options.maxConnections, pipelining: 1, allowH2: false });
+            const pool = createSingleUsePool(url, options.maxConnections);
             return { peer: new URL(url).host, pool, dispatcher: pool.compose(trackSend) };
         });
     }
--- a/test/adapters/repeated-responses.test.ts
+++ b/test/adapters/repeated-responses.test.ts
@@ -1,4 +1,5 @@
-import { createTritonEngineControl } from "@skylarkmill/adapters";
+import { createEtcdKeyValueStore, createTritonEngineControl } from "@skylarkmill/adapters";
+import type { KeyValueStore } from "@skylarkmill/coordination";
 import type { ModelId } from "@skylarkmill/protocol";
 import { afterEach, describe, expect, it } from "vitest";
 import { type RepeatingRequest, type RepeatingResponse, startRepeatingServer } from "../support/repeating-server.ts";
@@ -57,3 +58,70 @@
         expect(index.models.map(({ modelId: id }) => id)).toEqual(["m1"]);
     });
 });
+
+const toBase64 = (text: string): string => Buffer.from(text).toString("base64");
+
+// Guards against a transaction or lease whose outcome is that of an earlier call, such as a claim that counts as made
+// though another process holds it.
+describe("a key-value service that sends an earlier response once more", () => {
+    const CALL_COUNT = 6;
+    /** Outcomes in an order in which neither the previous call nor the one before it had the same one. */
+    const isTrue = (index: number): boolean => [0, 3, 4].includes(index);
+    interface Case {
+        readonly name: string;
+        readonly body: (index: number) => object;
+        readonly run: (store: KeyValueStore, index: number) => Promise<unknown>;
+        readonly expected: (index: number) => unknown;
+    }
+    const header = { revision: "7" };
+    const cases: readonly Case[] = [
+        {
+            name: "transaction",
+            body: index => ({ header, ...(isTrue(index) ? { succeeded: true } : {}) }),
+            run: async (store, index) =>
+                (await store.commit({
+                    compare: [{ key: `/k/${index}`, modRevision: 0 }],
+                    puts: [{ key: `/k/${index}`, value: "v" }],
+                }))._unsafeUnwrap().succeeded,
+            expected: isTrue,
+        },
+        {
+            name: "lease",
+            body: index => ({ header, ID: `${index}`, TTL: "5" }),
+            run: async store => (await store.grantLease(5_000))._unsafeUnwrap().leaseId,
+            expected: String,
+        },
+        {
+            name: "renewal",
+            body: index => ({ result: { header, ID: "1", ...(isTrue(index) ? { TTL: "5" } : {}) } }),
+            run: async store => (await store.keepLeaseAlive("1"))._unsafeUnwrap() !== undefined,
+            expected: isTrue,
+        },
+        {
+            name: "key",
+            body: index => ({
+                header,
+                kvs: [{ key: toBase64("/k"), value: toBase64(`${index}`), mod_revision: "7" }],
+            }),
+            run: async store => (await store.get("/k"))._unsafeUnwrap()?.value,
+            expected: String,
+        },
+        {
+            name: "range",
+            body: index => ({ header: { revision: `${index + 1}` } }),
+            run: async store => (await store.range("/k/"))._unsafeUnwrap().revision,
+            expected: index => index + 1,
+        },
+    ];
+
+    it.each(cases)("gives each call its own $name", async ({ body, run, expected }) => {
+        let callCount = 0;
+        const server = await startServer(() => ({ status: 200, body: JSON.stringify(body(callCount++)) }));
+        const store = createEtcdKeyValueStore({ endpoints: [server.url] });
+        cleanups.push(() => store.close());
+        const results: unknown[] = [];
+        for (let index = 0; index < CALL_COUNT; index += 1) results.push(await run(store, index));
+        expect(results).toEqual(results.map((_, index) => expected(index)));
+        expect(server.connectionCount).toBe(CALL_COUNT);
+    });
+});
