fix(adapters): read the host list from the response to that read

Seen: a host list that was sent once more on the kept connection became the result of the next read, so the list stayed one read behind for as long as the copies went on; a host that had left counted as live.

Cause: as for the key-value store; the list's response names no read, and an etag belongs to the copy as well.

Change: each read uses its own connection.

Result: the host list's case in test/adapters/repeated-responses.test.ts fails before (h0, h0, h1, h1 in place of h0 to h3) and passes after.

--- a/packages/adapters/src/node/http-host-list.ts
+++ b/packages/adapters/src/node/http-host-list.ts
@@ -7,9 +7,9 @@
     UnavailableError,
 } from "@skylarkmill/protocol";
 import { err, ok, type Result, ResultAsync } from "neverthrow";
-import { Pool } from "undici";
 import { z } from "zod";
 import { parseJson, sendJsonRequest } from "../runtime/json-request.ts";
+import { createSingleUsePool } from "../runtime/single-use-pool.ts";
 import { trackSend } from "../runtime/tracked-dispatch.ts";
 import type { HostEntry, HostList } from "../types/host-list.ts";
 
@@ -62,7 +62,7 @@
 export function createHttpHostList(options: HttpHostListOptions): HttpHostList {
     const url = new URL(options.url);
     const timeoutMs = options.timeoutMs ?? 2000;
-    const pool = new Pool(url.origin, { connections: 1, pipelining: 1 });
+    const pool = createSingleUsePool(url.origin, 1);
     const dispatcher = pool.compose(trackSend);
     const context = { step: "hosts.read", peer: url.host };
 
--- a/test/adapters/repeated-responses.test.ts
+++ b/test/adapters/repeated-responses.test.ts
@@ -1,4 +1,4 @@
-import { createEtcdKeyValueStore, createTritonEngineControl } from "@skylarkmill/adapters";
+import { createEtcdKeyValueStore, createHttpHostList, createTritonEngineControl } from "@skylarkmill/adapters";
 import type { KeyValueStore } from "@skylarkmill/coordination";
 import type { ModelId } from "@skylarkmill/protocol";
 import { afterEach, describe, expect, it } from "vitest";
@@ -125,3 +125,27 @@
         expect(server.connectionCount).toBe(CALL_COUNT);
     });
 });
+
+// Guards against an unchanged host list that hides a host which has left, or an old list that brings it back.
+it("a host list that is sent once more does not replace the list of a later read", async () => {
+    const names = ["h0", "h1", "h2", "h3"];
+    const createHost = (hostId: string): object => ({
+        hostId,
+        dataCentre: "edinburgh",
+        role: "router",
+        state: "live",
+        address: "127.0.0.1",
+        peerPort: 1,
+        requestPort: 2,
+    });
+    const remaining = [...names];
+    const server = await startServer(() => ({
+        status: 200,
+        body: JSON.stringify({ hosts: [createHost(remaining.shift()!)] }),
+    }));
+    const list = createHttpHostList({ url: `${server.url}/hosts` });
+    cleanups.push(() => list.close());
+    const seen: string[] = [];
+    for (const _ of names) seen.push(...(await list.read())._unsafeUnwrap().map(({ hostId }) => hostId));
+    expect(seen).toEqual(names);
+});
