fix(router, agent): take an answer with another attempt's id for none

Seen: an agent's response that came once more on a kept connection, when the next request had been sent, was taken for that request's answer. A caller was told "not run" for an order that ran, and a caller got the answer of another order.

Cause: routers keep connections to agents, and agents' responses named no attempt, though each request carries an attempt id.

Change: agents repeat the attempt id in every response, also in refusals of an invalid head or key. The router abandons an attempt whose response names another one: its connection closes and the request may have run, as after a broken connection. A response without an id is accepted as before, so that routers work with agents of the previous version during a replacement; with such agents the fault remains.

--- a/packages/agent/src/node/request-server.ts
+++ b/packages/agent/src/node/request-server.ts
@@ -92,10 +92,10 @@
     const { incoming, outgoing } = context.env;
     try {
         const response = await readAndHandle(context, options);
-        if (response.isOk()) return sendResponse(response.value, outgoing, options);
+        if (response.isOk()) return sendResponse(response.value, context, options);
         options.onRefused(response.error);
         if (!incoming.complete) outgoing.setHeader("connection", "close");
-        return sendResponse(createRefusalResponse(response.error), outgoing, options);
+        return sendResponse(createRefusalResponse(response.error), context, options);
     }
     catch (error) {
         options.logger.error(
@@ -154,8 +154,11 @@
     return controller.signal;
 }
 
-function sendResponse(response: AgentResponse, outgoing: ServerResponse, options: RequestServerOptions): Response {
+function sendResponse(response: AgentResponse, context: RequestContext, options: RequestServerOptions): Response {
     const { status, headers, body } = response;
+    const { outgoing } = context.env;
+    const attemptId = context.req.header(HEADERS.attemptId);
+    if (attemptId !== undefined) headers.set(HEADERS.attemptId, attemptId);
     headers.set(HEADERS.load, options.serverLoadHeader());
     if (!headers.has(HEADERS.execution)) headers.set(HEADERS.execution, "run");
     if (body === undefined || typeof body === "string" || body instanceof Uint8Array) {
--- a/packages/router/src/runtime/attempt.ts
+++ b/packages/router/src/runtime/attempt.ts
@@ -102,6 +102,11 @@
         headers: Record<string, string | string[] | undefined>,
     ): void {
         if (this.isCancelled || status < 200) return;
+        const responseAttemptId = headers[HEADERS.attemptId];
+        // Agents before this version don't name the attempt.
+        if (responseAttemptId !== undefined && responseAttemptId !== this.attemptId) {
+            return this.abandon(new Error(`the response belongs to attempt ${String(responseAttemptId)}`));
+        }
         this.head = { status, headers };
         this.server.waitingAttempts.delete(this);
         this.listener.onHead(this, this.head);
--- a/test/agent/serving.test.ts
+++ b/test/agent/serving.test.ts
@@ -33,6 +33,17 @@
         expect(testAgent.engine.executedOrders("load")).toEqual(["load m1 1 1000000"]);
     });
 
+    // Guards against a router that can't tell a request's response from a late copy of another one.
+    it.each<{ name: string; headers: Record<string, string>; status: number; }>([
+        { name: "an answer", headers: {}, status: 200 },
+        { name: "a refusal", headers: { [HEADERS.service]: "other" }, status: 503 },
+        { name: "the refusal of a wrong key", headers: { [HEADERS.peerKey]: "wrong" }, status: 401 },
+        { name: "the refusal of an invalid head", headers: { [HEADERS.remainingMs]: "soon" }, status: 400 },
+    ])("names the attempt in $name", async ({ headers, status }) => {
+        const response = await testAgent.request({ ...MODEL_HEADERS, [HEADERS.attemptId]: "attempt-x", ...headers });
+        expect([response.status, response.headers.get(HEADERS.attemptId)]).toEqual([status, "attempt-x"]);
+    });
+
     // Guards against requests to an engine within the time for which it wants none.
     it.each([
         { retryAfter: "0.6", holdMs: 600 },
