fix(gateway): take a peer's response with another call's id for none

Seen, with a peer whose earlier response came once more on a kept connection: a gateway took it for the response to its next call, and followed an old copy of the keys (revision 2 in place of 4).

Cause: the peer client keeps connections to other gateways, and their responses named no call.

Change: each call has an id, which the peer's interface repeats in every response. A response with another id counts as none and its connection is closed. One without an id is accepted, so that gateways of the previous version can be replaced one by one; with these the fault remains.

--- a/packages/gateway/src/node/peer-app.ts
+++ b/packages/gateway/src/node/peer-app.ts
@@ -1,3 +1,4 @@
+import { HEADERS } from "@skylarkmill/protocol";
 import { type Context, Hono } from "hono";
 import type { CrashSuspects } from "../runtime/crash-suspects.ts";
 import type { EngineCommandRunner } from "../runtime/engine-command-runner.ts";
@@ -28,6 +29,11 @@
 export function createPeerApp(options: PeerAppOptions): Hono {
     const { planner, commandRunner, directory, view, crashSuspects, metrics } = options;
     const app = new Hono();
+    app.use(async (c, next) => {
+        await next();
+        const callId = c.req.header(HEADERS.callId);
+        if (callId !== undefined) c.header(HEADERS.callId, callId);
+    });
     app.post("/v1/demand", async c => {
         if (!planner.isActive) return respondNotPlanner(c);
         const message = demandSchema.safeParse(await readJson(c));
--- a/packages/gateway/src/node/peer-client.ts
+++ b/packages/gateway/src/node/peer-client.ts
@@ -1,5 +1,5 @@
 import { StallTimer } from "@skylarkmill/coordination";
-import { ProtocolError, UnavailableError } from "@skylarkmill/protocol";
+import { HEADERS, ProtocolError, UnavailableError } from "@skylarkmill/protocol";
 import { err, ok, type Result } from "neverthrow";
 import { Agent } from "undici";
 import type { z } from "zod";
@@ -32,6 +32,7 @@
         keepAliveTimeout: 10_000,
         maxResponseSize: MAX_RESPONSE_BYTES,
     });
+    private nextCallId = 1;
 
     /** Sends the planner this gateway's demand and the state of the engines that it controls. */
     async sendDemand(address: string, message: DemandMessage): Promise<Result<DemandResponse | undefined, PeerError>> {
@@ -96,15 +97,25 @@
         body?: string,
     ): Promise<Result<string, PeerError>> {
         const context = { step: `peer ${method} ${path}`, peer: address };
+        const callId = String(this.nextCallId++);
         const timer = new StallTimer(CALL_TIMEOUT_MS, timeoutMs + RESPONSE_TIMEOUT_MS, timeoutMs);
         try {
             const response = await this.agent.request({
                 origin: `http://${address}`,
                 method,
                 path,
-                ...(body === undefined ? {} : { body, headers: { "content-type": "application/json" } }),
+                headers: {
+                    [HEADERS.callId]: callId,
+                    ...(body === undefined ? {} : { "content-type": "application/json" }),
+                },
+                ...(body === undefined ? {} : { body }),
                 signal: timer.signal,
             });
+            // Gateways of an earlier version don't name the call.
+            if ((response.headers[HEADERS.callId] ?? callId) !== callId) {
+                response.body.on("error", () => undefined).destroy();
+                return err(new UnavailableError("the peer's response belongs to another call", context));
+            }
             const text = await timer.readText(response.body as AsyncIterable<Uint8Array>);
             if (response.statusCode < 300) return ok(text);
             return err(new UnavailableError(`the peer responded with status ${response.statusCode}`, context));
--- a/packages/protocol/src/types/headers.ts
+++ b/packages/protocol/src/types/headers.ts
@@ -19,4 +19,6 @@
     load: "x-skylarkmill-load",
     /** `not_run` or `unknown` on an agent's refusal; `run` on a relayed response. */
     execution: "x-skylarkmill-execution",
+    /** Names a call between gateways; the response repeats it. */
+    callId: "x-skylarkmill-call-id",
 } as const;
