fix(control): take an operators' call's result from its own response

Seen, with a router, or a proxy ahead of it, that sent an earlier response once more on a kept connection: a call showed the result of an earlier one (of six calls, four).

Cause: the client used undici's shared agent, which keeps connections between the calls of one command, such as an edit and the reads that follow it; responses name no call.

Change: each call closes its connection.

Result: test/control/repeated-responses.test.ts fails before and passes after; test/control/operator-commands passes (30 with the new case).

--- a/packages/control/src/cli/operator-client.ts
+++ b/packages/control/src/cli/operator-client.ts
@@ -64,6 +64,8 @@
                 },
                 ...(body === undefined ? {} : { body: JSON.stringify(body) }),
                 signal: AbortSignal.timeout(this.options.timeoutMs),
+                // Closes the connection, on which a late copy of this response could be taken for the next one.
+                reset: true,
             });
             return { status: response.statusCode, body: await response.body.json() as RouterResponse["body"] };
         };
