fix(platform, adapters): end calls whose server switches protocols

An order to an engine, the read of its report, or an agent's request never ended if the server answered with status 101: neither the time limit nor the abort signal had an effect, and the caller's place or the engine's order stayed taken.

Cause: Node's client then closes the connection and emits neither an error nor a response, and a destroyed request ignores a later abort.

Now the close of a connection without a response is a failure: an order's outcome is unknown, a report is an error, a request may have run.

--- a/packages/adapters/src/node/backend-client.ts
+++ b/packages/adapters/src/node/backend-client.ts
@@ -62,6 +62,8 @@
                 }));
             limitInformationalResponses(request);
             request.on("error", fail);
+            // A switch of protocols closes the connection with neither an error nor a response.
+            request.once("close", () => fail(new Error("the connection closed before a response arrived")));
             request.once("response", response => {
                 // A body that is discarded or aborted before it is read emits `error`, which ends the process if there
                 // is no listener.
--- a/test/adapters/cut-responses.test.ts
+++ b/test/adapters/cut-responses.test.ts
@@ -169,3 +169,13 @@
         20_000,
     );
 });
+
+// Guards against a request that never ends: Node's client reports no error after a switch of protocols.
+describe.each(CLIENTS)("$name: a switch of protocols that was not asked for", client => {
+    it.each(ENDINGS)("is an error: %s", async ending => {
+        const bytes = "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n";
+        const late = new Promise<string>(resolve => setTimeout(() => resolve("never settled"), 3 * TIMEOUT_MS).unref());
+        const call = callServer(client, bytes, ending).then(result => result.isOk() ? "ok" : result.error.code);
+        expect(client.codes).toContain(await Promise.race([call, late]));
+    });
+});
