fix(signals): keep a listener of SIGTERM when a stop begins

What callers saw: a process that got SIGTERM twice at once ended in the middle of its requests, by the signal instead of with exit code 0. The log had neither `stop` nor `stopped`.

Cause: the listener removed itself before it added the one for further signals. Node takes the last listener's removal as a reason to restore the default action, which ends the process if the second signal arrives before the next listener is there.

Change: the listeners stay and look at whether the stop has begun. Routers, agents, gateways and stand-ins share this function.

Evidence: test/cli/signals.test.ts fails before (2 of 2: no listener for a moment) and passes after.

--- a/packages/skylarkmill/src/node/run-until-signal.ts
+++ b/packages/skylarkmill/src/node/run-until-signal.ts
@@ -6,16 +6,20 @@
  */
 export async function runUntilSignal(stop: () => Promise<void>, logger?: Logger): Promise<number> {
     await new Promise<void>(resolve => {
-        const onSignal = (): void => {
-            for (const signal of ["SIGTERM", "SIGINT"] as const) process.off(signal, onSignal);
-            process.on(
-                "SIGTERM",
-                () => logger?.info({ step: "stop" }, "SIGTERM received again; the stop in progress continues"),
-            );
-            process.once("SIGINT", () => process.exit(1));
+        let isStopping = false;
+        const beginStop = (): void => {
+            isStopping = true;
             resolve();
         };
-        process.on("SIGTERM", onSignal).on("SIGINT", onSignal);
+        // The listeners stay, since a signal without one ends the process.
+        process.on("SIGTERM", () => {
+            if (isStopping) logger?.info({ step: "stop" }, "SIGTERM received again; the stop in progress continues");
+            else beginStop();
+        });
+        process.on("SIGINT", () => {
+            if (isStopping) process.exit(1);
+            else beginStop();
+        });
     });
     await stop();
     return 0;
