test: add a soak of gateways as processes under overlapping signals

Gateways run as processes in front of stand-in engines and plain services that send streams and bodies in all framings, and get seeded series of signals that overlap: SIGTERM once and twice, SIGHUP, SIGKILL, SIGSTOP and SIGCONT, with restarts at once on the same ports, changes of the configuration and failing servers. Callers keep their connections, use one for each request, speak HTTP/1.0, read slowly, and resume broken streams at any gateway. The callers' bytes are compared with the servers' journals: whole or recognizably cut, in order, run at most as often as allowed, refused as not run only if it didn't; around planned work alone nothing that was read is lost; no process ends by itself. Streams without a length that close in order between two events are not generated, since they can't be told from their end.

--- a/test/platform/stand-ins/platform-server.ts
+++ b/test/platform/stand-ins/platform-server.ts
@@ -114,6 +114,8 @@
     readonly uploadPauseMs?: number;
     /** Length of a plain service's response bodies; by default they only name the server. */
     readonly bodyByteCount?: number;
+    /** Whether bodies and events name their request, so that a response of another one can be told from it. */
+    readonly namesRequests?: boolean;
     /** Start of the server process as Unix time. */
     readonly bornAtMs?: number;
 }
@@ -377,7 +379,7 @@
         headers: Record<string, string>,
         fault: ServerFault | undefined,
     ): void {
-        const body = `done by ${this.id}`.padEnd(this.options.bodyByteCount ?? 0, ".");
+        const body = this.createBody(String(headers["x-attempt-id"]));
         const rawHeaders = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join("");
         if (fault === "reset_with_last_bytes") {
             request.socket.write(`HTTP/1.1 200 OK\r\n${rawHeaders}Connection: close\r\n\r\n${body}`);
@@ -400,6 +402,20 @@
         else response.end();
     }
 
+    /** Returns the whole body of a plain service's response. */
+    createBody(requestId: string): string {
+        return `${this.namePrefix(requestId)}done by ${this.id}`.padEnd(this.options.bodyByteCount ?? 0, ".");
+    }
+
+    /** Returns an event of a stream. */
+    createEvent(requestId: string, eventId: number): string {
+        return `id: ${eventId}\ndata: ${this.namePrefix(requestId)}piece ${eventId}\n\n`;
+    }
+
+    private namePrefix(requestId: string): string {
+        return this.options.namesRequests === true ? `${requestId} ` : "";
+    }
+
     private sendStreamHead(response: ServerResponse, headers: Record<string, string>): void {
         response.writeHead(200, { ...headers, "content-type": "text/event-stream" });
     }
@@ -420,7 +436,7 @@
         const count = this.options.eventCount ?? 6;
         const first = Number(request.headers["last-event-id"] ?? (hasFirstEvent ? 1 : 0)) + 1;
         for (let id = first; id <= count; id += 1) {
-            const text = `id: ${id}\ndata: piece ${id}\n\n`;
+            const text = this.createEvent(String(request.headers["x-attempt-id"]), id);
             if (fault === "closed_within_event" && id === first + 2) {
                 response.write(text.slice(0, 8));
                 await sleep(5);
--- /dev/null
+++ b/test/soak/soak.ts
@@ -0,0 +1,189 @@
+import { createRandom, type RandomSource } from "@skylarkmill/policy";
+import { mkdirSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
+import { createConfigurationDocument, HOST, PlatformFixture } from "../platform/stand-ins/fixture.ts";
+import { callRaw, KeptConnection, type RawCall, type RawResult } from "../support/raw-caller.ts";
+import { checkCall, EVENT_COUNT, type SoakCall, STREAM_PATHS } from "./check-call.ts";
+import { GatewayRunner } from "./gateway-runner.ts";
+import { createPlan, type Step } from "./plan.ts";
+
+export interface SoakOptions {
+    readonly seed: number;
+    readonly gatewayCount: number;
+    readonly durationMs: number;
+    /** Whether only planned work happens, around which no request may be lost. */
+    readonly isPlanned: boolean;
+    /** Folder for settings files and, after a violation, the plan and the logs of the processes. */
+    readonly folder: string;
+}
+
+export interface SoakReport {
+    /** Number of calls that got a response, and of those that got a whole one with status 200. */
+    readonly answerCount: number;
+    readonly completeCount: number;
+    readonly violations: readonly string[];
+}
+
+const CALLER_COUNT = 24;
+const CALLER_PAUSE_MS = 20;
+const MAX_READ_DELAY_MS = 1_500;
+const MAX_RESUMPTIONS = 3;
+const DEADLINE_MS = "7000";
+const ROUTE_TIMEOUT_MS = 10_000;
+/** Streams last from 0.2 to 4.8 s; in planned work up to 0.8 s, so that each fits into a stop. */
+const EVENT_INTERVALS_MS = [5, 40, 120];
+const PLANNED_EVENT_INTERVALS_MS = [5, 10, 20];
+/** Exceeds what the sockets between gateway and caller hold. */
+const BULK_BYTES = 4 * 1024 * 1024;
+const PATHS = [...STREAM_PATHS, ...STREAM_PATHS, "/orders/x", "/orders/x", "/lookup/x", "/bulk/x"];
+/** Time after the starts within which the gateways read the servers' entries. */
+const SETTLE_MS = 2_000;
+
+/** Runs gateways as processes through a random plan, with callers of several kinds, and checks what they saw. */
+export class Soak {
+    private readonly calls: SoakCall[] = [];
+    private readonly gateways: GatewayRunner[] = [];
+    private readonly random: RandomSource;
+    private isEnding = false;
+    private version = 1;
+
+    private constructor(private readonly options: SoakOptions, private readonly fixture: PlatformFixture) {
+        this.random = createRandom(options.seed);
+    }
+
+    static async run(options: SoakOptions): Promise<SoakReport> {
+        const soak = new Soak(options, await PlatformFixture.start());
+        return await soak.run().finally(() => soak.close());
+    }
+
+    private async close(): Promise<void> {
+        await Promise.all(this.gateways.map(gateway => gateway.stop()));
+        await this.fixture.close();
+    }
+
+    private async run(): Promise<SoakReport> {
+        const { gatewayCount, durationMs, isPlanned, folder } = this.options;
+        mkdirSync(folder, { recursive: true });
+        await this.startFleet();
+        const plan = createPlan(this.random, gatewayCount, durationMs, isPlanned);
+        const callers = Array.from({ length: CALLER_COUNT }, (_, index) => this.runCaller(index));
+        const startedAtMs = performance.now();
+        for (const step of plan) {
+            await sleep(startedAtMs + step.atMs - performance.now());
+            this.applyStep(step);
+        }
+        for (const gateway of this.gateways) gateway.signal("SIGCONT");
+        this.isEnding = true;
+        await Promise.all(callers);
+        await Promise.all(this.gateways.map(gateway => gateway.stop()));
+        const violations = this.calls.flatMap(call => checkCall(call, this.fixture.servers, isPlanned));
+        violations.push(...this.gateways.flatMap(gateway => gateway.violations));
+        if (violations.length > 0) this.writeRecords(plan, violations);
+        const answers = this.calls.filter(({ result }) => result !== undefined && result.status > 0);
+        const completeCount = answers.filter(({ result }) => result!.status === 200 && result!.isComplete).length;
+        return { answerCount: answers.length, completeCount, violations };
+    }
+
+    private async startFleet(): Promise<void> {
+        this.applyConfiguration(ROUTE_TIMEOUT_MS);
+        const intervals = this.options.isPlanned ? PLANNED_EVENT_INTERVALS_MS : EVENT_INTERVALS_MS;
+        for (const [index, eventIntervalMs] of intervals.entries()) {
+            const pace = { eventIntervalMs, responseDelayMs: 30 * index };
+            const common = { ...pace, eventCount: EVENT_COUNT, namesRequests: true };
+            await this.fixture.addServer({ id: `e${index}`, service: "assistant", models: ["m1"], ...common });
+            await this.fixture.addServer({ id: `d${index}`, service: "desk", ...common });
+            await this.fixture.addServer({ id: `b${index}`, service: "bulk", bodyByteCount: BULK_BYTES, ...common });
+        }
+        for (let index = 0; index < this.options.gatewayCount; index += 1) {
+            const settings = await this.fixture.createSettings(`edge-${index}`);
+            this.gateways.push(new GatewayRunner(settings, this.options.folder));
+            this.gateways.at(-1)!.start();
+            await this.gateways.at(-1)!.waitForLine(/"step":"start"/);
+        }
+        await sleep(SETTLE_MS);
+    }
+
+    private applyConfiguration(timeoutMs: number): void {
+        this.version += 1;
+        const document = createConfigurationDocument(this.version, {}, timeoutMs);
+        const routes = document["routes"] as { readonly name: string; }[];
+        const orders = routes.find(({ name }) => name === "orders");
+        routes.push({ ...orders, name: "bulk", ...{ prefix: "/bulk/", service: "bulk" } });
+        (document["services"] as object[]).push({ name: "bulk", max_connections: 50 });
+        this.fixture.store.put("op/config", document);
+    }
+
+    private applyStep(step: Step): void {
+        if (step.kind === "configuration") this.applyConfiguration(step.timeoutMs);
+        else if (step.kind === "signal") this.gateways[step.gateway]!.signal(step.signal);
+        else for (const server of this.fixture.servers) server.faults.push(step.fault);
+    }
+
+    /** Callers with an even number use a connection for as long as it is open, the others one for each request. */
+    private async runCaller(index: number): Promise<void> {
+        while (!this.isEnding) {
+            if (index % 2 === 0) await this.useConnection(this.pick(this.gateways));
+            else await this.callAndResume();
+            await sleep(CALLER_PAUSE_MS);
+        }
+    }
+
+    private async useConnection(gateway: GatewayRunner): Promise<void> {
+        const connection = new KeptConnection(gateway.port);
+        let isLast = false;
+        while (connection.isOpen && !this.isEnding && !isLast) {
+            const result = await this.call(gateway, this.pick(PATHS), "1.1", 0, call => connection.send(call));
+            isLast = result === undefined || result.isLast;
+            await sleep(this.random.index(CALLER_PAUSE_MS));
+        }
+        connection.close();
+    }
+
+    /** Sends a request; a stream that breaks and may be resumed is resumed at any gateway. */
+    private async callAndResume(): Promise<void> {
+        const path = this.pick(PATHS);
+        const version = this.pick(["1.0", "1.1", "1.1"] as const);
+        let lastEventId = 0;
+        for (let count = 0; count <= MAX_RESUMPTIONS && lastEventId < EVENT_COUNT; count += 1) {
+            const result = await this.call(this.pick(this.gateways), path, version, lastEventId, callRaw);
+            if (path !== "/chat/x" || result?.status !== 200 || result.isComplete) return;
+            lastEventId += result.text.split("\n\n").length - 1;
+        }
+    }
+
+    private async call(
+        { port, spec, killedAtMs }: GatewayRunner,
+        path: string,
+        version: "1.0" | "1.1",
+        lastEventId: number,
+        send: (call: RawCall) => Promise<RawResult>,
+    ): Promise<RawResult | undefined> {
+        const id = this.fixture.newId();
+        const headers: Record<string, string> = { "host": HOST, "x-attempt-id": id, "x-deadline-ms": DEADLINE_MS };
+        if (STREAM_PATHS.includes(path)) headers["x-model"] = "m1";
+        if (lastEventId > 0) headers["last-event-id"] = String(lastEventId);
+        const readDelayMs = path === "/bulk/x" ? this.random.index(MAX_READ_DELAY_MS) : 0;
+        const sentAtMs = performance.now();
+        // A connection that can't be opened or written has brought no response.
+        const result = await send({ port, path, version, headers, readDelayMs }).catch(() => undefined);
+        const tookMs = performance.now() - sentAtMs;
+        const wasKilled = killedAtMs.some(atMs => atMs >= sentAtMs);
+        this.calls.push({ id, path, version, gateway: spec.name, lastEventId, tookMs, result, wasKilled });
+        return result;
+    }
+
+    private writeRecords(plan: readonly Step[], violations: readonly string[]): void {
+        const write = (name: string, text: string): void => writeFileSync(join(this.options.folder, name), text);
+        write("violations.txt", violations.join("\n"));
+        write("plan.json", JSON.stringify(plan, undefined, 1));
+        for (const { spec, lines } of this.gateways) write(`${spec.name}.log`, lines.join("\n"));
+    }
+
+    private pick<T>(items: readonly T[]): T {
+        return items[this.random.index(items.length)]!;
+    }
+}
+
+function sleep(durationMs: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, Math.max(0, durationMs)));
+}
--- a/test/support/raw-caller.ts
+++ b/test/support/raw-caller.ts
@@ -1,5 +1,5 @@
 import { detectReset } from "@skylarkmill/coordination";
-import { connect } from "node:net";
+import { connect, type Socket } from "node:net";
 
 export interface RawCall {
     readonly port: number;
@@ -17,15 +17,68 @@
     readonly ending: "closed" | "reset";
     /** Whether the response is complete by HTTP (RFC 9112, section 8). */
     readonly isComplete: boolean;
+    /** Number of bytes behind the end of the response. */
+    readonly extraByteCount: number;
+    /** Whether the response says that its connection ends. */
+    readonly isLast: boolean;
+}
+
+/** A connection on which one request follows the other until it ends. */
+export class KeptConnection {
+    private received = "";
+    private ending: RawResult["ending"] | undefined;
+    private wake: () => void = () => undefined;
+    private readonly socket: Socket;
+
+    constructor(port: number) {
+        let ending: RawResult["ending"] = "closed";
+        this.socket = connect(port, "127.0.0.1").setEncoding("latin1");
+        this.socket.on("data", text => {
+            this.received += String(text);
+            this.wake();
+        });
+        this.socket.on("error", () => {
+            ending = "reset";
+        });
+        detectReset(this.socket, () => {
+            ending = "reset";
+        });
+        this.socket.once("close", () => {
+            this.ending = ending;
+            this.wake();
+        });
+    }
+
+    get isOpen(): boolean {
+        return this.ending === undefined;
+    }
+
+    /** Sends a request and reads until its response is complete or the connection ends. */
+    async send({ path, headers }: Pick<RawCall, "path" | "headers">): Promise<RawResult> {
+        this.socket.write(`POST ${path} HTTP/1.1\r\n${formatHeaders({ ...headers, "content-length": "0" })}\r\n`);
+        for (;;) {
+            const result = parseResponse(this.received, this.ending ?? "reset");
+            if (result.isComplete || result.extraByteCount > 0 || !this.isOpen) {
+                this.received = "";
+                return result;
+            }
+            await new Promise<void>(resolve => {
+                this.wake = resolve;
+            });
+        }
+    }
+
+    close(): void {
+        this.socket.destroy();
+    }
 }
 
 /** Sends a request on a connection of its own and reads until the connection ends, so that its ending can be checked. */
 export function callRaw({ port, path, version, headers, readDelayMs = 0 }: RawCall): Promise<RawResult> {
     return new Promise((resolve, reject) => {
-        const lines = Object.entries({ ...headers, "content-length": "0", "connection": "close" })
-            .map(([name, value]) => `${name}: ${value}\r\n`);
+        const lines = formatHeaders({ ...headers, "content-length": "0", "connection": "close" });
         const socket = connect(port, "127.0.0.1", () => {
-            socket.write(`POST ${path} HTTP/${version}\r\n${lines.join("")}\r\n`);
+            socket.write(`POST ${path} HTTP/${version}\r\n${lines}\r\n`);
         });
         if (readDelayMs > 0) {
             socket.pause();
@@ -45,29 +98,45 @@
     });
 }
 
+function formatHeaders(headers: Readonly<Record<string, string>>): string {
+    return Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join("");
+}
+
 function parseResponse(response: string, ending: RawResult["ending"]): RawResult {
     const headEnd = response.indexOf("\r\n\r\n");
-    if (headEnd < 0) return { status: 0, text: "", framing: "none", ending, isComplete: false };
+    if (headEnd < 0) {
+        return { status: 0, text: "", framing: "none", ending, isComplete: false, extraByteCount: 0, isLast: true };
+    }
     const head = response.slice(0, headEnd);
     const body = response.slice(headEnd + 4);
     const status = Number(head.split(" ")[1]);
+    const isLast = /\r\nconnection: *close/i.test(head);
     const length = /\r\ncontent-length: *(\d+)/i.exec(head)?.[1];
     if (/\r\ntransfer-encoding: *chunked/i.test(head)) {
-        return { status, framing: "chunked", ending, ...decodeChunks(body) };
+        return { status, framing: "chunked", ending, isLast, ...decodeChunks(body) };
     }
-    if (length !== undefined) {
-        return { status, text: body, framing: "length", ending, isComplete: body.length === Number(length) };
-    }
-    return { status, text: body, framing: "none", ending, isComplete: ending === "closed" };
+    const byteCount = length === undefined ? body.length : Number(length);
+    return {
+        status,
+        text: body.slice(0, byteCount),
+        framing: length === undefined ? "none" : "length",
+        ending,
+        isComplete: length === undefined ? ending === "closed" : body.length === byteCount,
+        extraByteCount: Math.max(0, body.length - byteCount),
+        isLast,
+    };
 }
 
-function decodeChunks(body: string): { text: string; isComplete: boolean; } {
+function decodeChunks(body: string): Pick<RawResult, "text" | "isComplete" | "extraByteCount"> {
     let text = "";
     for (let offset = 0;;) {
         const lineEnd = body.indexOf("\r\n", offset);
         const size = lineEnd < 0 ? NaN : Number.parseInt(body.slice(offset, lineEnd), 16);
-        if (Number.isNaN(size)) return { text, isComplete: false };
-        if (size === 0) return { text, isComplete: body.startsWith("\r\n", lineEnd + 2) };
+        if (Number.isNaN(size)) return { text, isComplete: false, extraByteCount: 0 };
+        if (size === 0) {
+            const isComplete = body.startsWith("\r\n", lineEnd + 2);
+            return { text, isComplete, extraByteCount: isComplete ? body.length - lineEnd - 4 : 0 };
+        }
         text += body.slice(lineEnd + 2, lineEnd + 2 + size);
         offset = lineEnd + 2 + size + 2;
     }
--- a/test/support/spawned-process.ts
+++ b/test/support/spawned-process.ts
@@ -38,6 +38,8 @@
     private child: ChildProcess | undefined;
     /** Exit code of the last run; -1 if a signal ended it, undefined while the process runs. */
     exitCode: number | undefined;
+    /** Called when a run ends. */
+    onExit: () => void = () => undefined;
 
     constructor(spec: ProcessSpec) {
         this.spec = spec;
@@ -72,6 +74,7 @@
             this.child = undefined;
             this.exitCode = code ?? -1;
             this.addLine(`exited with ${code ?? signal}`);
+            this.onExit();
         });
     }
 
