--- a/test/soak/gateway-runner.ts
+++ b/test/soak/gateway-runner.ts
@@ -8,6 +8,8 @@
 export class GatewayRunner extends SpawnedProcess {
     readonly port: number;
     readonly killedAtMs: number[] = [];
+    /** Times of the first SIGTERM of each process. */
+    readonly terminatedAtMs: number[] = [];
     readonly violations: string[] = [];
     private shouldRestart = true;
     private isKilled = false;
@@ -36,6 +38,7 @@
         if (lines.length === 0 && signal !== "SIGKILL") return;
         if (signal === "SIGKILL") this.killedAtMs.push(performance.now());
         this.isKilled ||= signal === "SIGKILL";
+        if (signal === "SIGTERM" && !this.isTerminated) this.terminatedAtMs.push(performance.now());
         this.isTerminated ||= signal === "SIGTERM";
         this.mustExitInOrder ||= signal === "SIGTERM" && lines.some(line => line.includes('"step":"start"'));
         super.signal(signal);
