test(cli): hold ports outside the range of outgoing connections

The tests that free a port held it by an outgoing connection, whose port the system chooses.

These tests now hold a port of `findFreePort` by a server; the rest is unchanged. The wait for a connection's port is still tested by the stops and the addresses of another host, which don't free it.

--- a/test/cli/ports-in-use.test.ts
+++ b/test/cli/ports-in-use.test.ts
@@ -9,6 +9,7 @@
 import { HOST, PlatformFixture } from "../platform/stand-ins/fixture.ts";
 import { formatSettings } from "../platform/stand-ins/gateway-process.ts";
 import { eventually } from "../support/eventually.ts";
+import { findFreePort } from "../support/free-ports.ts";
 import { callRaw } from "../support/raw-caller.ts";
 import { SpawnedProcess } from "../support/spawned-process.ts";
 
@@ -91,22 +92,26 @@
     }
 }
 
-function startServer(): Promise<Server> {
-    return new Promise(resolve => {
+function startServer(port: number): Promise<Server> {
+    return new Promise((resolve, reject) => {
         const server = createServer(socket => socket.on("error", () => undefined));
-        server.listen(0, "127.0.0.1", () => resolve(server));
+        server.once("error", reject);
+        server.listen(port, "127.0.0.1", () => resolve(server));
     });
 }
 
 async function holdByServer(): Promise<PortHolder> {
-    const server = await startServer();
-    const { port } = server.address() as AddressInfo;
+    const port = await findFreePort();
+    const server = await startServer(port);
     return { port, free: async () => void server.close() };
 }
 
-/** The system chooses the port of an outgoing connection, and nothing else may listen on it meanwhile. */
+/**
+ * The system chooses the port of an outgoing connection, and nothing else may listen on it meanwhile. Once it is free,
+ * the system may give it to another connection.
+ */
 async function holdByConnection(): Promise<PortHolder> {
-    const server = await startServer();
+    const server = await startServer(0);
     const socket = connect((server.address() as AddressInfo).port, "127.0.0.1");
     await once(socket, "connect");
     return {
@@ -131,24 +136,21 @@
 /** What holds for a gateway while one of its ports is in use. */
 const cases: readonly {
     readonly held: Port;
-    readonly holder: Holder;
     readonly step: string;
     /** Status of the readiness check; undefined if it can't be asked. */
     readonly readyStatus: number | undefined;
     readonly servesCallers: boolean;
     readonly isMember: boolean;
 }[] = [
-    ...(["connection", "server"] as const).map(holder => ({
-        held: "front" as const,
-        holder,
+    {
+        held: "front",
         step: "caller.listen",
         readyStatus: 503,
         servesCallers: false,
         isMember: true,
-    })),
+    },
     {
         held: "ready",
-        holder: "connection",
         step: "ready.listen",
         readyStatus: undefined,
         servesCallers: true,
@@ -156,7 +158,6 @@
     },
     {
         held: "control",
-        holder: "connection",
         step: "peer.listen",
         readyStatus: 200,
         servesCallers: true,
@@ -168,10 +169,10 @@
 describe.concurrent("a gateway whose port is in use when it starts", () => {
     // Guards against a process that ends by itself because another program holds one of its ports for long.
     it.each(cases)(
-        "performs its other duties until a $holder frees port $held",
+        "performs its other duties until port $held is free",
         { timeout: 60_000 },
         expected =>
-            withSetting(expected, async setting => {
+            withSetting({ held: expected.held, holder: "server" }, async setting => {
                 const { gateway, holder } = setting;
                 const listLines = (text: string): string[] =>
                     gateway.lines.filter(line =>
