fix(router): wait for a port that is in use instead of ending

What operators saw: a router whose callers', operators' or peer port another program held for a moment ended by itself with exit code 1, and a SIGTERM during the start ended it by the signal.

Each port was tried once, and the command listened for signals only after the start.

Change: the router takes each port as soon as it is free. Nothing starts before the peer port is bound, as before; the other two no longer wait for each other. It says that it is ready only with its callers' port. Signals are awaited alongside the start of routers and agents. The peer port of an agent is still bound exclusively with a time limit, since only one agent may order an engine.

Evidence: test/cli/ports-in-use.test.ts, with real processes: the 6 tests of a router failed before (exit code 1 for each of the ports) and pass after.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -10,7 +10,13 @@
     type ListenWhenFreeOptions,
 } from "./node/http-server.ts";
 export { createPeerClient, type PeerClient, type PeerClientOptions } from "./node/peer-client.ts";
-export { createPeerServer, isAcceptedSecret, type PeerServer, type PeerServerOptions } from "./node/peer-server.ts";
+export {
+    createPeerServer,
+    createPeerServerWhenFree,
+    isAcceptedSecret,
+    type PeerServer,
+    type PeerServerOptions,
+} from "./node/peer-server.ts";
 export { createRecordStore, type RecordStoreOptions } from "./node/record-store.ts";
 export * from "./runtime/log-limiter.ts";
 export * from "./runtime/mailbox.ts";
--- a/packages/coordination/src/node/http-server.ts
+++ b/packages/coordination/src/node/http-server.ts
@@ -19,7 +19,7 @@
  * const port = await listen(server, { host: "127.0.0.1", port: 0 }, "caller.listen");
  */
 export function listen(
-    server: Server,
+    server: NetServer,
     address: ListenAddress,
     step: string,
 ): ResultAsync<number, UnavailableError> {
@@ -55,7 +55,7 @@
  * const port = await listenWhenFree(server, address, { step: "caller.listen", logger, signal });
  */
 export function listenWhenFree(
-    server: Server,
+    server: NetServer,
     address: ListenAddress,
     options: ListenWhenFreeOptions,
 ): ResultAsync<number | undefined, UnavailableError> {
@@ -66,7 +66,7 @@
 }
 
 async function bindWhenFree(
-    server: Server,
+    server: NetServer,
     address: ListenAddress,
     { step, logger, signal }: ListenWhenFreeOptions,
 ): Promise<number | undefined> {
@@ -101,7 +101,7 @@
     return undefined;
 }
 
-function bind(server: Server, { host, port }: ListenAddress): Promise<number> {
+function bind(server: NetServer, { host, port }: ListenAddress): Promise<number> {
     return new Promise((resolve, reject) => {
         const onListening = (): void => {
             server.off("error", onError);
--- a/packages/coordination/src/node/peer-server.ts
+++ b/packages/coordination/src/node/peer-server.ts
@@ -1,12 +1,14 @@
 import { Code, ConnectError, type Interceptor, type ServiceImpl } from "@connectrpc/connect";
 import { connectNodeAdapter } from "@connectrpc/connect-node";
-import { PeerService, UnavailableError } from "@skylarkmill/protocol";
-import { ResultAsync } from "neverthrow";
+import { PeerService, type UnavailableError } from "@skylarkmill/protocol";
+import type { ResultAsync } from "neverthrow";
 import { createHash, timingSafeEqual } from "node:crypto";
 import { createServer, type Http2Server, type ServerHttp2Session } from "node:http2";
-import type { AddressInfo } from "node:net";
+import { listen, listenWhenFree, type ListenWhenFreeOptions } from "./http-server.ts";
 import { MAX_PEER_MESSAGE_BYTES } from "./peer-client.ts";
 
+const LISTEN_STEP = "peer.listen";
+
 export interface PeerServerOptions {
     readonly host: string;
     /** 0 selects a free port. */
@@ -47,6 +49,32 @@
  * const server = await createPeerServer({ host: "127.0.0.1", port: 7001, keys, handlers });
  */
 export function createPeerServer(options: PeerServerOptions): ResultAsync<PeerServer, UnavailableError> {
+    const { server, sessions } = createHttpServer(options);
+    return listen(server, options, LISTEN_STEP).map(port => toPeerServer(port, server, sessions));
+}
+
+/**
+ * Like `createPeerServer`, but waits for a port that is in use, and returns undefined if the signal aborts first. Only
+ * for processes of which a host may run several.
+ *
+ * @example
+ * const server = await createPeerServerWhenFree({ ...options, logger, signal });
+ */
+export function createPeerServerWhenFree(
+    options: PeerServerOptions & Omit<ListenWhenFreeOptions, "step">,
+): ResultAsync<PeerServer | undefined, UnavailableError> {
+    const { server, sessions } = createHttpServer(options);
+    return listenWhenFree(server, options, { ...options, step: LISTEN_STEP })
+        .map(port => port === undefined ? undefined : toPeerServer(port, server, sessions));
+}
+
+function toPeerServer(port: number, server: Http2Server, sessions: ReadonlySet<ServerHttp2Session>): PeerServer {
+    return { port, close: () => closePeerServer(server, sessions) };
+}
+
+function createHttpServer(
+    options: PeerServerOptions,
+): { readonly server: Http2Server; readonly sessions: ReadonlySet<ServerHttp2Session>; } {
     const requirePeerKey: Interceptor = next => request => {
         if (isAcceptedSecret(request.header.get("authorization") ?? undefined, options.keys())) return next(request);
         options.onRefused?.("key");
@@ -69,16 +97,7 @@
         grpc: false,
         grpcWeb: false,
     }));
-    const sessions = trackSessions(server);
-    return ResultAsync.fromPromise(
-        bindPeerServer(server, options, sessions),
-        cause =>
-            new UnavailableError(`The peer server cannot bind ${options.host}:${options.port}.`, {
-                step: "peer.listen",
-                peer: `${options.host}:${options.port}`,
-                cause,
-            }),
-    );
+    return { server, sessions: trackSessions(server) };
 }
 
 function trackSessions(server: Http2Server): Set<ServerHttp2Session> {
@@ -92,23 +111,6 @@
     return sessions;
 }
 
-function bindPeerServer(
-    server: Http2Server,
-    options: PeerServerOptions,
-    sessions: ReadonlySet<ServerHttp2Session>,
-): Promise<PeerServer> {
-    return new Promise((resolve, reject) => {
-        server.once("error", reject);
-        server.listen({ host: options.host, port: options.port, exclusive: true }, () => {
-            server.off("error", reject);
-            resolve({
-                port: (server.address() as AddressInfo).port,
-                close: () => closePeerServer(server, sessions),
-            });
-        });
-    });
-}
-
 function closePeerServer(server: Http2Server, sessions: ReadonlySet<ServerHttp2Session>): Promise<void> {
     return new Promise(resolve => {
         server.close(() => resolve());
--- a/packages/router/src/node/router.ts
+++ b/packages/router/src/node/router.ts
@@ -5,11 +5,12 @@
     type ClaimWriter,
     closeServer,
     createClaimWriter,
-    createPeerServer,
+    createPeerServerWhenFree,
     createPermitBroker,
     createRecordStore,
     drainServer,
-    listen,
+    type ListenAddress,
+    listenWhenFree,
     LogLimiter,
     type PeerServer,
     type PermitLimit,
@@ -21,8 +22,9 @@
     ProcessStatusSchema,
     type SkylarkmillError,
     toId,
+    UnavailableError,
 } from "@skylarkmill/protocol";
-import { errAsync, ResultAsync } from "neverthrow";
+import { errAsync, okAsync, ResultAsync } from "neverthrow";
 import { randomBytes } from "node:crypto";
 import type { Server } from "node:http";
 import { AgentPools } from "../runtime/agent-pools.ts";
@@ -82,7 +84,9 @@
     private readonly placement: PlacementDuty;
     private readonly prober: Prober;
     private readonly unsubscribes: (() => void)[] = [];
+    private readonly listenAbort = new AbortController();
     private peerServer: PeerServer | undefined;
+    private stopPromise: Promise<void> | undefined;
     /** Delay between the write of the last configuration change and its arrival at this router. */
     private lastConfigChangeDelayMs = 0;
 
@@ -172,13 +176,43 @@
             this.placement.start();
             this.prober.start();
             const { listen: callerListen, operatorListen } = this.options;
-            return listen(this.operatorServer, operatorListen, "operator.listen").andThen(operatorPort =>
-                listen(this.callerServer, callerListen, "caller.listen").map(port => ({ port, operatorPort, peerPort }))
+            return ResultAsync.combine([
+                this.listen(this.operatorServer, operatorListen, "operator.listen"),
+                this.listen(this.callerServer, callerListen, "caller.listen"),
+            ]).andThen(([operatorPort, port]) =>
+                port === undefined || operatorPort === undefined
+                    ? errAsync(this.createStoppedError())
+                    : okAsync({ port, operatorPort, peerPort })
             );
         });
     }
 
-    async stop(): Promise<void> {
+    private listen(
+        server: Server,
+        address: ListenAddress,
+        step: string,
+    ): ResultAsync<number | undefined, SkylarkmillError> {
+        const { signal } = this.listenAbort;
+        return listenWhenFree(server, address, { step, logger: this.options.logger, signal }).mapErr(error => {
+            this.listenAbort.abort();
+            return error;
+        });
+    }
+
+    private createStoppedError(): SkylarkmillError {
+        return new UnavailableError("the router stopped before its ports were bound", {
+            step: "start",
+            peer: this.options.hostId,
+        });
+    }
+
+    stop(): Promise<void> {
+        this.stopPromise ??= this.shutDown();
+        return this.stopPromise;
+    }
+
+    private async shutDown(): Promise<void> {
+        this.listenAbort.abort();
         this.requestHandler.stop();
         const { requestTracker } = this.context;
         const drained = drainServer(this.callerServer, () => requestTracker.totalCount === 0);
@@ -200,7 +234,9 @@
     private startPeerServer(): ResultAsync<number, SkylarkmillError> {
         const { peerListen, peerKeys } = this.options;
         const broker = createPermitBroker({ limits: () => permitLimits(this.config) });
-        return createPeerServer({
+        return createPeerServerWhenFree({
+            logger: this.options.logger,
+            signal: this.listenAbort.signal,
             host: peerListen.host,
             port: peerListen.port,
             keys: peerKeys,
@@ -210,14 +246,15 @@
                 peers: this.peers,
                 status: () => this.status(),
             }),
-        }).map(server => {
+        }).andThen(server => {
+            if (server === undefined) return errAsync(this.createStoppedError());
             this.peerServer = server;
-            return server.port;
+            return okAsync(server.port);
         });
     }
 
     private isReady(): boolean {
-        return !this.requestHandler.isStopping && this.config.services().size > 0;
+        return this.callerServer.listening && !this.requestHandler.isStopping && this.config.services().size > 0;
     }
 
     private status(): ProcessStatus {
--- a/packages/router/src/types/options.ts
+++ b/packages/router/src/types/options.ts
@@ -67,7 +67,10 @@
 }
 
 export interface Router {
-    /** Binds the ports and starts the background tasks. Fails with `UnavailableError` if a port can't be bound. */
+    /**
+     * Starts the background tasks and binds the ports, each as soon as it is free. Fails with `UnavailableError` if a
+     * port can never be bound or the router stops first.
+     */
     start(): ResultAsync<RouterPorts, SkylarkmillError>;
     /** Refuses new connections, serves the remaining requests on open connections, then closes. */
     stop(): Promise<void>;
--- a/packages/skylarkmill/src/node/process-context.ts
+++ b/packages/skylarkmill/src/node/process-context.ts
@@ -10,6 +10,8 @@
 import { createLogger } from "./logger.ts";
 import { runUntilSignal } from "./run-until-signal.ts";
 
+const START_FAILURE_EXIT_CODE = 1;
+
 export type CommonRoleSettingValues = SettingValues<typeof commonRoleSettingTable>;
 
 /** Logger, secrets and common role options of one process. */
@@ -113,18 +115,25 @@
     const { commonOptions, logger } = context;
     logUncaughtErrors(logger);
     commonOptions.membership.start();
-    const started = await role.start();
-    if (started.isErr()) {
-        const { error } = started;
-        logger.fatal({ err: error, step: error.step, peer: error.peer }, "start failed");
-        return 1;
-    }
-    logger.info({ step: "start", processId: commonOptions.processId, ...started.value }, "listening");
     process.on("SIGHUP", () => logger.info({ step: "reload" }, "SIGHUP received; it has no effect"));
-    return runUntilSignal(async () => {
+    let isStopping = false;
+    // A signal also ends a start that waits for its ports.
+    const startFailure = new Promise<number>(resolve => {
+        void role.start().match(
+            ports => logger.info({ step: "start", processId: commonOptions.processId, ...ports }, "listening"),
+            error => {
+                if (isStopping) return;
+                logger.fatal({ err: error, step: error.step, peer: error.peer }, "start failed");
+                resolve(START_FAILURE_EXIT_CODE);
+            },
+        );
+    });
+    const stopped = runUntilSignal(async () => {
+        isStopping = true;
         logger.info({ step: "stop" }, "stopping after the requests in progress have finished");
         await role.stop();
         await context.close();
         logger.info({ step: "stop" }, "stopped");
     }, logger);
+    return Promise.race([startFailure, stopped]);
 }
--- a/test/cli/ports-in-use.test.ts
+++ b/test/cli/ports-in-use.test.ts
@@ -264,3 +264,66 @@
             }),
     );
 });
+
+/** Longer than a router takes to reach the binding of its ports. */
+const ROUTER_PORT_HOLD_MS = 3_000;
+const routerPorts = [
+    { flag: "listen", step: "caller.listen" },
+    { flag: "operator-listen", step: "operator.listen" },
+    { flag: "peer-listen", step: "peer.listen" },
+];
+
+async function withRouter(
+    heldFlag: string,
+    holder: PortHolder,
+    run: (router: SpawnedProcess) => Promise<void>,
+): Promise<void> {
+    const unused = await findFreePort();
+    const listens = routerPorts.map(({ flag }) => `--${flag}=127.0.0.1:${flag === heldFlag ? holder.port : 0}`);
+    const common = ["--host-id=h1", "--data-centre=dc1", `--kv-endpoints=http://127.0.0.1:${unused}`];
+    const router = new SpawnedProcess({
+        name: "router",
+        args: ["router", ...common, `--hosts-url=http://127.0.0.1:${unused}/hosts`, ...listens],
+        env: { SKYLARKMILL_PEER_KEYS: "key-1234", SKYLARKMILL_TEAM_TOKENS: "team=token-1234" },
+    });
+    try {
+        await run(router);
+    }
+    finally {
+        await router.end();
+        await holder.free();
+    }
+}
+
+describe.concurrent("a router whose port is in use when it starts", () => {
+    // Guards against a process that ends by itself because another program holds one of its ports.
+    it.each(routerPorts)("waits until port $flag is free", { timeout: 30_000 }, async ({ flag, step }) => {
+        const holder = await holdByServer();
+        await withRouter(flag, holder, async router => {
+            router.start();
+            await sleep(ROUTER_PORT_HOLD_MS);
+            expect(router.exitCode).toBeUndefined();
+            const isAbout = (line: string): boolean =>
+                line.includes(`"step":"${step}","peer":"127.0.0.1:${holder.port}"`);
+            expect(router.lines.filter(isAbout)).toHaveLength(1);
+            expect(router.lines.filter(line => line.includes("listening"))).toEqual([]);
+            await holder.free();
+            await router.waitForLine(/"msg":"listening"/);
+        });
+    });
+
+    // Guards against a stop that is cut, or that lasts until the port is free.
+    it.each(routerPorts)(
+        "exits with code 0 on SIGTERM while it waits for port $flag",
+        { timeout: 30_000 },
+        async ({ flag }) => {
+            await withRouter(flag, await holdByConnection(), async router => {
+                router.start();
+                await router.waitForLine(/port is in use/);
+                router.signal("SIGTERM");
+                await eventually("the process exits", () => router.exitCode !== undefined || undefined);
+                expect(router.exitCode).toBe(0);
+            });
+        },
+    );
+});
