fix(router): write no error event into a stream with a length

A caller whose event stream was announced with a length and broke off got the router's error event within that length and waited for the rest of it, which never came.

Cause: the writer ended every broken event stream with an error event, whatever its framing.

Now a stream with a length is aborted; one in chunks still ends with the error event.

test/router/cut-responses.test.ts, "a model's stream whose agent's connection breaks": the 4 cases with a length timed out after 30 s in a run on the code before, and pass after. The other cases guard answers that break off in the head or the body and passed before.

--- a/packages/router/src/runtime/response-writer.ts
+++ b/packages/router/src/runtime/response-writer.ts
@@ -11,6 +11,8 @@
     private readonly shouldCloseConnection: () => boolean;
     private requestId: string | undefined;
     private isEventStream = false;
+    /** The caller was told a length, which an error event would not fit. */
+    private hasLength = false;
 
     /** `shouldCloseConnection` returns whether the connection must be closed after this response. */
     constructor(response: ServerResponse, shouldCloseConnection: () => boolean) {
@@ -62,6 +64,7 @@
     sendHead(head: ResponseHead): void {
         if (this.isClosed) return;
         this.isEventStream = isEventStream(head);
+        this.hasLength = head.headers["content-length"] !== undefined;
         this.response.writeHead(head.status, { ...pickResponseHeaders(head.headers), ...this.routerHeaders() });
         this.response.flushHeaders();
     }
@@ -85,7 +88,7 @@
      */
     endWithError(refusal: Refusal): void {
         if (this.isClosed) return;
-        if (this.isEventStream && !this.response.writableNeedDrain) {
+        if (this.isEventStream && !this.hasLength && !this.response.writableNeedDrain) {
             this.response.end(toErrorEvent(toRefusalBody(refusal)));
         }
         else abortResponse(this.response);
