fix(router): don't take a cut answer without a length for a whole one

A caller got status 200 with an empty or short body, with a length of its own or complete in chunks, if the answer that reached the router had neither a length nor chunks and its connection was closed or reset after the head.

Cause: undici ends such a response normally when its connection is reset, and the router framed what it had as a whole response.

Agents frame all their responses, so now a response without a length or chunks fails at its end like a broken connection, with an unknown outcome.

test/router/cut-responses.test.ts cuts answers of models, streams and plain services every 5 bytes: without this change 12 of its 36 cases fail (200 with "" and with {"id":"chatcmpl), with it 36 pass.

--- a/packages/router/src/runtime/attempt.ts
+++ b/packages/router/src/runtime/attempt.ts
@@ -43,6 +43,8 @@
     private controller: Dispatcher.DispatchController | undefined;
     private hasEnded = false;
     private isCancelled = false;
+    private isBodyless = false;
+    private isFramed = false;
 
     constructor(options: AttemptOptions) {
         this.attemptId = options.attemptId;
@@ -56,6 +58,7 @@
 
     /** Sends the request; `peerKey` authenticates the router to the agent. */
     start(pool: Pool, spec: RequestSpec, remainingMs: number, peerKey: string): void {
+        this.isBodyless = spec.method === "HEAD";
         this.server.outstandingCount += 1;
         this.server.lastUsedAtMs = this.sentAtMs;
         this.server.waitingAttempts.add(this);
@@ -103,6 +106,7 @@
     ): void {
         if (this.isCancelled || status < 200) return;
         this.head = { status, headers };
+        this.isFramed = this.isBodyless || isFramed(status, headers);
         this.server.waitingAttempts.delete(this);
         this.listener.onHead(this, this.head);
     }
@@ -115,7 +119,9 @@
     onResponseEnd(): void {
         if (this.isCancelled) return;
         this.markEnded();
-        this.listener.onEnd(this);
+        // undici ends a response without a length or chunks normally when its connection is reset; agents send none.
+        if (this.isFramed) this.listener.onEnd(this);
+        else this.listener.onFailure(this, new Error("the response has neither a length nor chunks"));
     }
 
     onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
@@ -132,6 +138,11 @@
     }
 }
 
+function isFramed(status: number, headers: ResponseHead["headers"]): boolean {
+    return status === 204 || status === 304 || headers["content-length"] !== undefined
+        || headers["transfer-encoding"] !== undefined;
+}
+
 function toAgentHeaders(spec: RequestSpec, attemptId: AttemptId, remainingMs: number, peerKey: string): string[] {
     const { target } = spec;
     const headers = [
--- a/test/router/cut-responses.test.ts
+++ b/test/router/cut-responses.test.ts
@@ -3,7 +3,7 @@
 import type { AgentBehaviour } from "./support/fake-agent.ts";
 import { Harness } from "./support/harness.ts";
 
-const FRAMINGS = ["length", "chunked"] as const;
+const FRAMINGS = ["length", "chunked", "none"] as const;
 const ENDINGS = ["close", "reset"] as const;
 type Framing = typeof FRAMINGS[number];
 type Ending = typeof ENDINGS[number];
@@ -59,6 +59,7 @@
     const { answer, type } = kind;
     const execution = "X-Skylarkmill-Execution: run\r\n";
     const head = `HTTP/1.1 200 OK\r\n${execution}Connection: ${connection}\r\nContent-Type: ${type}\r\n`;
+    if (framing === "none") return `${head}\r\n${answer}`;
     if (framing === "length") return `${head}Content-Length: ${answer.length}\r\n\r\n${answer}`;
     return `${head}Transfer-Encoding: chunked\r\n\r\n${answer.length.toString(16)}\r\n${answer}\r\n0\r\n\r\n`;
 }
