fix(gateway): apply the limits on request heads

Callers with half a head, or with one more line every 100 ms, kept their connections for more than 5 s at a header_timeout_ms of 800, and got 400; a new connection without a byte stayed open as long. Heads above max_header_bytes were served up to a constant of 64 KB.

Cause: header_timeout_ms and max_header_bytes were decoded and read by nothing. The time limit of Node's server was the idle timeout and 2 s, and its check ran every 2 s; the size limit was a constant.

Change: RequestHeadGuard (packages/coordination, for any server) applies both limits and follows changes of the configuration on open connections. Node's parser times heads from their first byte, and new connections from their acceptance, so connections that wait between requests are not touched. A late head gets 408, a long one 431, both with the end of the connection; behind a response in progress the refusal waits for its end, where the connection was destroyed before. A caller that goes on sending is cut after 1 s, so that it can read the refusal first. A head that ends after its 408 is not run. Node's parser has a fixed limit for each connection: where the configuration was raised above it, the head gets 503 with Retry-After instead of 431. Counted in refused_heads_total by reason.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -4,6 +4,14 @@
 export { createPeerClient, type PeerClient, type PeerClientOptions } from "./node/peer-client.ts";
 export { createPeerServer, isAcceptedSecret, type PeerServer, type PeerServerOptions } from "./node/peer-server.ts";
 export { createRecordStore, type RecordStoreOptions } from "./node/record-store.ts";
+export {
+    createHeadGuardServerOptions,
+    type RawRefusal,
+    RequestHeadGuard,
+    type RequestHeadGuardOptions,
+    type RequestHeadLimits,
+} from "./node/request-head-guard.ts";
+export * from "./runtime/head-fault.ts";
 export * from "./runtime/log-limiter.ts";
 export * from "./runtime/mailbox.ts";
 export { createPermitBroker, type PermitBrokerOptions } from "./runtime/permit-broker.ts";
--- /dev/null
+++ b/packages/coordination/src/runtime/head-fault.ts
@@ -0,0 +1,36 @@
+/**
+ * What is wrong with a request head: it is incomplete after its time, longer than the limit, longer than the lower limit
+ * that applied when its connection was opened, or not HTTP.
+ */
+export type HeadFault = "late" | "too_large" | "limit_raised" | "malformed";
+
+export interface HeadFaultSituation {
+    readonly isWritable: boolean;
+    /** Responses to earlier requests of the connection that are not completely written. */
+    readonly owedResponseCount: number;
+    /** Whether the body of the connection's newest request is incomplete, so that the fault is in the body. */
+    readonly isReceivingBody: boolean;
+}
+
+export type HeadFaultAction = "refuse" | "refuse_after_responses" | "close";
+
+/**
+ * Decides what a caller gets for a faulty head. A refusal never becomes part of an earlier response, and responses that
+ * are owed stay complete.
+ *
+ * @example
+ * decideHeadFaultAction({ isWritable: true, owedResponseCount: 0, isReceivingBody: false }); // "refuse"
+ */
+export function decideHeadFaultAction(situation: HeadFaultSituation): HeadFaultAction {
+    if (!situation.isWritable) return "close";
+    if (situation.owedResponseCount === 0) return "refuse";
+    return situation.isReceivingBody ? "close" : "refuse_after_responses";
+}
+
+/** Counts the bytes of a request head with its line ends. */
+export function countHeadBytes(method: string, path: string, rawHeaders: readonly string[]): number {
+    let byteCount = method.length + path.length + " ".length + " HTTP/1.1\r\n\r\n".length;
+    // Each name and value are followed by two more bytes: ": " and the line end.
+    for (const text of rawHeaders) byteCount += text.length + 2;
+    return byteCount;
+}
--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -1,20 +1,26 @@
-import type { Refusal } from "@skylarkmill/protocol";
+import {
+    createHeadGuardServerOptions,
+    type HeadFault,
+    type RawRefusal,
+    RequestHeadGuard,
+    type RequestHeadLimits,
+} from "@skylarkmill/coordination";
+import { type Refusal, toRefusalBody } from "@skylarkmill/protocol";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { Server as NetServer, type Socket } from "node:net";
 import type { ByteBudget } from "../runtime/byte-budget.ts";
 import { CallerConnection } from "../runtime/caller-connection.ts";
 import { HttpResponseWriter } from "../runtime/http-response-writer.ts";
 import { BodyBlockPool, type RequestBody } from "../runtime/request-body.ts";
+import type { CallerLimits } from "../types/configuration.ts";
 import type { RequestHead } from "../types/options.ts";
+import { createRefusalHeaders, refusals } from "../utils/refusals.ts";
 import { BodyReader } from "./body-reader.ts";
 
-/** Largest request head; the configuration does not change it. */
-const MAX_HEADER_BYTES = 64 * 1024;
 /** Limits that apply until a configuration has been read. */
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
-/** Interval at which Node checks for connections whose request headers are overdue. */
-const CONNECTION_CHECK_MS = 2_000;
+const DEFAULT_HEAD_LIMITS: RequestHeadLimits = { maxHeaderBytes: 64 * 1024, headerTimeoutMs: 10_000 };
 /** Idle time after which TCP keep-alive probes a caller's connection, since a host that loses power sends no reset. */
 const TCP_PROBE_DELAY_MS = 10_000;
 
@@ -29,6 +35,7 @@
         writer: HttpResponseWriter,
         startedAtMs: number,
     ) => void;
+    readonly onHeadFault: (fault: HeadFault) => void;
     readonly onError: (error: unknown) => void;
 }
 
@@ -38,6 +45,7 @@
     /** Responses that are not completely written, including those of requests that are still being read. */
     private readonly openResponses = new Map<ServerResponse, HttpResponseWriter>();
     private readonly connections = new WeakMap<Socket, CallerConnection>();
+    private readonly headGuard: RequestHeadGuard;
     private readonly bodyBlockPool = new BodyBlockPool();
     private maxBodyBytes = DEFAULT_MAX_BODY_BYTES;
     private readonly options: CallerServerOptions;
@@ -45,25 +53,26 @@
     constructor(options: CallerServerOptions) {
         this.options = options;
         this.server = createServer({
-            maxHeaderSize: MAX_HEADER_BYTES,
+            ...createHeadGuardServerOptions(DEFAULT_HEAD_LIMITS),
             keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
-            headersTimeout: DEFAULT_IDLE_TIMEOUT_MS + CONNECTION_CHECK_MS,
-            requestTimeout: 0,
-            connectionsCheckingInterval: CONNECTION_CHECK_MS,
             noDelay: true,
             keepAlive: true,
             keepAliveInitialDelay: TCP_PROBE_DELAY_MS,
         });
         this.server.maxConnections = options.maxConnections;
         this.server.on("request", (request, response) => void this.receiveRequest(request, response));
-        this.server.on("clientError", onClientError);
+        this.headGuard = new RequestHeadGuard(this.server, {
+            limits: DEFAULT_HEAD_LIMITS,
+            createRefusal: createHeadRefusal,
+            onFault: options.onHeadFault,
+        });
     }
 
     /** Applies the limits of the current configuration. */
-    setLimits(maxBodyBytes: number, idleTimeoutMs: number): void {
-        this.maxBodyBytes = maxBodyBytes;
-        this.server.keepAliveTimeout = idleTimeoutMs;
-        this.server.headersTimeout = idleTimeoutMs + CONNECTION_CHECK_MS;
+    setLimits(limits: CallerLimits): void {
+        this.maxBodyBytes = limits.maxBodyBytes;
+        this.server.keepAliveTimeout = limits.idleTimeoutMs;
+        this.headGuard.setLimits(limits);
     }
 
     /** Stops accepting connections; open connections stay usable. */
@@ -141,13 +150,24 @@
     return new Promise(resolve => setImmediate(() => setImmediate(resolve)));
 }
 
-function onClientError(error: NodeJS.ErrnoException, socket: Socket): void {
-    // A refusal that is written during a response would become part of that response.
-    const pendingResponse = (socket as Socket & { _httpMessage?: unknown; })._httpMessage;
-    if (!socket.writable || error.code === "ECONNRESET" || pendingResponse !== undefined && pendingResponse !== null) { // eslint-disable-line no-restricted-syntax -- Node sets null
-        socket.destroy();
-        return;
+function createHeadRefusal(fault: HeadFault, limits: RequestHeadLimits): RawRefusal {
+    const refusal = toHeadRefusal(fault, limits);
+    return {
+        status: refusal.status,
+        headers: createRefusalHeaders(refusal),
+        body: JSON.stringify(toRefusalBody(refusal)),
+    };
+}
+
+function toHeadRefusal(fault: HeadFault, { maxHeaderBytes, headerTimeoutMs }: RequestHeadLimits): Refusal {
+    switch (fault) {
+        case "late":
+            return refusals.headTimeout(headerTimeoutMs);
+        case "too_large":
+            return refusals.headTooLarge(maxHeaderBytes);
+        case "limit_raised":
+            return refusals.headLimitRaised();
+        case "malformed":
+            return refusals.invalidRequest("The request is not valid HTTP/1.1.");
     }
-    const status = error.code === "HPE_HEADER_OVERFLOW" ? "431 Request Header Fields Too Large" : "400 Bad Request";
-    socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
 }
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -211,6 +211,7 @@
             byteBudget: this.context.byteBudget,
             isClosing: () => this.isStopping,
             handleRequest: (head, body, writer, startedAtMs) => this.handleRequest(head, body, writer, startedAtMs),
+            onHeadFault: fault => this.metrics.refusedHeads.inc({ reason: fault }),
             onError: error => logger.error({ step: "request", err: error }, "request handling failed unexpectedly"),
         });
         this.readyServer = createServer((_request, response) => {
@@ -488,7 +489,7 @@
         this.configuration = configuration;
         this.routes = new RouteTable(configuration.routes);
         this.metrics.configurationVersion.set(configuration.version);
-        this.callerServer.setLimits(configuration.limits.maxBodyBytes, configuration.limits.idleTimeoutMs);
+        this.callerServer.setLimits(configuration.limits);
     }
 
     private getRetryBudget(serviceId: ServiceId): RetryBudget {
--- a/packages/gateway/src/runtime/gateway-metrics.ts
+++ b/packages/gateway/src/runtime/gateway-metrics.ts
@@ -22,6 +22,11 @@
         "Requests for which every server was on hold.",
         [],
     );
+    readonly refusedHeads = this.counter(
+        "refused_heads_total",
+        "Request heads that were refused, by reason: late, too_large, limit_raised or malformed.",
+        ["reason"],
+    );
     readonly skippedLogLines = this.counter("log_lines_skipped_total", "Log lines left out by the rate limit.", []);
     readonly inProgress = this.gauge("requests_in_progress", "Requests without a complete answer.");
     readonly plansPlacement = this.gauge(
--- a/packages/gateway/src/runtime/http-response-writer.ts
+++ b/packages/gateway/src/runtime/http-response-writer.ts
@@ -2,6 +2,7 @@
 import { type Refusal, toRefusalBody } from "@skylarkmill/protocol";
 import type { ServerResponse } from "node:http";
 import type { ResponseWriter } from "../types/response-writer.ts";
+import { createRefusalHeaders } from "../utils/refusals.ts";
 import type { CallerConnection } from "./caller-connection.ts";
 
 /**
@@ -69,10 +70,7 @@
     refuse(refusal: Refusal): void {
         if (this.isClosed) return;
         const body = Buffer.from(JSON.stringify(toRefusalBody(refusal)));
-        const headers = ["content-type", "application/json"];
-        // Callers accept fractions of a second here, and those close to their deadline need them.
-        if (refusal.retryAfterMs !== undefined) headers.push("retry-after", (refusal.retryAfterMs / 1_000).toFixed(3));
-        this.sendComplete(refusal.status, headers, body);
+        this.sendComplete(refusal.status, createRefusalHeaders(refusal), body);
     }
 
     abort(): void {
--- a/packages/gateway/src/utils/refusals.ts
+++ b/packages/gateway/src/utils/refusals.ts
@@ -4,6 +4,8 @@
 const NO_CONFIGURATION_RETRY_MS = 500;
 /** Retry delay sent while there is no memory for a body; requests end continually, and other gateways may have room. */
 const NO_MEMORY_RETRY_MS = 500;
+/** Retry delay sent to a caller whose connection is older than the limit that its request needs; a new one is not. */
+const NEW_CONNECTION_RETRY_MS = 50;
 /** Random addition to a retry delay, as a share of it, so that callers refused together don't retry together. */
 const RETRY_JITTER_SHARE = 0.3;
 
@@ -43,6 +45,28 @@
         message,
         execution: "not_run",
     }),
+    headTimeout: (timeoutMs: number): Refusal => ({
+        status: 408,
+        type: "timeout_error",
+        code: "head_timeout",
+        message: `The request's head did not arrive within ${timeoutMs} ms.`,
+        execution: "not_run",
+    }),
+    headTooLarge: (maxBytes: number): Refusal => ({
+        status: 431,
+        type: "invalid_request_error",
+        code: "head_too_large",
+        message: `The request's head is longer than ${maxBytes} bytes.`,
+        execution: "not_run",
+    }),
+    headLimitRaised: (): Refusal => ({
+        status: 503,
+        type: "unavailable_error",
+        code: "head_limit_raised",
+        message: "The connection was opened under a lower limit for heads; a new one has the current limit.",
+        execution: "not_run",
+        retryAfterMs: addJitter(NEW_CONNECTION_RETRY_MS),
+    }),
     unavailable: (code: string, retryAfterMs: number): Refusal => ({
         status: 503,
         type: "overloaded_error",
@@ -82,3 +106,11 @@
         execution: "unknown",
     }),
 };
+
+/** Creates the headers of a refusal, names and values in turn. */
+export function createRefusalHeaders({ retryAfterMs }: Refusal): string[] {
+    const headers = ["content-type", "application/json"];
+    // Callers accept fractions of a second here, and those close to their deadline need them.
+    if (retryAfterMs !== undefined) headers.push("retry-after", (retryAfterMs / 1_000).toFixed(3));
+    return headers;
+}
