fix(gateway): bound request bodies by their deadline

Callers whose body came to a halt, or came one byte at a time, kept their connections, and the room reserved for their bodies, without end (5 s and more at a deadline of 800 ms). So did callers that were refused for memory and sent on.

Cause: nothing bounded the time of a body. The timeout of idle connections starts after a response, and every byte received starts it anew.

At the request's deadline (30 s if its head states no valid one) the request gets 408 body_timeout as not run, with the end of its connection, and its memory is free; responses owed before it come first. A body that goes on after its refusal ends at the deadline too. Until its deadline an upload keeps the room that its stated length reserved.

--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -12,6 +12,7 @@
 import { CallerConnection } from "../runtime/caller-connection.ts";
 import { HttpResponseWriter } from "../runtime/http-response-writer.ts";
 import { BodyBlockPool, type RequestBody } from "../runtime/request-body.ts";
+import { type Upload, UploadWatch } from "../runtime/upload-watch.ts";
 import type { CallerLimits } from "../types/configuration.ts";
 import type { RequestHead } from "../types/options.ts";
 import { createRefusalHeaders, refusals } from "../utils/refusals.ts";
@@ -21,6 +22,8 @@
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 const DEFAULT_HEAD_LIMITS: RequestHeadLimits = { maxHeaderBytes: 64 * 1024, headerTimeoutMs: 10_000 };
+/** Time for the body of a request whose head states no valid deadline. */
+const DEFAULT_BODY_TIMEOUT_MS = 30_000;
 /** Idle time after which TCP keep-alive probes a caller's connection, since a host that loses power sends no reset. */
 const TCP_PROBE_DELAY_MS = 10_000;
 
@@ -29,6 +32,9 @@
     /** Bytes of bodies and responses that the process may hold. */
     readonly byteBudget: ByteBudget;
     readonly isClosing: () => boolean;
+    /** Returns the time until which a request may wait for its response, as far as its head tells. */
+    readonly computeDeadlineAtMs: (head: RequestHead, startedAtMs: number) => number | undefined;
+    readonly createBodyTimeoutRefusal: () => Refusal;
     readonly handleRequest: (
         head: RequestHead,
         body: RequestBody | undefined,
@@ -46,6 +52,7 @@
     private readonly openResponses = new Map<ServerResponse, HttpResponseWriter>();
     private readonly connections = new WeakMap<Socket, CallerConnection>();
     private readonly headGuard: RequestHeadGuard;
+    private readonly uploadWatch = new UploadWatch();
     private readonly bodyBlockPool = new BodyBlockPool();
     private maxBodyBytes = DEFAULT_MAX_BODY_BYTES;
     private readonly options: CallerServerOptions;
@@ -105,6 +112,20 @@
         for (const writer of this.openResponses.values()) writer.abort();
     }
 
+    private watchUpload(
+        request: IncomingMessage,
+        response: ServerResponse,
+        head: RequestHead,
+        startedAtMs: number,
+        onLate: () => void,
+    ): Upload {
+        const computeDeadlineAtMs = (): number =>
+            this.options.computeDeadlineAtMs(head, startedAtMs) ?? startedAtMs + DEFAULT_BODY_TIMEOUT_MS;
+        const upload = { request, response, computeDeadlineAtMs, onLate };
+        this.uploadWatch.add(upload);
+        return upload;
+    }
+
     private async receiveRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const startedAtMs = performance.now();
         // The caller's connection can fail at any time; the `close` event that follows is handled.
@@ -117,9 +138,20 @@
         this.openResponses.set(response, writer);
         response.once("close", () => this.openResponses.delete(response));
         try {
+            const head = {
+                method: request.method ?? "GET",
+                path: request.url ?? "/",
+                host: request.headers.host ?? "",
+                rawHeaders: request.rawHeaders,
+            };
             const reader = new BodyReader(request, this.maxBodyBytes, this.options.byteBudget, this.bodyBlockPool);
             response.once("close", () => reader.discard());
+            const upload = this.watchUpload(request, response, head, startedAtMs, () => {
+                reader.discard();
+                writer.refuseUpload(this.options.createBodyTimeoutRefusal());
+            });
             const body = await reader.read();
+            if (body.isOk()) this.uploadWatch.remove(upload);
             if (body.isErr()) {
                 if (body.error !== undefined) writer.refuse(body.error);
                 return;
@@ -127,12 +159,6 @@
             await waitForLoopTurn();
             // A stop may have refused it meanwhile.
             if (response.closed || response.headersSent) return;
-            const head = {
-                method: request.method ?? "GET",
-                path: request.url ?? "/",
-                host: request.headers.host ?? "",
-                rawHeaders: request.rawHeaders,
-            };
             this.options.handleRequest(head, body.value, writer, startedAtMs);
         }
         catch (error) {
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -210,6 +210,10 @@
             maxConnections: options.maxConnections,
             byteBudget: this.context.byteBudget,
             isClosing: () => this.isStopping,
+            computeDeadlineAtMs: (head, startedAtMs) => this.computeDeadlineAtMs(head, startedAtMs),
+            // Another gateway can still serve a request that this one's stop cuts short.
+            createBodyTimeoutRefusal: () =>
+                this.isStopping ? refusals.unavailable("stopping", STOP_RETRY_MS) : refusals.bodyTimeout(),
             handleRequest: (head, body, writer, startedAtMs) => this.handleRequest(head, body, writer, startedAtMs),
             onHeadFault: fault => this.metrics.refusedHeads.inc({ reason: fault }),
             onError: error => logger.error({ step: "request", err: error }, "request handling failed unexpectedly"),
@@ -347,6 +351,14 @@
         this.startTask(route, request.value, writer, startedAtMs);
     }
 
+    /** Computes the deadline of a request before its body is complete. */
+    private computeDeadlineAtMs(head: RequestHead, startedAtMs: number): number | undefined {
+        const route = this.routes.findRoute(head.host, head.path);
+        const request = this.options.decodeRequest(head, undefined);
+        if (route === undefined || request.isErr()) return undefined;
+        return computeRequestTiming(route, request.value, startedAtMs).deadlineAtMs;
+    }
+
     /** Whether a request could last longer than the stop; streams mostly do. */
     private canOutlastStop(route: Route, request: CallerRequest, startedAtMs: number): boolean {
         if (route.kind === "streaming") return true;
--- a/packages/gateway/src/runtime/http-response-writer.ts
+++ b/packages/gateway/src/runtime/http-response-writer.ts
@@ -67,10 +67,17 @@
         if (!this.isClosed) this.response.end();
     }
 
-    refuse(refusal: Refusal): void {
+    refuse(refusal: Refusal, moreHeaders: readonly string[] = []): void {
         if (this.isClosed) return;
         const body = Buffer.from(JSON.stringify(toRefusalBody(refusal)));
-        this.sendComplete(refusal.status, createRefusalHeaders(refusal), body);
+        this.sendComplete(refusal.status, [...createRefusalHeaders(refusal), ...moreHeaders], body);
+    }
+
+    /** Refuses a request whose body is not complete, and ends the connection that it would come on. */
+    refuseUpload(refusal: Refusal): void {
+        this.connection.tryEndWith(this.response);
+        // A stop adds the header itself.
+        this.refuse(refusal, this.isClosing() ? [] : ["connection", "close"]);
     }
 
     abort(): void {
--- a/packages/gateway/src/utils/refusals.ts
+++ b/packages/gateway/src/utils/refusals.ts
@@ -52,6 +52,13 @@
         message: `The request's head did not arrive within ${timeoutMs} ms.`,
         execution: "not_run",
     }),
+    bodyTimeout: (): Refusal => ({
+        status: 408,
+        type: "timeout_error",
+        code: "body_timeout",
+        message: "The request's body did not arrive before its deadline.",
+        execution: "not_run",
+    }),
     headTooLarge: (maxBytes: number): Refusal => ({
         status: 431,
         type: "invalid_request_error",
