--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -19,6 +19,14 @@
     type PeerServerOptions,
 } from "./node/peer-server.ts";
 export { createRecordStore, type RecordStoreOptions } from "./node/record-store.ts";
+export {
+    createHeadGuardServerOptions,
+    type RawRefusal,
+    RequestHeadGuard,
+    type RequestHeadGuardOptions,
+    type RequestHeadLimits,
+} from "./node/request-head-guard.ts";
+export * from "./runtime/head-fault.ts";
 export * from "./runtime/log-limiter.ts";
 export * from "./runtime/mailbox.ts";
 export { createPermitBroker, type PermitBrokerOptions } from "./runtime/permit-broker.ts";
--- a/packages/gateway/src/runtime/gateway-metrics.ts
+++ b/packages/gateway/src/runtime/gateway-metrics.ts
@@ -27,6 +27,11 @@
         "Streams that ended with their server's connection, without a length or chunks.",
         [],
     );
+    readonly refusedHeads = this.counter(
+        "refused_heads_total",
+        "Request heads that were refused, by reason: late, too_large, limit_raised or malformed.",
+        ["reason"],
+    );
     readonly skippedLogLines = this.counter("log_lines_skipped_total", "Log lines left out by the rate limit.", []);
     readonly inProgress = this.gauge("requests_in_progress", "Requests without a complete answer.");
     readonly plansPlacement = this.gauge(
--- a/packages/gateway/src/runtime/http-response-writer.ts
+++ b/packages/gateway/src/runtime/http-response-writer.ts
@@ -2,6 +2,7 @@
 import { type Refusal, toRefusalBody } from "@skylarkmill/protocol";
 import type { ServerResponse } from "node:http";
 import type { ResponseWriter } from "../types/response-writer.ts";
+import { createRefusalHeaders } from "../utils/refusals.ts";
 import type { CallerConnection } from "./caller-connection.ts";
 
 /**
@@ -66,13 +67,17 @@
         if (!this.isClosed) this.response.end();
     }
 
-    refuse(refusal: Refusal): void {
+    refuse(refusal: Refusal, moreHeaders: readonly string[] = []): void {
         if (this.isClosed) return;
         const body = Buffer.from(JSON.stringify(toRefusalBody(refusal)));
-        const headers = ["content-type", "application/json"];
-        // Callers accept fractions of a second here, and those close to their deadline need them.
-        if (refusal.retryAfterMs !== undefined) headers.push("retry-after", (refusal.retryAfterMs / 1_000).toFixed(3));
-        this.sendComplete(refusal.status, headers, body);
+        this.sendComplete(refusal.status, [...createRefusalHeaders(refusal), ...moreHeaders], body);
+    }
+
+    /** Refuses a request whose body is not complete, and ends the connection that it would come on. */
+    refuseUpload(refusal: Refusal): void {
+        this.connection.tryEndWith(this.response);
+        // A stop adds the header itself.
+        this.refuse(refusal, this.isClosing() ? [] : ["connection", "close"]);
     }
 
     abort(): void {
