--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -150,12 +150,6 @@
         this.openResponses.set(response, { writer, head });
         response.once("close", () => this.openResponses.delete(response));
         try {
-            const head = {
-                method: request.method ?? "GET",
-                path: request.url ?? "/",
-                host: request.headers.host ?? "",
-                rawHeaders: request.rawHeaders,
-            };
             const reader = new BodyReader(request, this.maxBodyBytes, this.options.byteBudget, this.bodyBlockPool);
             response.once("close", () => reader.discard());
             const upload = this.watchUpload(request, response, head, startedAtMs, () => {
