fix(platform, adapters): keep a whole response whose connection is reset behind it

Since a reset that arrives with the last bytes is reported, also if these bytes complete a response that has a length, chunks or a status without a body. The agent's backend client then destroyed the response: the backend had run the request and answered it, and the caller got a failure instead. A reset some time later did the same before, if the body had not been read by then. A server resets a connection that it closes while bytes of the request are unread.

A reset cuts only a response whose end is not known.

--- a/packages/adapters/src/node/backend-client.ts
+++ b/packages/adapters/src/node/backend-client.ts
@@ -1,4 +1,4 @@
-import { detectReset } from "@skylarkmill/coordination";
+import { detectReset, isCutBy } from "@skylarkmill/coordination";
 import { OutcomeUnknownError, UnavailableError } from "@skylarkmill/protocol";
 import { err, ok, type Result, ResultAsync } from "neverthrow";
 import { Agent, type ClientRequest, request as httpRequest } from "node:http";
@@ -70,8 +70,11 @@
                 // is no listener.
                 response.on("error", () => undefined);
                 // Node reports a reset on the request, and then ends a response without a length as if it were complete.
-                request.on("error", error => response.destroy(error));
-                detectReset(response.socket, error => response.destroy(error));
+                const destroyIfCut = (error: Error): void => {
+                    if (isCutBy(error, response)) response.destroy(error);
+                };
+                request.on("error", destroyIfCut);
+                detectReset(response.socket, destroyIfCut);
                 resolve(ok({ statusCode: response.statusCode ?? 0, headers: response.headers, body: response }));
             });
             request.end(body);
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -1,5 +1,5 @@
 export { type ClaimWriterOptions, createClaimWriter } from "./node/claim-writer.ts";
-export { detectReset } from "./node/detect-reset.ts";
+export { detectReset, isCutBy } from "./node/detect-reset.ts";
 export { createDutyLease, type DutyLeaseOptions } from "./node/duty-lease.ts";
 export {
     abortResponse,
--- a/packages/coordination/src/node/detect-reset.ts
+++ b/packages/coordination/src/node/detect-reset.ts
@@ -1,3 +1,4 @@
+import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
 
 const NO_BYTES = Buffer.alloc(0);
@@ -21,3 +22,15 @@
         });
     });
 }
+
+/**
+ * Whether the error of a connection cuts the response. A reset doesn't cut one whose last byte has arrived, if that byte
+ * is known by a length, by chunks or by the status.
+ */
+export function isCutBy(error: Error, response: IncomingMessage): boolean {
+    const { complete, headers, statusCode } = response;
+    const hasKnownEnd = headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined
+        || statusCode === 204 || statusCode === 304;
+    const isReset = "code" in error && error.code === "ECONNRESET";
+    return !(isReset && complete && hasKnownEnd);
+}
--- a/test/adapters/backend-client.test.ts
+++ b/test/adapters/backend-client.test.ts
@@ -91,3 +91,39 @@
         },
     );
 });
+
+// Guards against a whole response that is dropped because its connection was reset behind it.
+describe("a response with a known end", () => {
+    it.each([
+        { name: "a length", head: "200 OK\r\nContent-Length: 4", body: "body", resetDelayMs: 0 },
+        { name: "a length", head: "200 OK\r\nContent-Length: 4", body: "body", resetDelayMs: DUPLICATE_DELAY_MS },
+        {
+            name: "chunks",
+            head: "200 OK\r\nTransfer-Encoding: chunked",
+            body: "4\r\nbody\r\n0\r\n\r\n",
+            resetDelayMs: 0,
+        },
+        { name: "status 204", head: "204 No Content", body: "", resetDelayMs: 0 },
+    ])(
+        "by $name is complete if the connection is reset after $resetDelayMs ms",
+        async ({ head, body, resetDelayMs }) => {
+            const resetting = createServer(socket => {
+                socket.on("error", () => undefined);
+                socket.once("data", () => {
+                    socket.write(`HTTP/1.1 ${head}\r\nConnection: close\r\n\r\n${body}`);
+                    if (resetDelayMs === 0) socket.resetAndDestroy();
+                    else setTimeout(() => socket.resetAndDestroy(), resetDelayMs);
+                });
+            });
+            await new Promise<void>(resolve => resetting.listen(0, "127.0.0.1", resolve));
+            const { port } = resetting.address() as AddressInfo;
+            const client = createBackendClient({ baseUrl: `http://127.0.0.1:${port}` });
+            const { signal } = new AbortController();
+            const response = await client.send({ method: "GET", path: "/", headers: {}, body: undefined, signal });
+            await new Promise(resolve => setTimeout(resolve, OWN_RESPONSE_DELAY_MS));
+            expect(await text(response._unsafeUnwrap().body)).toBe(body === "" ? "" : "body");
+            await client.close();
+            await new Promise(resolve => resetting.close(resolve));
+        },
+    );
+});
