fix(router): limit the time of request heads

Callers with half a head, with one more line every 100 ms, or with a new connection without a byte kept their connections to a router for more than 5 s at a headerTimeoutMs of 500.

Cause: the router had no such limit of its own, and used the defaults of Node's server.

Change: the router uses RequestHeadGuard of packages/coordination, as the gateway does, instead of its own treatment of heads that can't be parsed. New limit headerTimeoutMs, 10 s by default. maxHeaderBytes now counts the whole head with its line ends. The limit on whole requests of Node's server stays as it was in both.

test/router/request-heads.test.ts: 3 of its 4 tests fail before (no end of the connection within 5 s) and all pass after; test/router/input.test.ts and test/platform/request-heads.test.ts and late-bodies.test.ts pass. outcomes.test.ts passed before the last change to requestTimeout and was not run again.

--- a/packages/coordination/src/node/request-head-guard.ts
+++ b/packages/coordination/src/node/request-head-guard.ts
@@ -40,7 +40,6 @@
     return {
         maxHeaderSize: toParserLimit(limits),
         headersTimeout: Math.ceil(limits.headerTimeoutMs),
-        requestTimeout: 0,
         connectionsCheckingInterval: HEAD_CHECK_INTERVAL_MS,
     };
 }
--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -61,6 +61,7 @@
         this.options = options;
         this.server = createServer({
             ...createHeadGuardServerOptions(DEFAULT_HEAD_LIMITS),
+            requestTimeout: 0,
             keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
             noDelay: true,
             keepAlive: true,
--- a/packages/router/src/node/caller-server.ts
+++ b/packages/router/src/node/caller-server.ts
@@ -1,9 +1,15 @@
 import { createAdaptorServer, type HttpBindings } from "@hono/node-server";
 import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
+import {
+    createHeadGuardServerOptions,
+    type HeadFault,
+    type RawRefusal,
+    RequestHeadGuard,
+    type RequestHeadLimits,
+} from "@skylarkmill/coordination";
 import { type Refusal, toRefusalBody, toRefusalHeaders } from "@skylarkmill/protocol";
 import { type Context, Hono } from "hono";
-import { type Server, STATUS_CODES } from "node:http";
-import type { Socket } from "node:net";
+import type { Server } from "node:http";
 import type { RequestHandler } from "../runtime/request-handler.ts";
 import type { RouterContext } from "../types/context.ts";
 import { listModels } from "../utils/model-list.ts";
@@ -23,35 +29,27 @@
 
 /** Creates the HTTP server of the callers' interface; it is not listening yet. */
 export function createCallerServer(options: CallerServerOptions): Server {
-    const { maxHeaderBytes } = options.context.options.limits;
+    const { limits } = options.context.options;
     const app = createCallerApp(options);
     const server = createAdaptorServer({
         fetch: app.fetch,
         overrideGlobalObjects: false,
         autoCleanupIncoming: false,
-        serverOptions: { maxHeaderSize: maxHeaderBytes, keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS, noDelay: true },
+        serverOptions: {
+            ...createHeadGuardServerOptions(limits),
+            keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+            noDelay: true,
+        },
     }) as Server;
-    const hasOpenResponse = trackOpenResponses(server);
-    server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
-        // A refusal written during a response would become part of that response.
-        if (!socket.writable || error.code === "ECONNRESET" || hasOpenResponse(socket)) return socket.destroy();
-        const tooLarge = error.code === "HPE_HEADER_OVERFLOW";
-        options.handler.countUnparsedRequest();
-        socket.end(formatRawRefusal(tooLarge ? refusals.headersTooLarge(maxHeaderBytes) : refusals.malformedRequest()));
+    // The guard listens to the server for as long as the server exists.
+    void new RequestHeadGuard(server, {
+        limits,
+        createRefusal: createHeadRefusal,
+        onFault: () => options.handler.countUnparsedRequest(),
     });
     return server;
 }
 
-/** Returns a function that checks whether a response is in progress on a connection. */
-function trackOpenResponses(server: Server): (socket: Socket) => boolean {
-    const openResponseCounts = new WeakMap<Socket, number>();
-    server.prependListener("request", ({ socket }, response) => {
-        openResponseCounts.set(socket, (openResponseCounts.get(socket) ?? 0) + 1);
-        response.once("close", () => openResponseCounts.set(socket, openResponseCounts.get(socket)! - 1));
-    });
-    return socket => (openResponseCounts.get(socket) ?? 0) > 0;
-}
-
 function createCallerApp(options: CallerServerOptions): Hono<{ Bindings: HttpBindings; }> {
     const { handler, context } = options;
     const app = new Hono<{ Bindings: HttpBindings; }>();
@@ -92,14 +90,13 @@
     return app;
 }
 
-/** Formats a refusal as a raw HTTP response: Node provides no response object if the request can't be parsed. */
-function formatRawRefusal(refusal: Refusal): string {
-    const body = JSON.stringify(toRefusalBody(refusal));
-    const headers = {
-        ...toRefusalHeaders(refusal),
-        "content-length": String(Buffer.byteLength(body)),
-        "connection": "close",
-    };
-    const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join("");
-    return `HTTP/1.1 ${refusal.status} ${STATUS_CODES[refusal.status] ?? ""}\r\n${lines}\r\n${body}`;
+function createHeadRefusal(fault: HeadFault, limits: RequestHeadLimits): RawRefusal {
+    const refusal = toHeadRefusal(fault, limits);
+    const headers = Object.entries(toRefusalHeaders(refusal)).flat();
+    return { status: refusal.status, headers, body: JSON.stringify(toRefusalBody(refusal)) };
+}
+
+function toHeadRefusal(fault: HeadFault, { maxHeaderBytes, headerTimeoutMs }: RequestHeadLimits): Refusal {
+    if (fault === "late") return refusals.headersTimeout(headerTimeoutMs);
+    return fault === "malformed" ? refusals.malformedRequest() : refusals.headersTooLarge(maxHeaderBytes);
 }
--- a/packages/router/src/types/options.ts
+++ b/packages/router/src/types/options.ts
@@ -36,6 +36,8 @@
     readonly maxBufferedBodyBytes: number;
     /** Longest accepted block of request headers. @default 16384 */
     readonly maxHeaderBytes: number;
+    /** Time from the first byte of a request, or a new connection's opening, to the end of the headers. @default 10000 */
+    readonly headerTimeoutMs: number;
     /** Maximum number of requests in progress, over all services. @default 4096 */
     readonly maxRequests: number;
     /** Time limit for establishing a TCP connection to an agent. @default 1000 */
@@ -77,6 +79,7 @@
     maxBodyBytes: 4 * 1024 * 1024,
     maxBufferedBodyBytes: 64 * 1024 * 1024,
     maxHeaderBytes: 16 * 1024,
+    headerTimeoutMs: 10_000,
     maxRequests: 4096,
     connectTimeoutMs: 1000,
     claimTimeoutMs: 1000,
--- a/packages/router/src/utils/refusals.ts
+++ b/packages/router/src/utils/refusals.ts
@@ -49,6 +49,14 @@
         createInvalidRequestRefusal(413, "body_too_large", `The body is longer than ${maxBytes} bytes.`),
     headersTooLarge: (maxBytes: number) =>
         createInvalidRequestRefusal(431, "headers_too_large", `The request headers are longer than ${maxBytes} bytes.`),
+    headersTimeout: (timeoutMs: number) =>
+        createRefusal(
+            408,
+            "timeout_error",
+            "headers_timeout",
+            `The request headers did not arrive within ${timeoutMs} ms.`,
+            "not_run",
+        ),
     malformedRequest: () => createInvalidRequestRefusal(400, "malformed_request", "The request is not valid HTTP/1.1."),
     bodyTimeout: () =>
         createRefusal(408, "timeout_error", "body_timeout", "The body did not arrive before the deadline.", "not_run"),
