--- a/test/platform/repeated-store-responses.test.ts
+++ b/test/platform/repeated-store-responses.test.ts
@@ -43,6 +43,30 @@
         expect(wrong).toEqual([]);
     });
 
+    it("makes no transaction look failed that expects the state of an earlier conflict", async () => {
+        const conflict = { items: [{ key: "k", value: toBase64("other"), revision: 11 }] };
+        let lastConflict: RepeatingResponse | undefined;
+        let commitCount = 0;
+        const server = await startRepeatingServer({
+            respond: ({ body }) => {
+                const { expected } = JSON.parse(body) as { expected: { revision: number; }[]; };
+                if (expected[0]!.revision !== 11) return lastConflict = { status: 412, body: JSON.stringify(conflict) };
+                commitCount += 1;
+                return { status: 200, body: JSON.stringify({ revision: 12 }) };
+            },
+            repetition: "before_response",
+            responseToRepeat: () => lastConflict,
+        });
+        const store = new PlatformStore({ address: new URL(server.url).host });
+        cleanups.push(() => server.close(), () => store.close());
+        const commit = (modRevision: number) =>
+            store.commit({ compare: [{ key: "k", modRevision }], puts: [{ key: "k", value: "mine" }] });
+        expect((await commit(10))._unsafeUnwrap()).toMatchObject({ succeeded: false, entries: [{ modRevision: 11 }] });
+        const retried = await commit(11);
+        expect(commitCount).toBe(1);
+        expect(retried.match(({ succeeded }) => `succeeded: ${succeeded}`, ({ code }) => code)).toBe("outcome_unknown");
+    });
+
     it("gives no two holders the same lease", async () => {
         let lease = 100;
         const store = await openStore(() => ({ status: 200, body: JSON.stringify({ lease: lease++, ttl_ms: 3_000 }) }));
