--- a/test/platform/cut-control-responses.test.ts
+++ b/test/platform/cut-control-responses.test.ts
@@ -4,7 +4,7 @@
 import { describe, expect, it } from "vitest";
 
 const FRAMINGS = ["length", "chunked", "none"] as const;
-const ENDINGS = ["close", "reset"] as const;
+const ENDINGS = ["close", "reset", "reset_with_last_bytes"] as const;
 type Framing = typeof FRAMINGS[number];
 type Ending = typeof ENDINGS[number];
 
@@ -56,6 +56,7 @@
             socket.write(bytes, () => {
                 if (ending === "reset") setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS);
             });
+            if (ending === "reset_with_last_bytes") socket.resetAndDestroy();
         });
     });
     await new Promise<void>(resolve => listener.listen(0, "127.0.0.1", resolve));
@@ -99,7 +100,7 @@
         const whole = formatResponse(status, framing, version, "{}");
         expect(await callServer(sendOrder, whole, "close")).toBe(outcome);
         // A body without a length ends with the regular end of its connection, wherever that is.
-        const end = framing !== "none" ? whole.length : ending === "reset" ? whole.length + 1 : whole.length - 2;
+        const end = framing !== "none" ? whole.length : ending === "close" ? whole.length - 2 : whole.length + 1;
         const cuts = Array.from({ length: end }, (_, cut) => whole.slice(0, cut));
         expect(await findMistakes(sendOrder, cuts, ending, "unknown")).toEqual([]);
     }, 20_000);
