--- a/packages/skylarkmill/src/commands/gateway.ts
+++ b/packages/skylarkmill/src/commands/gateway.ts
@@ -2,12 +2,11 @@
 import { readSettingsFile, toGatewayOptions } from "@skylarkmill/platform";
 import { DemandEngineModelsPolicy, FixedEngineModelsPolicy } from "@skylarkmill/policy";
 import { createLogger } from "../node/logger.ts";
-import { runUntilSignal } from "../node/run-until-signal.ts";
+import { runUntilSignal, START_FAILURE_EXIT_CODE } from "../node/run-until-signal.ts";
 import { gatewaySettings } from "../settings/gateway.ts";
 import type { ParsedArguments } from "../types/setting.ts";
 import { runWithSettings } from "../utils/with-settings.ts";
 
-const START_FAILURE_EXIT_CODE = 1;
 const USAGE_ERROR_EXIT_CODE = 2;
 
 /** Runs a gateway on the platform until a signal; resolves with the exit code. */
--- a/packages/skylarkmill/src/node/process-context.ts
+++ b/packages/skylarkmill/src/node/process-context.ts
@@ -8,9 +8,7 @@
 import type { SettingValues } from "../types/setting.ts";
 import { parsePeerKeys } from "../utils/secrets.ts";
 import { createLogger } from "./logger.ts";
-import { runUntilSignal } from "./run-until-signal.ts";
-
-const START_FAILURE_EXIT_CODE = 1;
+import { runUntilSignal, START_FAILURE_EXIT_CODE } from "./run-until-signal.ts";
 
 export type CommonRoleSettingValues = SettingValues<typeof commonRoleSettingTable>;
 
--- a/packages/skylarkmill/src/node/run-until-signal.ts
+++ b/packages/skylarkmill/src/node/run-until-signal.ts
@@ -1,5 +1,8 @@
 import type { Logger } from "@skylarkmill/coordination";
 
+/** Exit code of a process that could not start. */
+export const START_FAILURE_EXIT_CODE = 1;
+
 /**
  * Waits for SIGTERM or SIGINT, then calls `stop` and resolves with exit code 0. A further SIGTERM does not shorten the
  * stop, since it may be sent more than once; a SIGINT during the stop exits the process at once with exit code 1.
