fix(coordination): end the connection of a caller that sends no HTTP behind its request

Seen in the check: a caller that sent other bytes than HTTP while a response was in progress kept its connection, and its backend server's work, until the response ended.

Cause: since a malformed head waits for the responses that are owed, like a late or a long one.

--- a/packages/coordination/src/node/request-head-guard.ts
+++ b/packages/coordination/src/node/request-head-guard.ts
@@ -141,6 +141,7 @@
         if (connection.isRefused || connection.waitingFault !== undefined) return;
         const fault = this.toHeadFault(error, connection);
         const action = decideHeadFaultAction({
+            fault,
             isWritable: socket.writable,
             owedResponseCount: connection.owedResponseCount,
             isReceivingBody: connection.newestRequest?.complete === false,
--- a/packages/coordination/src/runtime/head-fault.ts
+++ b/packages/coordination/src/runtime/head-fault.ts
@@ -5,6 +5,7 @@
 export type HeadFault = "late" | "too_large" | "limit_raised" | "malformed";
 
 export interface HeadFaultSituation {
+    readonly fault: HeadFault;
     readonly isWritable: boolean;
     /** Responses to earlier requests of the connection that are not completely written. */
     readonly owedResponseCount: number;
@@ -16,15 +17,17 @@
 
 /**
  * Decides what a caller gets for a faulty head. A refusal never becomes part of an earlier response, and responses that
- * are owed stay complete.
+ * are owed to a caller of HTTP stay complete.
  *
  * @example
- * decideHeadFaultAction({ isWritable: true, owedResponseCount: 0, isReceivingBody: false }); // "refuse"
+ * decideHeadFaultAction({ fault: "late", isWritable: true, owedResponseCount: 0, isReceivingBody: false }); // "refuse"
  */
 export function decideHeadFaultAction(situation: HeadFaultSituation): HeadFaultAction {
     if (!situation.isWritable) return "close";
     if (situation.owedResponseCount === 0) return "refuse";
-    return situation.isReceivingBody ? "close" : "refuse_after_responses";
+    // A caller that sends something else than HTTP doesn't wait for its responses.
+    if (situation.fault === "malformed" || situation.isReceivingBody) return "close";
+    return "refuse_after_responses";
 }
 
 /** Counts the bytes of a request head with its line ends. */
--- a/test/coordination/head-fault.test.ts
+++ b/test/coordination/head-fault.test.ts
@@ -3,15 +3,38 @@
 
 // Guards against a refusal in the middle of an earlier response, and against owed responses that end with their connection.
 describe("decideHeadFaultAction", () => {
-    it.each([
-        { isWritable: true, owedResponseCount: 0, isReceivingBody: false, action: "refuse" },
-        { isWritable: true, owedResponseCount: 0, isReceivingBody: true, action: "refuse" },
-        { isWritable: true, owedResponseCount: 1, isReceivingBody: false, action: "refuse_after_responses" },
-        { isWritable: true, owedResponseCount: 3, isReceivingBody: false, action: "refuse_after_responses" },
-        { isWritable: true, owedResponseCount: 1, isReceivingBody: true, action: "close" },
-        { isWritable: false, owedResponseCount: 0, isReceivingBody: false, action: "close" },
-        { isWritable: false, owedResponseCount: 1, isReceivingBody: false, action: "close" },
-    ])("$action: $isWritable, $owedResponseCount, $isReceivingBody", ({ action, ...situation }) => {
+    it.each(
+        [
+            { fault: "late", isWritable: true, owedResponseCount: 0, isReceivingBody: false, action: "refuse" },
+            { fault: "late", isWritable: true, owedResponseCount: 0, isReceivingBody: true, action: "refuse" },
+            {
+                fault: "late",
+                isWritable: true,
+                owedResponseCount: 1,
+                isReceivingBody: false,
+                action: "refuse_after_responses",
+            },
+            {
+                fault: "late",
+                isWritable: true,
+                owedResponseCount: 3,
+                isReceivingBody: false,
+                action: "refuse_after_responses",
+            },
+            { fault: "late", isWritable: true, owedResponseCount: 1, isReceivingBody: true, action: "close" },
+            { fault: "late", isWritable: false, owedResponseCount: 0, isReceivingBody: false, action: "close" },
+            { fault: "late", isWritable: false, owedResponseCount: 1, isReceivingBody: false, action: "close" },
+            {
+                fault: "too_large",
+                isWritable: true,
+                owedResponseCount: 1,
+                isReceivingBody: false,
+                action: "refuse_after_responses",
+            },
+            { fault: "malformed", isWritable: true, owedResponseCount: 0, isReceivingBody: false, action: "refuse" },
+            { fault: "malformed", isWritable: true, owedResponseCount: 1, isReceivingBody: false, action: "close" },
+        ] as const,
+    )("$action: $fault, $isWritable, $owedResponseCount, $isReceivingBody", ({ action, ...situation }) => {
         expect(decideHeadFaultAction(situation)).toBe(action);
     });
 });
