--- a/test/router/streams.test.ts
+++ b/test/router/streams.test.ts
@@ -73,7 +73,15 @@
             version: "1.0",
             headers: { "host": "router.example", "x-request-timeout-ms": "300" },
         });
-        expect(result).toEqual({ status: 200, text: "a part", framing: "none", ending: "reset", isComplete: false });
+        expect(result).toEqual({
+            status: 200,
+            text: "a part",
+            framing: "none",
+            ending: "reset",
+            isComplete: false,
+            extraByteCount: 0,
+            isLast: true,
+        });
     });
 
     it("forwards an agent's error event without adding another", async () => {
