test(router): give the fake agent a port that connections don't take

Seen: "retries even an order if an agent refuses connections" failed once with EADDRINUSE, when the agent listened on its former port again; "stops all components if one port can't be bound" timed out once at the same step or after it, beside a second check.

Cause: the system had assigned the port from the range of outgoing connections. The failure to listen was not reported either, so that the test waited.

Change: a port from findFreePort, and an error of the bind fails the test.

Whether the second failure had this cause is not shown, so both stay listed.

--- a/test/router/support/fake-agent.ts
+++ b/test/router/support/fake-agent.ts
@@ -6,7 +6,7 @@
     type Server,
     type ServerResponse,
 } from "node:http";
-import type { AddressInfo } from "node:net";
+import { findFreePort } from "../../support/free-ports.ts";
 
 export interface ReceivedRequest {
     readonly method: string;
@@ -33,8 +33,10 @@
     /** Starts to listen; after a stop, on the same port as before. */
     async start(): Promise<void> {
         const server = createServer((request, response) => void this.handleRequest(request, response));
-        await new Promise<void>(resolve => server.listen(this.port, "127.0.0.1", resolve));
-        this.port = (server.address() as AddressInfo).port;
+        // A port that the system assigns could be taken by any connection while the agent is stopped.
+        if (this.port === 0) this.port = await findFreePort();
+        server.listen(this.port, "127.0.0.1");
+        await once(server, "listening");
         this.server = server;
     }
 
