fix: signals ended a gateway while its program was read and compiled

Cause: the listeners that replace the signals' default actions were a part of the program, 1.5 MB that Node.js reads and compiles before the first of its statements runs. A SIGHUP in that time (settings that change beside a restart) ended the process by itself. Change: the process first loads a file of 3 KB that installs the listeners, and then the program, which shares them. What remains is the start of Node.js itself.

--- a/packages/skylarkmill/src/gateway-main.ts
+++ b/packages/skylarkmill/src/gateway-main.ts
@@ -1,6 +1,3 @@
-// Comes before the other modules: loading them takes most of the start, in which signals may arrive.
-import "./node/install-daemon-signals.ts";
-
 import { parseArgs } from "node:util";
 import { runGateway } from "./commands/gateway.ts";
 import { exitProcess } from "./node/log-output.ts";
--- a/packages/skylarkmill/src/node/install-daemon-signals.ts
+++ /dev/null
@@ -1,3 +0,0 @@
-import { installDaemonSignals } from "./daemon-signals.ts";
-
-installDaemonSignals();
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -14,8 +14,24 @@
     },
 };
 
+/** Loads a module from another file of the output folder instead of adding it to the bundle. */
+function useOtherBundle(modulePath, fileName) {
+    return {
+        name: `use-${fileName}`,
+        setup(builder) {
+            builder.onResolve(
+                { filter: /^\./ },
+                ({ path, resolveDir }) =>
+                    join(resolveDir, path) === join(rootDir, modulePath)
+                        ? { path: `./${fileName}`, external: true }
+                        : undefined,
+            );
+        },
+    };
+}
+
 /** Bundles an entry point into one CommonJS file, the only format that a single executable application can load. */
-async function bundle(entryPoint, outputDir, fileName) {
+async function bundle(entryPoint, outputDir, fileName, plugins = []) {
     const options = {
         entryPoints: [join(rootDir, entryPoint)],
         bundle: true,
@@ -28,7 +44,7 @@
         minifyWhitespace: true,
         minifySyntax: true,
         logLevel: "warning",
-        plugins: [excludeLocales],
+        plugins: [excludeLocales, ...plugins],
         // bunyan loads these optional native modules only if they exist.
         external: ["dtrace-provider", "mv", "safe-json-stringify", "source-map-support"],
         define: { "import.meta.dirname": "__dirname", "import.meta.url": "__importMetaUrl" },
@@ -40,7 +56,14 @@
 
 // The gateway gets its own bundle with only the modules that it needs, since loading code takes most of its start-up time.
 if (process.argv.includes("--gateway")) {
-    await bundle("packages/skylarkmill/src/gateway-main.ts", "target", "gateway.cjs");
+    const sources = "packages/skylarkmill/src";
+    await bundle(`${sources}/gateway-main.ts`, "target", "gateway-program.cjs", [
+        useOtherBundle(`${sources}/node/daemon-signals.ts`, "gateway.cjs"),
+    ]);
+    // Last, so that a process which starts meanwhile finds a program.
+    await bundle(`${sources}/gateway-start.ts`, "target", "gateway.cjs", [
+        useOtherBundle(`${sources}/gateway-main.ts`, "gateway-program.cjs"),
+    ]);
     const fault = findRunFault("target/gateway.cjs");
     if (fault !== undefined) {
         console.error(fault);
