test(soak): settings written in two parts, slow hosts, kills at once and outages of the service

The soak gets a third kind, 'hosts', with the flags of the deploy file and a check of each process's memory. Seeds of the other kinds play the same plans as before.

--- a/test/platform/stand-ins/platform-store.ts
+++ b/test/platform/stand-ins/platform-store.ts
@@ -17,6 +17,8 @@
     readonly remove?: readonly string[];
 }
 
+export type StoreOutage = "none" | "silent" | "reset" | "unavailable" | "too_many_requests";
+
 interface StoreResponse {
     readonly status: number;
     readonly body: unknown;
@@ -31,7 +33,7 @@
      * Calls get no response (`silent`), a closed connection (`reset`), 503 (`unavailable`) or 429
      * (`too_many_requests`).
      */
-    outage: "none" | "silent" | "reset" | "unavailable" | "too_many_requests" = "none";
+    outage: StoreOutage = "none";
     /** Number of further writes that take effect without a response. */
     lostResponseCount = 0;
     /** Delay before each response. */
--- a/test/soak/gateway-runner.ts
+++ b/test/soak/gateway-runner.ts
@@ -1,9 +1,17 @@
 import type { PlatformSettings } from "@skylarkmill/platform";
 import { writeFileSync } from "node:fs";
 import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
 import { formatSettings } from "../platform/stand-ins/gateway-process.ts";
 import { SpawnedProcess } from "../support/spawned-process.ts";
 
+/** Flags of the deploy file. */
+const NODE_FLAGS = ["--disable-wasm-trap-handler", "--max-old-space-size=200", "--max-semi-space-size=2"];
+const BYTES_PER_MB = 1_000_000;
+/** A process of a slow host runs for less than a fifth of the time. */
+const SLOW_RUN_MS = 10;
+const SLOW_PAUSE_MS = 45;
+
 /** Runs a gateway's process, starts it again at once when it exits, and checks how it exits. */
 export class GatewayRunner extends SpawnedProcess {
     readonly port: number;
@@ -17,15 +25,58 @@
     /** Whether SIGTERM came after the start; before that, it may end the process without a stop. */
     private mustExitInOrder = false;
     private firstLine = 0;
+    private slowUntilMs = -Infinity;
 
-    constructor(settings: PlatformSettings, folder: string) {
-        const nodeFile = join(folder, `${settings.node_name}.json`);
-        super({ name: settings.node_name, args: ["gateway", "--node-file", nodeFile] });
-        writeFileSync(nodeFile, formatSettings(settings));
+    constructor(private readonly settings: PlatformSettings, private readonly folder: string) {
+        super({
+            name: settings.node_name,
+            args: ["gateway", "--node-file", join(folder, `${settings.node_name}.json`)],
+            nodeFlags: NODE_FLAGS,
+        });
+        writeFileSync(this.nodeFile, formatSettings(settings));
         this.port = settings.listen_addrs.front.port;
         this.onExit = () => this.checkExit();
     }
 
+    private get nodeFile(): string {
+        return join(this.folder, `${this.settings.node_name}.json`);
+    }
+
+    /** Writes the settings again in two parts, as a program does that doesn't rename a finished file, and sends SIGHUP. */
+    async rewriteSettings(durationMs: number): Promise<void> {
+        const text = formatSettings(this.settings);
+        writeFileSync(this.nodeFile, text.slice(0, Math.floor(text.length / 2)));
+        await sleep(durationMs);
+        writeFileSync(this.nodeFile, text);
+        this.signal("SIGHUP");
+    }
+
+    /** Lets the process run for a share of the time only. */
+    async slowDown(durationMs: number): Promise<void> {
+        const isSlow = this.slowUntilMs > performance.now();
+        this.slowUntilMs = performance.now() + durationMs;
+        if (isSlow) return;
+        while (performance.now() < this.slowUntilMs) {
+            this.checkMemory();
+            super.signal("SIGSTOP");
+            await sleep(SLOW_PAUSE_MS);
+            super.signal("SIGCONT");
+            await sleep(SLOW_RUN_MS);
+        }
+    }
+
+    endSlowDown(): void {
+        this.slowUntilMs = -Infinity;
+        super.signal("SIGCONT");
+    }
+
+    private checkMemory(): void {
+        if (!this.isRunning) return;
+        const limitBytes = this.settings.limits.memory_mb * BYTES_PER_MB;
+        const usedBytes = this.readMemoryBytes();
+        if (usedBytes > limitBytes) this.violations.push(`${this.spec.name} uses ${usedBytes} bytes of memory`);
+    }
+
     override start(): void {
         this.isKilled = this.isTerminated = this.mustExitInOrder = false;
         this.firstLine = this.lines.length;
@@ -33,6 +84,7 @@
     }
 
     override signal(signal: NodeJS.Signals): void {
+        this.checkMemory();
         const lines = this.lines.slice(this.firstLine);
         // Node has no handlers before the first line.
         if (lines.length === 0 && signal !== "SIGKILL") return;
@@ -47,7 +99,8 @@
     /** Stops the process for good and waits for its exit. */
     async stop(): Promise<void> {
         this.shouldRestart = false;
-        for (const signal of ["SIGCONT", "SIGTERM"] as const) this.signal(signal);
+        this.endSlowDown();
+        this.signal("SIGTERM");
         this.isTerminated = true;
         await this.end("SIGTERM");
     }
--- a/test/soak/run.ts
+++ b/test/soak/run.ts
@@ -1,5 +1,6 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { SOAK_KINDS, type SoakKind } from "./plan.ts";
 import { Soak } from "./soak.ts";
 
 const { argv } = process;
@@ -12,15 +13,20 @@
     return value;
 }
 
+const kindIndex = argv.indexOf("--kind");
+/** Every second run has planned work alone, around which no request may be lost. */
+const kinds: readonly SoakKind[] = kindIndex < 0
+    ? ["planned", "faults"]
+    : SOAK_KINDS.filter(kind => kind === argv[kindIndex + 1]);
+if (kinds.length === 0) throw new RangeError(`--kind must be followed by one of ${SOAK_KINDS.join(", ")}`);
 const firstSeed = readNumber("--seed", 1);
 const runs = readNumber("--runs", 1);
 let failedCount = 0;
 for (let seed = firstSeed; seed < firstSeed + runs; seed += 1) {
-    // Every second run has planned work alone, around which no request may be lost.
-    const kind = seed % 2 === 0 ? "planned" : "faults";
+    const kind = kinds[seed % kinds.length]!;
     const folder = join(process.env.SKYLARKMILL_SOAK_FOLDER ?? tmpdir(), `skylarkmill-soak-${seed}`);
     const [gatewayCount, durationMs] = [readNumber("--gateways", 4), 1_000 * readNumber("--seconds", 12)];
-    const report = await Soak.run({ seed, gatewayCount, durationMs, isPlanned: kind === "planned", folder });
+    const report = await Soak.run({ seed, gatewayCount, durationMs, kind, folder });
     const { answerCount, completeCount, violations } = report;
     console.log(
         `seed ${seed} ${kind}: ${answerCount} answers, ${completeCount} whole, ${violations.length} violations`,
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -2,17 +2,18 @@
 import { mkdirSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { createConfigurationDocument, HOST, PlatformFixture } from "../platform/stand-ins/fixture.ts";
+import type { StoreOutage } from "../platform/stand-ins/platform-store.ts";
 import { callRaw, KeptConnection, type RawCall, type RawResult } from "../support/raw-caller.ts";
 import { checkCall, EVENT_COUNT, hasOutlastedStop, type SoakCall, STREAM_PATHS } from "./check-call.ts";
 import { GatewayRunner } from "./gateway-runner.ts";
-import { createPlan, type Step } from "./plan.ts";
+import { createPlan, type SoakKind, type Step } from "./plan.ts";
 
 export interface SoakOptions {
     readonly seed: number;
     readonly gatewayCount: number;
     readonly durationMs: number;
-    /** Whether only planned work happens, around which no request may be lost. */
-    readonly isPlanned: boolean;
+    /** Around planned work alone no request may be lost. */
+    readonly kind: SoakKind;
     /** Folder for settings files and, after a violation, the plan and the logs of the processes. */
     readonly folder: string;
 }
@@ -62,18 +63,20 @@
     }
 
     private async run(): Promise<SoakReport> {
-        const { gatewayCount, durationMs, isPlanned, folder } = this.options;
+        const { gatewayCount, durationMs, kind, folder } = this.options;
+        const isPlanned = kind === "planned";
         mkdirSync(folder, { recursive: true });
         await this.startFleet();
-        const plan = createPlan(this.random, gatewayCount, durationMs, isPlanned);
+        const plan = createPlan(this.random, gatewayCount, durationMs, kind);
         const callers = Array.from({ length: CALLER_COUNT }, (_, index) => this.runCaller(index));
         const startedAtMs = performance.now();
         for (const step of plan) {
             await sleep(startedAtMs + step.atMs - performance.now());
             this.applyStep(step);
         }
-        for (const gateway of this.gateways) gateway.signal("SIGCONT");
         this.isEnding = true;
+        this.fixture.store.outage = "none";
+        for (const gateway of this.gateways) gateway.endSlowDown();
         await Promise.all(callers);
         await Promise.all(this.gateways.map(gateway => gateway.stop()));
         const violations = this.calls.flatMap(call => checkCall(call, this.fixture.servers, isPlanned));
@@ -86,7 +89,7 @@
 
     private async startFleet(): Promise<void> {
         this.applyConfiguration(ROUTE_TIMEOUT_MS);
-        const intervals = this.options.isPlanned ? PLANNED_EVENT_INTERVALS_MS : EVENT_INTERVALS_MS;
+        const intervals = this.options.kind === "planned" ? PLANNED_EVENT_INTERVALS_MS : EVENT_INTERVALS_MS;
         for (const [index, eventIntervalMs] of intervals.entries()) {
             const pace = { eventIntervalMs, responseDelayMs: 30 * index };
             const common = { ...pace, eventCount: EVENT_COUNT, namesRequests: true };
@@ -116,9 +119,18 @@
     private applyStep(step: Step): void {
         if (step.kind === "configuration") this.applyConfiguration(step.timeoutMs);
         else if (step.kind === "signal") this.gateways[step.gateway]!.signal(step.signal);
+        else if (step.kind === "settings") void this.gateways[step.gateway]!.rewriteSettings(step.durationMs);
+        else if (step.kind === "slow") void this.gateways[step.gateway]!.slowDown(step.durationMs);
+        else if (step.kind === "outage") void this.interruptStore(step.outage, step.durationMs);
         else for (const server of this.fixture.servers) server.faults.push(step.fault);
     }
 
+    private async interruptStore(outage: StoreOutage, durationMs: number): Promise<void> {
+        this.fixture.store.outage = outage;
+        await sleep(durationMs);
+        this.fixture.store.outage = "none";
+    }
+
     /** Callers with an even number use a connection for as long as it is open, the others one for each request. */
     private async runCaller(index: number): Promise<void> {
         while (!this.isEnding) {
