feat(gateway): log each kind of failure of the key-value service once in an outage

Change: each kind of failure, by its text without numbers, is logged once in an outage, at most 8. Test: test/gateway/store-view.test.ts, 'logs each kind of failure once', failed before (only the first was logged).

--- a/packages/gateway/src/runtime/store-view.ts
+++ b/packages/gateway/src/runtime/store-view.ts
@@ -14,6 +14,9 @@
 /** Interval at which a view that follows a peer checks whether it still does. */
 const FOLLOWING_CHECK_MS = 100;
 
+/** Largest number of different failures that are logged in one outage. */
+const MAX_LOGGED_FAILURES = 8;
+
 /** Entries under the watched prefixes, as exchanged between gateways. */
 export interface StoreSnapshot {
     readonly revision: number;
@@ -64,6 +67,8 @@
     private sinceLastResponse: Stopwatch | undefined;
     private outageAtMs = -Infinity;
     private recoveredAtMs = -Infinity;
+    /** Kinds of failures that were logged in this outage. */
+    private readonly loggedFailures = new Set<string>();
     /** End of the last outage in which entries may have expired. */
     private expiryEndedAtMs = -Infinity;
     private task: Promise<void> | undefined;
@@ -313,7 +318,10 @@
     }
 
     private recordFailure(step: string, error: KeyValueError | Error): void {
-        if (this.outageAtMs <= this.recoveredAtMs) {
+        if (this.outageAtMs <= this.recoveredAtMs) this.loggedFailures.clear();
+        const failure = `${step}: ${error.message.replaceAll(/\d+/g, "#")}`;
+        if (!this.loggedFailures.has(failure) && this.loggedFailures.size < MAX_LOGGED_FAILURES) {
+            this.loggedFailures.add(failure);
             this.options.logger.warn({ step, err: error }, "key-value service does not respond");
         }
         this.outageAtMs = nowMs();
--- a/test/gateway/store-view.test.ts
+++ b/test/gateway/store-view.test.ts
@@ -7,7 +7,7 @@
 } from "@skylarkmill/coordination";
 import { StoreView } from "@skylarkmill/gateway";
 import { ProtocolError, UnavailableError } from "@skylarkmill/protocol";
-import { ok, ResultAsync } from "neverthrow";
+import { err, ok, ResultAsync } from "neverthrow";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { type ClientFaults, SharedStore } from "./support/shared-store.ts";
 
@@ -71,6 +71,30 @@
 });
 
 describe("store view during an outage", () => {
+    // Guards against an outage whose reason changes, of which the log tells the first one only.
+    it("logs each kind of failure once", async () => {
+        const failures = ["reset 1", "reset 2", "foreign 3", "reset 4", "foreign 5"];
+        const store: Pick<KeyValueStore, "range"> = {
+            range: () => {
+                const error = new UnavailableError(failures.shift() ?? "reset 6", { step: "kv.range", peer: "store" });
+                return new ResultAsync(Promise.resolve(err(error)));
+            },
+        };
+        const logged: string[] = [];
+        const view = new StoreView({
+            store: store as KeyValueStore,
+            logger: { ...silentLogger, warn: fields => logged.push((fields as { err: Error; }).err.message) },
+            prefixes: ["servers/"],
+            getWatchPauseMs: () => 0,
+            minExpiryMs: 2_400,
+            listener: { onPut: () => undefined, onDelete: () => undefined },
+        });
+        view.start();
+        await vi.advanceTimersByTimeAsync(5_000);
+        expect(logged).toEqual(["reset 1", "foreign 3"]);
+        await view.stop();
+    });
+
     it("adopts a newer copy of a peer but not an older one", async () => {
         const { shared, faults, put, view } = setup();
         shared.put("op/config", "v1");
