--- a/test/platform/stand-ins/platform-store.ts
+++ b/test/platform/stand-ins/platform-store.ts
@@ -1,7 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 
-interface Item {
+export interface Item {
     readonly key: string;
     readonly value: string;
     readonly revision: number;
@@ -9,7 +9,7 @@
     readonly lease: number;
 }
 
-type Change = Item | { readonly key: string; readonly revision: number; readonly tombstone: true; };
+export type Change = Item | { readonly key: string; readonly revision: number; readonly tombstone: true; };
 
 interface Transaction {
     readonly expected?: readonly { readonly key: string; readonly revision: number; }[];
@@ -24,6 +24,15 @@
     readonly body: unknown;
 }
 
+/** Data of the service at a moment. */
+export interface StoreCopy {
+    readonly items: ReadonlyMap<string, Item>;
+    readonly changes: readonly Change[];
+    readonly leaseIds: readonly number[];
+    readonly nextLeaseId: number;
+    readonly revision: number;
+}
+
 const PAGE_SIZE = 5;
 const SLOW_CHUNK_INTERVAL_MS = 50;
 
@@ -47,6 +56,8 @@
     private compactedRevision = 0;
     private revision = 100;
     private nextLeaseId = 1;
+    /** Number of restores, which all responses state. */
+    private generation = 0;
     private readonly watchers = new Set<() => void>();
     private readonly server: Server;
 
@@ -82,6 +93,10 @@
         this.notifyWatchers();
     }
 
+    get storeRevision(): number {
+        return this.revision;
+    }
+
     read(key: string): string | undefined {
         const item = this.items.get(key);
         return item === undefined ? undefined : Buffer.from(item.value, "base64").toString();
@@ -104,6 +119,37 @@
         this.notifyWatchers();
     }
 
+    copyData(): StoreCopy {
+        return {
+            items: new Map(this.items),
+            changes: [...this.changes],
+            leaseIds: [...this.leases.keys()],
+            nextLeaseId: this.nextLeaseId,
+            revision: this.revision,
+        };
+    }
+
+    /** Replaces the data by an older copy; revisions and ids of leases are given out again from there on. */
+    restore(copy: StoreCopy): void {
+        this.generation += 1;
+        this.items.clear();
+        for (const [key, item] of copy.items) this.items.set(key, item);
+        this.changes = [...copy.changes];
+        for (const leaseId of this.leases.keys()) if (!copy.leaseIds.includes(leaseId)) this.leases.delete(leaseId);
+        this.nextLeaseId = copy.nextLeaseId;
+        this.revision = copy.revision;
+        for (const item of copy.items.values()) {
+            if (item.lease > 0 && !this.leases.has(item.lease)) this.deleteItem(item.key);
+        }
+        this.notifyWatchers();
+    }
+
+    /** Writes an unused key until the revision is reached. */
+    advanceTo(revision: number): void {
+        while (this.revision < revision) this.write("unused", "", 0);
+        this.notifyWatchers();
+    }
+
     private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const url = new URL(request.url ?? "/", "http://store");
         const chunks: Buffer[] = [];
@@ -128,7 +174,7 @@
     private async writeSlowly(response: ServerResponse, { status, body }: StoreResponse, rate: number): Promise<void> {
         const bytes = Buffer.from(JSON.stringify(body));
         const chunkSize = Math.max(1, Math.floor(rate * SLOW_CHUNK_INTERVAL_MS / 1_000));
-        response.writeHead(status, { "content-type": "application/json", "content-length": bytes.length });
+        response.writeHead(status, { ...this.createHeaders(), "content-length": bytes.length });
         for (let offset = 0; offset < bytes.length && !response.destroyed; offset += chunkSize) {
             response.write(bytes.subarray(offset, offset + chunkSize));
             await new Promise(resolve => setTimeout(resolve, SLOW_CHUNK_INTERVAL_MS));
@@ -170,7 +216,7 @@
     private async watch(prefix: string, after: number, waitMs: number): Promise<StoreResponse> {
         const endAtMs = Date.now() + waitMs;
         for (;;) {
-            if (after < this.compactedRevision) return { status: 410, body: {} };
+            if (after < this.compactedRevision || after > this.revision) return { status: 410, body: {} };
             const events = this.changes.filter(change => change.revision > after && change.key.startsWith(prefix));
             const remainingMs = endAtMs - Date.now();
             if (events.length > 0 || remainingMs <= 0) {
@@ -245,6 +291,10 @@
     }
 
     private writeResponse(response: ServerResponse, { status, body }: StoreResponse): void {
-        response.writeHead(status, { "content-type": "application/json" }).end(JSON.stringify(body));
+        response.writeHead(status, this.createHeaders()).end(JSON.stringify(body));
+    }
+
+    private createHeaders(): Record<string, string> {
+        return { "content-type": "application/json", "store-era": String(this.generation) };
     }
 }
