fix(gateway): servers whose entries a restore had lost counted as gone at once

Callers saw: refusals after the key-value service had been restored from an older copy, although servers were there. Cause: an entry that is missing in a read is removed at once unless the service was away for two heartbeats, since entries expire only then. A restore loses entries however short the outage is, and servers write them again within a heartbeat. Change: reads and peers' copies state the generation of the data, and a higher one begins the same grace as a long outage. Test: test/platform/restored-store.test.ts, 'is used until it has had time to write the entry again', failed before; 'is not used any more if the entry isn't written again' guards the end of the grace.

--- a/packages/coordination/src/types/key-value-store.ts
+++ b/packages/coordination/src/types/key-value-store.ts
@@ -42,6 +42,13 @@
 export interface RangeResult {
     readonly entries: readonly KeyValueEntry[];
     readonly revision: number;
+    /**
+     * Number of times that the service has been restored from an older copy of its data. All revisions of a generation
+     * are higher than those of the generations before.
+     *
+     * @default 0
+     */
+    readonly generation?: number;
 }
 
 export interface WatchEvent {
--- a/packages/gateway/src/runtime/store-view.ts
+++ b/packages/gateway/src/runtime/store-view.ts
@@ -20,6 +20,8 @@
 /** Entries under the watched prefixes, as exchanged between gateways. */
 export interface StoreSnapshot {
     readonly revision: number;
+    /** See `RangeResult`. @default 0 */
+    readonly generation?: number | undefined;
     readonly entries: readonly KeyValueEntry[];
 }
 
@@ -40,7 +42,7 @@
 
 export interface StoreViewListener {
     onPut(entry: KeyValueEntry): void;
-    /** `graceMs`: time within which the entry may be written again, since it may have expired during an outage. */
+    /** `graceMs`: time within which the entry may be written again, since an outage or a restore may have removed it. */
     onDelete(key: string, graceMs: number): void;
 }
 
@@ -64,12 +66,13 @@
     private readonly entries = new Map<string, KeyValueEntry>();
     private readonly abort = new AbortController();
     private revision = 0;
+    private generation = 0;
     private sinceLastResponse: Stopwatch | undefined;
     private outageAtMs = -Infinity;
     private recoveredAtMs = -Infinity;
     /** Kinds of failures that were logged in this outage. */
     private readonly loggedFailures = new Set<string>();
-    /** End of the last outage in which entries may have expired. */
+    /** End of the last outage in which entries may have expired, or time at which the last restore was learned. */
     private expiryEndedAtMs = -Infinity;
     private task: Promise<void> | undefined;
     private hasEntries = false;
@@ -117,7 +120,7 @@
     }
 
     snapshot(): StoreSnapshot {
-        return { revision: this.revision, entries: [...this.entries.values()] };
+        return { revision: this.revision, generation: this.generation, entries: [...this.entries.values()] };
     }
 
     /** Returns the changes since a revision. */
@@ -126,6 +129,7 @@
         const entries = [...this.entries.values()];
         return {
             revision: this.revision,
+            generation: this.generation,
             ageMs: Math.round(Math.min(this.sinceLastResponseMs, Number.MAX_SAFE_INTEGER)),
             isComplete,
             entries: isComplete ? entries : entries.filter(entry => entry.modRevision > sinceRevision),
@@ -144,7 +148,7 @@
         const { revision, ageMs, isComplete, entries, removed } = changes;
         this.recordResponse(ageMs);
         if (revision <= this.revision) return;
-        if (isComplete) return this.replaceEntries(entries, revision);
+        if (isComplete) return this.replaceEntries(changes);
         for (const entry of entries) this.putEntry(entry);
         for (const { key, modRevision } of removed) this.deleteEntry(key, modRevision);
         this.revision = revision;
@@ -167,7 +171,7 @@
             { step: "view.adopt", revision: snapshot.revision, own: this.revision },
             "adopted a newer copy of the keys from a peer",
         );
-        this.replaceEntries(snapshot.entries, snapshot.revision);
+        this.replaceEntries(snapshot);
     }
 
     private async run(): Promise<void> {
@@ -193,12 +197,16 @@
         const entries: KeyValueEntry[] = [];
         const duration = new Stopwatch();
         let revision = Infinity;
+        let generation: number | undefined;
         for (const prefix of this.options.prefixes) {
             const result = await this.options.store.range(prefix);
             if (result.isErr()) {
                 this.recordFailure("view.range", result.error);
                 return false;
             }
+            const { generation: rangeGeneration = 0 } = result.value;
+            generation ??= rangeGeneration;
+            if (rangeGeneration !== generation) return false;
             revision = Math.min(revision, result.value.revision);
             entries.push(...result.value.entries);
         }
@@ -210,7 +218,7 @@
             entries: entries.length,
             tookMs: Math.round(duration.elapsedMs()),
         }, "read all keys from the key-value service");
-        this.replaceEntries(entries, revision);
+        this.replaceEntries({ entries, revision, generation: generation ?? 0 });
         this.areChangesLost = false;
         return true;
     }
@@ -253,7 +261,8 @@
         }
     }
 
-    private replaceEntries(entries: readonly KeyValueEntry[], revision: number): void {
+    private replaceEntries({ entries, revision, generation = 0 }: StoreSnapshot): void {
+        this.recordGeneration(generation);
         const keys = new Set(entries.map(entry => entry.key));
         for (const key of this.entries.keys()) if (!keys.has(key)) this.deleteEntry(key, revision);
         // A read that is older than this copy lists entries that were deleted since.
@@ -266,6 +275,17 @@
         this.notifyListeners();
     }
 
+    private recordGeneration(generation: number): void {
+        if (generation <= this.generation) return;
+        this.generation = generation;
+        if (!this.hasEntries) return;
+        this.expiryEndedAtMs = nowMs();
+        this.options.logger.warn(
+            { step: "view.restore", generation, own: this.revision },
+            "the key-value service was restored from an older copy",
+        );
+    }
+
     private get isFollowingPeer(): boolean {
         return this.options.isFollowingPeer?.() === true;
     }
--- a/packages/gateway/src/utils/peer-schemas.ts
+++ b/packages/gateway/src/utils/peer-schemas.ts
@@ -100,10 +100,17 @@
 
 const entry = z.object({ key: z.string(), value: z.string(), modRevision: z.number() });
 
-export const snapshotSchema: z.ZodType<StoreSnapshot> = z.object({ revision: z.number(), entries: z.array(entry) });
+const generation = z.number().optional();
+
+export const snapshotSchema: z.ZodType<StoreSnapshot> = z.object({
+    revision: z.number(),
+    generation,
+    entries: z.array(entry),
+});
 
 export const changesSchema: z.ZodType<StoreChanges> = z.object({
     revision: z.number(),
+    generation,
     ageMs: z.number().nonnegative(),
     isComplete: z.boolean(),
     entries: z.array(entry),
--- a/test/platform/restored-store.test.ts
+++ b/test/platform/restored-store.test.ts
@@ -12,6 +12,10 @@
 const LOST_CHANGE_COUNT = 40;
 /** Times within which gateways must know a change of the configuration, and that a server leaves. */
 const NOTICE_MS = 2_000;
+/** Longest time between two writes of a server's entry. */
+const HEARTBEAT_MS = 1_200;
+/** Time after the return of the service within which servers have written their entries again. */
+const RECOVERY_MS = 2_000;
 
 const cleanups: (() => Promise<unknown>)[] = [];
 afterEach(async () => {
@@ -226,3 +230,56 @@
         expect(leaving.requests.length).toBe(countBefore);
     }, 20_000);
 });
+
+describe("a server whose entry a restore changed", () => {
+    const RESTORE_MS = 600;
+    let fixture: PlatformFixture;
+
+    beforeEach(async () => {
+        fixture = await PlatformFixture.start();
+        cleanups.push(() => fixture.close());
+    });
+
+    /** Restores the copy that the service made before `change`. */
+    async function restoreBefore(change: () => Promise<unknown>): Promise<void> {
+        const { store } = fixture;
+        const copy = store.copyData();
+        await change();
+        store.outage = "reset";
+        await sleep(RESTORE_MS);
+        store.restore(copy);
+        store.outage = "none";
+    }
+
+    async function callFor(durationMs: number): Promise<number[]> {
+        const statuses: number[] = [];
+        for (const endMs = performance.now() + durationMs; performance.now() < endMs;) {
+            statuses.push((await fixture.call(0, "/lookup/x", { method: "GET" })).status);
+            await sleep(20);
+        }
+        return statuses;
+    }
+
+    // Guards against refusals although servers are there: those that had joined since the copy counted as gone at once.
+    it("is used until it has had time to write the entry again", async () => {
+        await fixture.addGateway("edge-1");
+        await restoreBefore(async () => {
+            await fixture.addServer({ id: "d1", service: "desk" });
+            await fixture.waitUntilServerAvailable(0, "d1");
+        });
+        const statuses = await callFor(HEARTBEAT_MS);
+        fixture.store.put("servers/d1", fixture.servers[0]!.toServerRecord());
+        statuses.push(...await callFor(RECOVERY_MS));
+        expect(statuses.filter(status => status !== 200)).toEqual([]);
+    }, 20_000);
+
+    it("is not used any more if the entry isn't written again", async () => {
+        await fixture.addGateway("edge-1");
+        await restoreBefore(async () => {
+            await fixture.addServer({ id: "d1", service: "desk" });
+            await fixture.waitUntilServerAvailable(0, "d1");
+        });
+        await sleep(RECOVERY_MS + NOTICE_MS);
+        expect((await callFor(100)).every(status => status === 503)).toBe(true);
+    }, 20_000);
+});
