fix(gateway): a restore brought back servers that had left

Callers saw: requests sent to a server that had gone, since the copy from which the key-value service was restored lists it as ready. Cause: what a gateway knew of a removed server was forgotten with its entry; only draining servers were remembered. Change: the start times of removed servers are remembered, at most 1,000. An entry of the same start that comes with the first read after a restore is not used before it is written again, or until it should have expired (three heartbeats and a second), since the service removes the entry of a server that is gone by then. Test: test/platform/restored-store.test.ts, 'after it had left', 2 of 3 cases failed before; the third, a living server whose entry isn't written again, guards the end of the wait.

--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -53,8 +53,12 @@
 const MIN_WATCH_PAUSE_MS = 500;
 /** Longest pause after a watch response, as a share of the time within which a change must be known. */
 const MAX_WATCH_PAUSE_SHARE = 0.4;
-/** An entry expires after three heartbeats without a renewal, of which up to one passes before an outage. */
-const MIN_EXPIRY_HEARTBEATS = 2;
+/** Heartbeats without a renewal after which an entry expires. */
+const EXPIRY_HEARTBEATS = 3;
+/** Time for the service to remove an expired entry, and for the watch to tell. */
+const EXPIRY_MARGIN_MS = 1_000;
+/** Up to one of the heartbeats after which an entry expires passes before an outage. */
+const MIN_EXPIRY_HEARTBEATS = EXPIRY_HEARTBEATS - 1;
 /** Largest number of log lines about requests per second; further lines are counted and skipped. */
 const REQUEST_LINES_PER_SECOND = 20;
 /** The load balancer opens no new connections after two failed readiness checks, which it makes once a second. */
@@ -105,7 +109,8 @@
     private readonly context: GatewayContext;
     private readonly retryBudgets = new Map<ServiceId, RetryBudget>();
     private readonly tasks = new Set<RequestTask>();
-    private readonly removalTimers = new Map<string, NodeJS.Timeout>();
+    /** Timers that remove or add a server unless its entry is written or deleted before, by key. */
+    private readonly entryTimers = new Map<string, NodeJS.Timeout>();
     /** Start times of servers whose invalid rate was logged. */
     private readonly invalidRateStarts = new Map<ServerId, number>();
     private configuration: GatewayConfiguration | undefined;
@@ -131,7 +136,7 @@
             logger,
             prefixes: [options.recordDecoder.configurationKey, options.recordDecoder.serverPrefix, OWN_PREFIX],
             listener: {
-                onPut: entry => this.onEntryPut(entry),
+                onPut: (entry, isRestored) => this.onEntryPut(entry, isRestored),
                 onDelete: (key, graceMs) => this.onEntryDelete(key, graceMs),
             },
             getWatchPauseMs: () => this.computeWatchPauseMs(),
@@ -562,32 +567,59 @@
         );
     }
 
-    private onEntryPut(entry: KeyValueEntry): void {
+    private onEntryPut(entry: KeyValueEntry, isRestored: boolean): void {
         const { recordDecoder, logger } = this.options;
-        clearTimeout(this.removalTimers.get(entry.key));
-        this.removalTimers.delete(entry.key);
+        this.cancelEntryTimer(entry.key);
         if (entry.key === recordDecoder.configurationKey) return this.applyConfiguration(entry);
         if (!entry.key.startsWith(recordDecoder.serverPrefix)) return;
         const record = recordDecoder.decodeServer(entry.key, entry.value);
+        if (record !== undefined && isRestored && this.directory.wasRemoved(record)) {
+            return this.deferServer(entry.key, record);
+        }
         if (record !== undefined) return this.directory.upsert(record);
         logger.warn({ step: "server.decode", key: entry.key }, "server entry is invalid");
         this.directory.remove(this.parseServerId(entry.key), "invalid entry");
     }
 
+    /** Waits whether the entry of a server that had left expires again, as that of a server that is gone does. */
+    private deferServer(key: string, record: ServerRecord): void {
+        const waitMs = EXPIRY_HEARTBEATS * this.options.limits.serverHeartbeatMs + EXPIRY_MARGIN_MS;
+        this.options.logger.info(
+            { step: "server.defer", server: record.serverId, waitMs },
+            "a restore brought back the entry of a removed server; it may be gone",
+        );
+        this.entryTimers.set(
+            key,
+            setTimeout(() => {
+                this.entryTimers.delete(key);
+                this.directory.upsert(record);
+            }, waitMs),
+        );
+    }
+
+    private cancelEntryTimer(key: string): void {
+        clearTimeout(this.entryTimers.get(key));
+        this.entryTimers.delete(key);
+    }
+
     private onEntryDelete(key: string, graceMs: number): void {
         if (!key.startsWith(this.options.recordDecoder.serverPrefix)) return;
         const serverId = this.parseServerId(key);
-        if (graceMs === 0) return this.directory.remove(serverId, "entry removed");
-        if (this.removalTimers.has(key)) return;
+        // A server whose entry a restore brought back isn't known.
+        if (graceMs === 0 || this.directory.get(serverId) === undefined) {
+            this.cancelEntryTimer(key);
+            return this.directory.remove(serverId, "entry removed");
+        }
+        if (this.entryTimers.has(key)) return;
         this.options.logger.info(
             { step: "server.grace", server: serverId, graceMs: Math.round(graceMs) },
             "server entry removed; it may be written again after an outage",
         );
         const timer = setTimeout(() => {
-            this.removalTimers.delete(key);
+            this.entryTimers.delete(key);
             this.directory.remove(serverId, "entry not written again after an outage");
         }, graceMs);
-        this.removalTimers.set(key, timer);
+        this.entryTimers.set(key, timer);
     }
 
     private parseServerId(key: string): ServerId {
--- a/packages/gateway/src/runtime/server-directory.ts
+++ b/packages/gateway/src/runtime/server-directory.ts
@@ -7,6 +7,9 @@
 /** Placement state older than this is ignored; the servers' own records are used instead. */
 const PLACEMENT_VALID_MS = 2_500;
 
+/** Largest number of removed servers that are remembered, as a restored copy may list them again. */
+const MAX_REMOVED_SERVERS = 1_000;
+
 /** An estimate is dropped if the model is not ready this long after the estimated time. */
 const OVERDUE_ETA_MS = 300;
 
@@ -17,6 +20,8 @@
     private readonly drainingServerStarts = new Map<ServerId, number>();
     /** Start times of servers that stated that they leave, or of which a peer said so. */
     private readonly announcedServerStarts = new Map<ServerId, number>();
+    /** Start times of servers that were removed, the latest last. */
+    private readonly removedServerStarts = new Map<ServerId, number>();
     /** Times until which servers want nothing from this host, with the starts that asked for it. */
     private readonly holds = new Map<ServerId, { readonly bornAtMs: number; readonly untilMs: number; }>();
     private readonly listeners = new Set<() => void>();
@@ -50,6 +55,7 @@
         if (existing !== undefined && existing.record.bornAtMs > record.bornAtMs) return;
         const next = { ...record, draining };
         if (existing === undefined) {
+            this.removedServerStarts.delete(record.serverId);
             const added = new ServerState(next);
             this.servers.set(record.serverId, added);
             this.applyHoldTo(added);
@@ -128,8 +134,20 @@
         if (hold?.bornAtMs === bornAtMs) server.holdUntilMs = hold.untilMs;
     }
 
+    /** Whether this start of the server was listed before and is no longer. */
+    wasRemoved({ serverId, bornAtMs }: ServerStart): boolean {
+        return this.removedServerStarts.get(serverId) === bornAtMs;
+    }
+
     remove(serverId: ServerId, reason: string): void {
-        if (!this.servers.delete(serverId)) return;
+        const server = this.servers.get(serverId);
+        if (server === undefined) return;
+        this.servers.delete(serverId);
+        this.removedServerStarts.set(serverId, server.record.bornAtMs);
+        if (this.removedServerStarts.size > MAX_REMOVED_SERVERS) {
+            const [oldest] = this.removedServerStarts.keys();
+            this.removedServerStarts.delete(oldest!);
+        }
         this.logger.info({ step: "server.leave", server: serverId, reason }, "server removed");
         this.notifyListeners();
     }
--- a/packages/gateway/src/runtime/store-view.ts
+++ b/packages/gateway/src/runtime/store-view.ts
@@ -41,7 +41,8 @@
 }
 
 export interface StoreViewListener {
-    onPut(entry: KeyValueEntry): void;
+    /** `isRestored`: the entry comes from an older copy of the service's data, so its writer may be gone. */
+    onPut(entry: KeyValueEntry, isRestored: boolean): void;
     /** `graceMs`: time within which the entry may be written again, since an outage or a restore may have removed it. */
     onDelete(key: string, graceMs: number): void;
 }
@@ -262,12 +263,14 @@
     }
 
     private replaceEntries({ entries, revision, generation = 0 }: StoreSnapshot): void {
-        this.recordGeneration(generation);
+        const isRestored = this.recordGeneration(generation);
         const keys = new Set(entries.map(entry => entry.key));
         for (const key of this.entries.keys()) if (!keys.has(key)) this.deleteEntry(key, revision);
         // A read that is older than this copy lists entries that were deleted since.
         const isOlder = revision < this.revision;
-        for (const entry of entries) if (!isOlder || entry.modRevision > this.revision) this.putEntry(entry);
+        for (const entry of entries) {
+            if (!isOlder || entry.modRevision > this.revision) this.putEntry(entry, isRestored);
+        }
         this.revision = Math.max(this.revision, revision);
         this.removed.length = 0;
         this.removedSinceRevision = this.revision;
@@ -275,15 +278,17 @@
         this.notifyListeners();
     }
 
-    private recordGeneration(generation: number): void {
-        if (generation <= this.generation) return;
+    /** Returns whether the service was restored from an older copy since the last entries. */
+    private recordGeneration(generation: number): boolean {
+        if (generation <= this.generation) return false;
         this.generation = generation;
-        if (!this.hasEntries) return;
+        if (!this.hasEntries) return false;
         this.expiryEndedAtMs = nowMs();
         this.options.logger.warn(
             { step: "view.restore", generation, own: this.revision },
             "the key-value service was restored from an older copy",
         );
+        return true;
     }
 
     private get isFollowingPeer(): boolean {
@@ -294,12 +299,12 @@
         for (const listener of [...this.changeListeners]) listener();
     }
 
-    private putEntry(entry: KeyValueEntry): void {
+    private putEntry(entry: KeyValueEntry, isRestored = false): void {
         const existing = this.entries.get(entry.key);
         if (existing !== undefined && existing.modRevision >= entry.modRevision) return;
         this.entries.set(entry.key, entry);
         this.forgetLists(entry.key);
-        this.options.listener.onPut(entry);
+        this.options.listener.onPut(entry, isRestored);
     }
 
     private deleteEntry(key: string, revision: number): void {
--- a/test/platform/restored-store.test.ts
+++ b/test/platform/restored-store.test.ts
@@ -6,6 +6,7 @@
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { eventually } from "../support/eventually.ts";
 import { createConfigurationDocument, PlatformFixture } from "./stand-ins/fixture.ts";
+import type { PlatformServerStandIn } from "./stand-ins/platform-server.ts";
 import { PlatformStoreStandIn } from "./stand-ins/platform-store.ts";
 
 /** Changes that the service loses. */
@@ -14,6 +15,8 @@
 const NOTICE_MS = 2_000;
 /** Longest time between two writes of a server's entry. */
 const HEARTBEAT_MS = 1_200;
+/** Time after which the entry of a server that is gone has expired. */
+const EXPIRY_MS = 3 * HEARTBEAT_MS + 1_000;
 /** Time after the return of the service within which servers have written their entries again. */
 const RECOVERY_MS = 2_000;
 
@@ -282,4 +285,43 @@
         await sleep(RECOVERY_MS + NOTICE_MS);
         expect((await callFor(100)).every(status => status === 503)).toBe(true);
     }, 20_000);
+
+    // Guards against requests to a server that has left: the copy lists it as ready.
+    describe("after it had left", () => {
+        let leaving: PlatformServerStandIn;
+
+        beforeEach(async () => {
+            await fixture.addServer({ id: "d2", service: "desk" });
+            leaving = await fixture.addServer({ id: "d1", service: "desk" });
+            await fixture.addGateway("edge-1");
+            await fixture.waitUntilServerAvailable(0, "d1");
+            await restoreBefore(async () => {
+                fixture.store.remove("servers/d1");
+                await fixture.waitUntilServerAvailable(0, "d1", false);
+            });
+            await sleep(RESTORE_MS);
+            leaving.requests.length = 0;
+        });
+
+        it("gets no request until its entry expires again", async () => {
+            await callFor(HEARTBEAT_MS);
+            fixture.store.remove("servers/d1");
+            await callFor(EXPIRY_MS);
+            expect(leaving.requests).toHaveLength(0);
+        }, 20_000);
+
+        it("is used once it has written its entry", async () => {
+            await callFor(HEARTBEAT_MS);
+            expect(leaving.requests).toHaveLength(0);
+            fixture.store.put("servers/d1", leaving.toServerRecord());
+            await callFor(HEARTBEAT_MS);
+            expect(leaving.requests.length).toBeGreaterThan(0);
+        }, 20_000);
+
+        it("is used once its entry should have expired", async () => {
+            await sleep(EXPIRY_MS);
+            await callFor(HEARTBEAT_MS);
+            expect(leaving.requests.length).toBeGreaterThan(0);
+        }, 20_000);
+    });
 });
