fix(gateway): a restore let a former holder of an order right send orders at once

Callers would see: two hosts that send orders to one engine within the minimum time between them, after a restore of the key-value service from a copy in which another host held the right. Cause: a host that the service names as the holder takes its right back without the handover delay, since another host can only have held it if the service says so. A restore loses that statement. Change: a right states the generation of the data in which it was claimed. One of an earlier generation, and for a time after a restore one that nobody holds, may be outdated, so its new holder waits for the handover delay, unless it could itself send orders within the minimum time: whoever took the right since then still waits. Test: test/gateway/order-rights.test.ts, 'are not used by a former holder that a restore of the service names', failed before (orders of two hosts 400 ms apart).

--- a/packages/gateway/src/runtime/gateway-membership.ts
+++ b/packages/gateway/src/runtime/gateway-membership.ts
@@ -52,6 +52,10 @@
     readonly isLoaded: boolean;
     readonly isFresh: boolean;
     readonly storeRevision: number;
+    /** See `RangeResult`. */
+    readonly storeGeneration: number;
+    /** Time since a restore of the service from an older copy was learned. */
+    readonly sinceRestoreMs: number;
     getEntry(key: string): KeyValueEntry | undefined;
     /** Lists the entries under a prefix; returns the same array until one of them changes. */
     listEntries(prefix: string): readonly KeyValueEntry[];
--- a/packages/gateway/src/runtime/order-rights.ts
+++ b/packages/gateway/src/runtime/order-rights.ts
@@ -27,6 +27,8 @@
     /** Host that held the right before the holder, if there was one. */
     before: z.string().optional(),
     takenAtMs: z.number(),
+    /** Generation of the service's data in which the right was claimed. */
+    generation: z.number().default(0),
 });
 
 type StoredOrderRight = z.output<typeof orderRightSchema> & { readonly revision: number; };
@@ -67,6 +69,8 @@
     private readonly options: OrderRightsOptions;
     private readonly abort = new AbortController();
     private readonly held = new Map<ServerId, HeldOrderRight>();
+    /** Time since this host last could send orders to an engine. */
+    private readonly sinceActive = new Map<ServerId, Stopwatch>();
     private readonly decodedRights = new WeakMap<KeyValueEntry, StoredOrderRight>();
     private task: Promise<void> | undefined;
 
@@ -126,6 +130,7 @@
     private async claimPeriodically(): Promise<void> {
         const { signal } = this.abort;
         while (!signal.aborted) {
+            this.recordActiveRights();
             this.dropLostRights();
             const wanted = this.listClaimableEngines();
             if (wanted.length > 0) await this.claimRights(wanted.slice(0, MAX_CLAIMS_PER_WRITE));
@@ -133,6 +138,15 @@
         }
     }
 
+    private recordActiveRights(): void {
+        for (const serverId of this.held.keys()) {
+            if (this.getFencingToken(serverId) !== undefined) this.sinceActive.set(serverId, new Stopwatch());
+        }
+        for (const [serverId, sinceActive] of this.sinceActive) {
+            if (sinceActive.elapsedMs() >= this.options.minHandoverMs) this.sinceActive.delete(serverId);
+        }
+    }
+
     private dropLostRights(): void {
         const { membership, view, host } = this.options;
         for (const [serverId, right] of this.held) {
@@ -205,7 +219,7 @@
         if (result.isErr() || !result.value.succeeded) return;
         const fencingToken = result.value.revision;
         for (const { serverId, storedRight } of claims) {
-            const handoverDelayMs = this.needsHandoverDelay(storedRight) ? this.handoverDelayMs : 0;
+            const handoverDelayMs = this.needsHandoverDelay(serverId, storedRight) ? this.handoverDelayMs : 0;
             this.held.set(serverId, {
                 fencingToken,
                 sinceClaimed: new Stopwatch(),
@@ -232,19 +246,34 @@
     }
 
     /** Whether another host may have sent orders so recently that this one has to wait. */
-    private needsHandoverDelay(previous: StoredOrderRight | undefined): boolean {
+    private needsHandoverDelay(serverId: ServerId, previous: StoredOrderRight | undefined): boolean {
+        if (previous !== undefined && previous.holder !== this.options.host) return true;
+        if (this.mayBeOutdated(previous)) return !this.wasActiveRecently(serverId);
         if (previous === undefined) return false;
-        if (previous.holder !== this.options.host) return true;
         const sinceTakenMs = Date.now() - previous.takenAtMs;
         return previous.before !== undefined && sinceTakenMs < this.handoverDelayMs + CLOCK_SLACK_MS;
     }
 
+    /** Whether the service may have lost a later claim of another host when it was restored. */
+    private mayBeOutdated(stored: StoredOrderRight | undefined): boolean {
+        const { view } = this.options;
+        if (stored === undefined) return view.sinceRestoreMs < this.handoverDelayMs;
+        return stored.generation !== view.storeGeneration;
+    }
+
+    /** Whether this host could send orders so recently that another one which took the right since still has to wait. */
+    private wasActiveRecently(serverId: ServerId): boolean {
+        const sinceActive = this.sinceActive.get(serverId);
+        return sinceActive !== undefined && sinceActive.elapsedMs() < this.options.minHandoverMs;
+    }
+
     /** Formats the value to store; a right that is claimed again keeps its previous holder and its time of claim. */
     private formatRight(previous: StoredOrderRight | undefined): string {
         const { host: holder, address } = this.options;
         const isOwn = previous === undefined || previous.holder === holder;
         const before = isOwn ? previous?.before : previous.holder;
         const takenAtMs = isOwn && previous !== undefined ? previous.takenAtMs : Date.now();
-        return JSON.stringify({ holder, address, before, takenAtMs });
+        const { storeGeneration: generation } = this.options.view;
+        return JSON.stringify({ holder, address, before, takenAtMs, generation });
     }
 }
--- a/packages/gateway/src/runtime/store-view.ts
+++ b/packages/gateway/src/runtime/store-view.ts
@@ -68,6 +68,7 @@
     private readonly abort = new AbortController();
     private revision = 0;
     private generation = 0;
+    private sinceRestore: Stopwatch | undefined;
     private sinceLastResponse: Stopwatch | undefined;
     private outageAtMs = -Infinity;
     private recoveredAtMs = -Infinity;
@@ -107,6 +108,15 @@
         return this.revision;
     }
 
+    get storeGeneration(): number {
+        return this.generation;
+    }
+
+    /** Time since this view learned that the service was restored from an older copy; infinite if it never did. */
+    get sinceRestoreMs(): number {
+        return this.sinceRestore?.elapsedMs() ?? Infinity;
+    }
+
     getEntry(key: string): KeyValueEntry | undefined {
         return this.entries.get(key);
     }
@@ -283,6 +293,7 @@
         if (generation <= this.generation) return false;
         this.generation = generation;
         if (!this.hasEntries) return false;
+        this.sinceRestore = new Stopwatch();
         this.expiryEndedAtMs = nowMs();
         this.options.logger.warn(
             { step: "view.restore", generation, own: this.revision },
--- a/test/gateway/order-rights.test.ts
+++ b/test/gateway/order-rights.test.ts
@@ -208,7 +208,53 @@
         },
     );
 
-    // Guards against two holders of one right under disconnections, lost responses, slow calls, kills and lost keys.
+    // Guards against two hosts that send orders at the same time: the copy names a holder whose right was taken since.
+    it("are not used by a former holder that a restore of the service names", async () => {
+        const shared = new SharedStore();
+        const hosts = ["h1", "h2"].map(name => new Host(name, shared));
+        for (const host of hosts) host.start();
+        const orders: Order[] = [];
+        await runHosts(hosts, 3_000, orders);
+        const copy = shared.copyData();
+        const former = hosts.find(host => host.name === holderOf(orders, ENGINES[0]!))!;
+        former.kill();
+        await runHosts(hosts, 7_500, orders);
+        expect(holderOf(orders, ENGINES[0]!)).not.toBe(former.name);
+        former.faults.isDisconnected = false;
+        former.start();
+        await runHosts(hosts, 2_000, orders);
+        shared.restore(copy);
+        const restoredAtMs = Date.now();
+        await runHosts(hosts, 6_000, orders);
+        expectSafeHandovers(orders);
+        for (const engine of ENGINES) {
+            expect(orders.some(order => order.engine === engine && order.atMs > restoredAtMs + 1_000)).toBe(true);
+        }
+        await stopAll(hosts);
+    });
+
+    it("stay with their holder after a restore of the service", async () => {
+        const shared = new SharedStore();
+        const hosts = ["h1", "h2"].map(name => new Host(name, shared));
+        for (const host of hosts) host.start();
+        const orders: Order[] = [];
+        await runHosts(hosts, 3_000, orders);
+        const copy = shared.copyData();
+        await runHosts(hosts, 2_000, orders);
+        shared.restore(copy);
+        const restoredAtMs = Date.now();
+        await runHosts(hosts, 2_000, orders);
+        for (const engine of ENGINES) {
+            const later = orders.filter(order => order.engine === engine && order.atMs > restoredAtMs + 1_000);
+            expect(new Set(later.map(({ host }) => host))).toEqual(new Set([holderOf(orders, engine)]));
+            expect(later.length).toBeGreaterThan(0);
+        }
+        expectSafeHandovers(orders);
+        await stopAll(hosts);
+    });
+
+    // Guards against two holders of one right under disconnections, lost responses, slow calls, kills, lost keys and
+    // restores.
     it("never let two hosts send orders within the minimum handover time", async () => {
         const step = fc.record({
             host: fc.integer({ min: 0, max: 2 }),
@@ -218,6 +264,8 @@
                 "slow",
                 "kill",
                 "deleteMemberKey",
+                "copy",
+                "restore",
                 "recover",
                 "recover",
             ),
@@ -230,12 +278,15 @@
                 for (const host of hosts) host.start();
                 const orders: Order[] = [];
                 await runHosts(hosts, 2_000, orders);
+                let copy = shared.copyData();
                 for (const { host: index, fault, forMs } of steps) {
                     const host = hosts[index]!;
                     if (fault === "disconnect") host.faults.isDisconnected = true;
                     if (fault === "loseResponses") host.faults.shouldLoseResponses = true;
                     if (fault === "slow") host.faults.delayMs = 280;
                     if (fault === "deleteMemberKey") shared.remove(MEMBERS + host.name);
+                    if (fault === "copy") copy = shared.copyData();
+                    if (fault === "restore") shared.restore(copy);
                     if (fault === "kill") {
                         host.kill();
                         hosts[index] = new Host(host.name, shared);
--- a/test/gateway/support/shared-store.ts
+++ b/test/gateway/support/shared-store.ts
@@ -9,11 +9,13 @@
     type TransactionResult,
     type WatchEvent,
 } from "@skylarkmill/coordination";
-import { OutcomeUnknownError, UnavailableError } from "@skylarkmill/protocol";
+import { OutcomeUnknownError, ProtocolError, UnavailableError } from "@skylarkmill/protocol";
 import { err, ok, type Result, ResultAsync } from "neverthrow";
 
 const CONTEXT = { step: "fake", peer: "store" };
 const WATCH_INTERVAL_MS = 50;
+/** Revisions of one generation are below this number; clients see them qualified by the generation. */
+const REVISIONS_PER_GENERATION = 1_000_000;
 
 /** Faults of one client's connection to the store. */
 export interface ClientFaults {
@@ -30,13 +32,47 @@
     readonly event: WatchEvent;
 }
 
+type StoredEntry = KeyValueEntry & { readonly leaseId: string | undefined; };
+
+/** Data of the service at a moment. */
+export interface SharedStoreCopy {
+    readonly entries: readonly StoredEntry[];
+    readonly leases: ReadonlyMap<string, { readonly ttlMs: number; }>;
+    readonly revision: number;
+}
+
 /** An in-memory key-value service on the (fake) system clock, shared by clients with separate faults. */
 export class SharedStore {
-    private readonly entries = new Map<string, KeyValueEntry & { readonly leaseId: string | undefined; }>();
+    private readonly entries = new Map<string, StoredEntry>();
     private readonly leases = new Map<string, { ttlMs: number; expiresAtMs: number; }>();
     private readonly changes: LoggedChange[] = [];
     private revision = 10;
     private nextLease = 1;
+    private generation = 0;
+
+    copyData(): SharedStoreCopy {
+        this.expireLeases();
+        return { entries: [...this.entries.values()], leases: new Map(this.leases), revision: this.revision };
+    }
+
+    /** Replaces the data by an older copy. Keys with a lease of the copy live until it expires, but none can renew it. */
+    restore(copy: SharedStoreCopy): void {
+        this.generation += 1;
+        const qualify = (revision: number): number =>
+            this.generation * REVISIONS_PER_GENERATION + revision % REVISIONS_PER_GENERATION;
+        this.revision = qualify(copy.revision);
+        this.changes.length = 0;
+        this.leases.clear();
+        this.entries.clear();
+        const renameLease = (leaseId: string): string => `${leaseId}@${this.generation}`;
+        for (const [leaseId, { ttlMs }] of copy.leases) {
+            this.leases.set(renameLease(leaseId), { ttlMs, expiresAtMs: Date.now() + ttlMs });
+        }
+        for (const { key, value, modRevision, leaseId } of copy.entries) {
+            const lease = leaseId === undefined ? undefined : renameLease(leaseId);
+            this.entries.set(key, { key, value, modRevision: qualify(modRevision), leaseId: lease });
+        }
+    }
 
     put(key: string, value: string, leaseId?: string): void {
         this.revision += 1;
@@ -89,9 +125,11 @@
     ): AsyncGenerator<readonly WatchEvent[]> {
         let nextIndex = this.changes.findIndex(({ revision }) => revision >= from);
         if (nextIndex < 0) nextIndex = this.changes.length;
+        const generation = Math.floor(from / REVISIONS_PER_GENERATION);
         while (!signal.aborted) {
             await sleep(WATCH_INTERVAL_MS, signal);
             if (faults.isDisconnected) throw new UnavailableError("the store can't be reached", CONTEXT);
+            if (generation !== this.generation) throw new ProtocolError("the changes are no longer known", CONTEXT);
             this.expireLeases();
             const newChanges = this.changes.slice(nextIndex).filter(({ event }) => event.entry.key.startsWith(prefix));
             nextIndex = this.changes.length;
@@ -101,7 +139,7 @@
 
     private range(prefix: string): RangeResult {
         const entries = [...this.entries.values()].filter(entry => entry.key.startsWith(prefix));
-        return { entries, revision: this.revision };
+        return { entries, revision: this.revision, generation: this.generation };
     }
 
     private commit({ compare, puts, deletes = [] }: Transaction): TransactionResult {
