test(soak): restores of the key-value service beside kills, stops and outages

A fourth kind, 'restores': the service comes back from a copy of up to 6 s ago, the operator and the servers write theirs again, and at the end of each soak every gateway must have the newest configuration within 10 s.

--- a/test/soak/gateway-runner.ts
+++ b/test/soak/gateway-runner.ts
@@ -65,6 +65,20 @@
         }
     }
 
+    /** Version of the configuration in force; undefined if there is none, or no response. */
+    async fetchConfigurationVersion(): Promise<number | undefined> {
+        const { host, port } = this.settings.listen_addrs.control;
+        try {
+            const response = await fetch(`http://${host}:${port}/v1/status`, { signal: AbortSignal.timeout(1_000) });
+            const { configurationVersion } = await response.json() as { configurationVersion?: number; };
+            return configurationVersion;
+        }
+        catch {
+            // The process may be starting.
+            return undefined;
+        }
+    }
+
     endSlowDown(): void {
         this.slowUntilMs = -Infinity;
         super.signal("SIGCONT");
--- a/test/soak/plan.ts
+++ b/test/soak/plan.ts
@@ -14,6 +14,8 @@
         /** The process gets a share of a processor only. */
         | { readonly kind: "slow"; readonly gateway: number; readonly durationMs: number; }
         | { readonly kind: "outage"; readonly outage: StoreOutage; readonly durationMs: number; }
+        /** The service is away and comes back from a copy of its data. */
+        | { readonly kind: "restore"; readonly copyAgeMs: number; readonly durationMs: number; }
     );
 
 const MIN_INTERVAL_MS = 100;
@@ -23,6 +25,8 @@
 const MAX_SETTINGS_MS = 700;
 const MAX_SLOW_MS = 4_000;
 const MAX_OUTAGE_MS = 4_500;
+const MAX_RESTORE_MS = 2_000;
+const MAX_COPY_AGE_MS = 6_000;
 const MIN_HOST_MS = 100;
 
 const PLANNED_SERIES = ["TERM", "TERM TERM", "HUP", "TERM HUP", "HUP TERM"];
@@ -35,14 +39,18 @@
 
 const OUTAGES = ["silent", "reset", "unavailable", "too_many_requests"] as const;
 
-/** What a soak plays: planned work alone, faults of servers and signals, or faults of hosts and of the service as well. */
-export const SOAK_KINDS = ["planned", "faults", "hosts"] as const;
+/**
+ * What a soak plays: planned work alone, faults of servers and signals, faults of hosts and outages of the service, or
+ * restores of the service.
+ */
+export const SOAK_KINDS = ["planned", "faults", "hosts", "restores"] as const;
 export type SoakKind = (typeof SOAK_KINDS)[number];
 
 const STEP_KINDS = {
     planned: ["configuration", "signal", "signal", "signal"],
     faults: ["configuration", "signal", "fault", "fault"],
     hosts: ["configuration", "signal", "fault", "settings", "settings", "slow", "kills", "outage"],
+    restores: ["configuration", "configuration", "signal", "kills", "outage", "restore", "restore"],
 } as const satisfies Record<SoakKind, readonly string[]>;
 
 /** Creates the steps of a soak by time; if planned, they are stops, hangups and changes of the configuration alone. */
@@ -72,6 +80,10 @@
             const outage = OUTAGES[random.index(OUTAGES.length)]!;
             return [{ atMs, kind, outage, durationMs: pickDuration(MAX_OUTAGE_MS) }];
         }
+        case "restore": {
+            const copyAgeMs = random.index(MAX_COPY_AGE_MS);
+            return [{ atMs, kind, copyAgeMs, durationMs: pickDuration(MAX_RESTORE_MS) }];
+        }
         case "kills":
             return createKills(random, atMs, gatewayCount);
         case "signal":
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -15,6 +15,7 @@
         { name: "signals, killed processes and failing servers", seed: 20_261_205, kind: "faults" },
         { name: "stops, hangups and changes of the configuration", seed: 20_261_206, kind: "planned" },
         { name: "changed settings, slow hosts and outages", seed: 20_261_207, kind: "hosts" },
+        { name: "restores of the service, kills at once and outages", seed: 20_261_208, kind: "restores" },
     ] as const,
 )("gateways as processes keep their promises under $name", async ({ seed, kind }) => {
     const folder = mkdtempSync(join(tmpdir(), "skylarkmill-soak-"));
@@ -22,5 +23,7 @@
     const report = await Soak.run({ seed, gatewayCount: 3, durationMs: DURATION_MS, kind, folder });
     expect(report.violations).toEqual([]);
     // The checks are only meaningful if enough requests are served.
-    expect(report.completeCount).toBeGreaterThan(kind === "hosts" ? MIN_WHOLE_COUNT : report.answerCount / 4);
+    expect(report.completeCount).toBeGreaterThan(
+        kind === "hosts" || kind === "restores" ? MIN_WHOLE_COUNT : report.answerCount / 4,
+    );
 }, 60_000);
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -2,7 +2,7 @@
 import { mkdirSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { createConfigurationDocument, HOST, PlatformFixture } from "../platform/stand-ins/fixture.ts";
-import type { StoreOutage } from "../platform/stand-ins/platform-store.ts";
+import type { StoreCopy, StoreOutage } from "../platform/stand-ins/platform-store.ts";
 import { callRaw, KeptConnection, type RawCall, type RawResult } from "../support/raw-caller.ts";
 import { checkCall, EVENT_COUNT, hasOutlastedStop, type SoakCall, STREAM_PATHS } from "./check-call.ts";
 import { GatewayRunner } from "./gateway-runner.ts";
@@ -39,6 +39,9 @@
 const PATHS = [...STREAM_PATHS, ...STREAM_PATHS, "/orders/x", "/orders/x", "/lookup/x", "/bulk/x"];
 /** Time after the starts within which the gateways read the servers' entries. */
 const SETTLE_MS = 2_000;
+const COPY_INTERVAL_MS = 500;
+/** Time for the last stop and restart, and for a gateway to know the configuration. */
+const CONFIGURATION_MS = 10_000;
 
 /** Runs gateways as processes through a random plan, with callers of several kinds, and checks what they saw. */
 export class Soak {
@@ -47,6 +50,8 @@
     private readonly random: RandomSource;
     private isEnding = false;
     private version = 1;
+    private document: object = {};
+    private readonly copies: { readonly atMs: number; readonly copy: StoreCopy; }[] = [];
 
     private constructor(private readonly options: SoakOptions, private readonly fixture: PlatformFixture) {
         this.random = createRandom(options.seed);
@@ -68,6 +73,7 @@
         mkdirSync(folder, { recursive: true });
         await this.startFleet();
         const plan = createPlan(this.random, gatewayCount, durationMs, kind);
+        void this.copyStore();
         const callers = Array.from({ length: CALLER_COUNT }, (_, index) => this.runCaller(index));
         const startedAtMs = performance.now();
         for (const step of plan) {
@@ -78,9 +84,10 @@
         this.fixture.store.outage = "none";
         for (const gateway of this.gateways) gateway.endSlowDown();
         await Promise.all(callers);
+        const outdated = await this.listOutdated();
         await Promise.all(this.gateways.map(gateway => gateway.stop()));
         const violations = this.calls.flatMap(call => checkCall(call, this.fixture.servers, isPlanned));
-        violations.push(...this.gateways.flatMap(gateway => gateway.violations));
+        violations.push(...outdated, ...this.gateways.flatMap(gateway => gateway.violations));
         if (violations.length > 0) this.writeRecords(plan, violations);
         const answers = this.calls.filter(({ result }) => result !== undefined && result.status > 0);
         const completeCount = answers.filter(({ result }) => result!.status === 200 && result!.isComplete).length;
@@ -113,6 +120,7 @@
         const orders = routes.find(({ name }) => name === "orders");
         routes.push({ ...orders, name: "bulk", ...{ prefix: "/bulk/", service: "bulk" } });
         (document["services"] as object[]).push({ name: "bulk", max_connections: 50 });
+        this.document = document;
         this.fixture.store.put("op/config", document);
     }
 
@@ -122,6 +130,7 @@
         else if (step.kind === "settings") void this.gateways[step.gateway]!.rewriteSettings(step.durationMs);
         else if (step.kind === "slow") void this.gateways[step.gateway]!.slowDown(step.durationMs);
         else if (step.kind === "outage") void this.interruptStore(step.outage, step.durationMs);
+        else if (step.kind === "restore") void this.restoreStore(step.copyAgeMs, step.durationMs);
         else for (const server of this.fixture.servers) server.faults.push(step.fault);
     }
 
@@ -131,6 +140,37 @@
         this.fixture.store.outage = "none";
     }
 
+    /** Restores the data of a moment; the operator and the servers then write theirs again. */
+    private async restoreStore(copyAgeMs: number, durationMs: number): Promise<void> {
+        const { store, servers } = this.fixture;
+        const copyAtMs = performance.now() - copyAgeMs;
+        await this.interruptStore("reset", durationMs);
+        const { copy } = this.copies.findLast(({ atMs }) => atMs <= copyAtMs) ?? this.copies[0]!;
+        store.restore(copy);
+        for (const server of servers) store.put(`servers/${server.id}`, server.toServerRecord());
+        store.put("op/config", this.document);
+    }
+
+    /** Copies the service's data at intervals until the soak ends. */
+    private async copyStore(): Promise<void> {
+        while (!this.isEnding) {
+            this.copies.push({ atMs: performance.now(), copy: this.fixture.store.copyData() });
+            await sleep(COPY_INTERVAL_MS);
+        }
+    }
+
+    /** Waits until each gateway has the newest configuration; returns those that have an older one. */
+    private async listOutdated(): Promise<string[]> {
+        const endMs = performance.now() + CONFIGURATION_MS;
+        for (;;) {
+            const versions = await Promise.all(this.gateways.map(gateway => gateway.fetchConfigurationVersion()));
+            const outdated = this.gateways.map(({ spec }, index) => `${spec.name} has configuration ${versions[index]}`)
+                .filter((_, index) => versions[index] !== this.version);
+            if (outdated.length === 0 || performance.now() >= endMs) return outdated;
+            await sleep(CALLER_PAUSE_MS);
+        }
+    }
+
     /** Callers with an even number use a connection for as long as it is open, the others one for each request. */
     private async runCaller(index: number): Promise<void> {
         while (!this.isEnding) {
