fix(gateway): a restore between two reads of the keys wasn't logged

Cause: the reads are dropped, since they come from before and after the restore, and nothing told why the view waited. Change: it is logged as a failure of the read. Test: test/gateway/store-view.test.ts, 'reads all keys again if the restore comes between two reads', failed before (no log line).

--- a/packages/gateway/src/runtime/store-view.ts
+++ b/packages/gateway/src/runtime/store-view.ts
@@ -217,7 +217,11 @@
             }
             const { generation: rangeGeneration = 0 } = result.value;
             generation ??= rangeGeneration;
-            if (rangeGeneration !== generation) return false;
+            if (rangeGeneration !== generation) {
+                const context = { step: "view.range", peer: "key-value-service" };
+                this.recordFailure("view.range", new UnavailableError("restored between two reads", context));
+                return false;
+            }
             revision = Math.min(revision, result.value.revision);
             entries.push(...result.value.entries);
         }
--- a/test/gateway/store-view.test.ts
+++ b/test/gateway/store-view.test.ts
@@ -7,7 +7,7 @@
 } from "@skylarkmill/coordination";
 import { StoreView } from "@skylarkmill/gateway";
 import { ProtocolError, UnavailableError } from "@skylarkmill/protocol";
-import { err, ok, ResultAsync } from "neverthrow";
+import { err, ok, okAsync, ResultAsync } from "neverthrow";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { type ClientFaults, SharedStore } from "./support/shared-store.ts";
 
@@ -70,6 +70,40 @@
     );
 });
 
+describe("store view of a service that is restored from a copy", () => {
+    // Guards against a view whose entries come from before and after the restore, and a silent retry.
+    it("reads all keys again if the restore comes between two reads", async () => {
+        const generations = [0, 1];
+        const store: Pick<KeyValueStore, "range" | "watch"> = {
+            range: prefix => {
+                const generation = generations.shift() ?? 1;
+                const entries = [{ key: `${prefix}a`, value: String(generation), modRevision: 100 * generation + 5 }];
+                return okAsync({ entries, revision: 100 * generation + 9, generation });
+            },
+            async *watch(_prefix, _fromRevision, signal) {
+                await sleep(60_000, signal);
+                yield [];
+            },
+        };
+        const logged: string[] = [];
+        const view = new StoreView({
+            store: store as KeyValueStore,
+            logger: { ...silentLogger, warn: fields => logged.push((fields as { err: Error; }).err.message) },
+            prefixes: ["servers/", "op/config"],
+            getWatchPauseMs: () => 0,
+            minExpiryMs: 2_400,
+            listener: { onPut: () => undefined, onDelete: () => undefined },
+        });
+        view.start();
+        await vi.advanceTimersByTimeAsync(50);
+        expect(view.isLoaded).toBe(false);
+        await vi.advanceTimersByTimeAsync(500);
+        expect(view.snapshot().entries.map(({ value }) => value)).toEqual(["1", "1"]);
+        expect(logged).toEqual(["restored between two reads"]);
+        await view.stop();
+    });
+});
+
 describe("store view during an outage", () => {
     // Guards against an outage whose reason changes, of which the log tells the first one only.
     it("logs each kind of failure once", async () => {
