--- a/test/gateway/order-rights.test.ts
+++ b/test/gateway/order-rights.test.ts
@@ -92,6 +92,16 @@
     }
 }
 
+/** Starts two hosts and waits until they share the engines. */
+async function startTwoHosts() {
+    const shared = new SharedStore();
+    const hosts = ["h1", "h2"].map(name => new Host(name, shared));
+    for (const host of hosts) host.start();
+    const orders: Order[] = [];
+    await runHosts(hosts, 3_000, orders);
+    return { shared, hosts, orders };
+}
+
 /** Stops all hosts and advances the clock, which calls in progress need to complete. */
 async function stopAll(hosts: readonly Host[]): Promise<void> {
     const stopped = Promise.all(hosts.map(host => host.stop()));
@@ -148,11 +158,7 @@
             sameHost: true,
         },
     ])("are handed over if the holder $name", async ({ fail, withinMs }) => {
-        const shared = new SharedStore();
-        const hosts = ["h1", "h2"].map(name => new Host(name, shared));
-        for (const host of hosts) host.start();
-        const orders: Order[] = [];
-        await runHosts(hosts, 3_000, orders);
+        const { shared, hosts, orders } = await startTwoHosts();
         const holder = hosts.find(host => host.name === holderOf(orders, ENGINES[0]!))!;
         fail(holder, shared);
         const failedAtMs = Date.now();
@@ -210,11 +216,7 @@
 
     // Guards against two hosts that send orders at the same time: the copy names a holder whose right was taken since.
     it("are not used by a former holder that a restore of the service names", async () => {
-        const shared = new SharedStore();
-        const hosts = ["h1", "h2"].map(name => new Host(name, shared));
-        for (const host of hosts) host.start();
-        const orders: Order[] = [];
-        await runHosts(hosts, 3_000, orders);
+        const { shared, hosts, orders } = await startTwoHosts();
         const copy = shared.copyData();
         const former = hosts.find(host => host.name === holderOf(orders, ENGINES[0]!))!;
         former.kill();
@@ -234,11 +236,7 @@
     });
 
     it("stay with their holder after a restore of the service", async () => {
-        const shared = new SharedStore();
-        const hosts = ["h1", "h2"].map(name => new Host(name, shared));
-        for (const host of hosts) host.start();
-        const orders: Order[] = [];
-        await runHosts(hosts, 3_000, orders);
+        const { shared, hosts, orders } = await startTwoHosts();
         const copy = shared.copyData();
         await runHosts(hosts, 2_000, orders);
         shared.restore(copy);
