fix(coordination): requests that arrived while a process was frozen were refused as late

Callers saw: 408 'The request head did not arrive within 3000 ms' for a whole request that was sent while its gateway was frozen for 3.15 s; true as to 'not run', but the request could have been served. Cause: after a suspension Node.js lets the timers expire before it reads the connections, so a head that is there counts as missing. Change: a late head is refused once the connections have been read.

--- a/packages/coordination/src/node/request-head-guard.ts
+++ b/packages/coordination/src/node/request-head-guard.ts
@@ -146,7 +146,8 @@
             owedResponseCount: connection.owedResponseCount,
             isReceivingBody: connection.newestRequest?.complete === false,
         });
-        if (action === "refuse") this.refuse(socket, connection, fault);
+        if (action === "refuse" && fault === "late") this.refuseUnlessRead(socket, connection);
+        else if (action === "refuse") this.refuse(socket, connection, fault);
         else if (action === "refuse_after_responses") connection.waitingFault = fault;
         else socket.destroy();
     }
@@ -167,6 +168,14 @@
         }, HEAD_CHECK_INTERVAL_MS);
     }
 
+    /** After a suspension of the process its timers expire before it reads what has arrived meanwhile. */
+    private refuseUnlessRead(socket: Socket, connection: GuardedConnection): void {
+        connection.waitingFault = "late";
+        setImmediate(() => {
+            if (connection.waitingFault === "late") this.refuse(socket, connection, "late");
+        });
+    }
+
     private refuse(socket: Socket, connection: GuardedConnection, fault: HeadFault): void {
         connection.waitingFault = undefined;
         if (!socket.writable) {
