fix(policy): a copy loaded for a crowd was unloaded at once

A second copy was loaded on another engine; 8 ms later the planner ordered its unload for a model that one request waited for.

Cause: a load that requests wait for may replace any idle copy, and a copy that was just loaded is idle until the gateways have learned of it.

Such a load now spares a copy while the requests in progress and waiting for its model are too many for the other copies (as many as call for a further copy). Copies of models without a crowd are replaced as before.

The first new case of engine-models.test.ts failed before the fix.

--- a/packages/policy/src/engine-models/demand-models.ts
+++ b/packages/policy/src/engine-models/demand-models.ts
@@ -223,7 +223,8 @@
      * True if an idle copy may be unloaded for the load of another model.
      *
      * A load that requests wait for may unload any idle copy, except for the last one of a model that requests also wait
-     * for. Other loads only unload copies beyond the wanted number or copies with little use.
+     * for, and one that the requests for its model need beside the other copies: a copy that was just loaded for them has
+     * none in progress yet. Other loads only unload copies beyond the wanted number or copies with little use.
      */
     private canUnloadCopy(
         engine: EngineSnapshot,
@@ -235,7 +236,7 @@
         if (model === undefined) return true;
         const remainingCopyCount = this.copiesOf(copy.modelId) - 1;
         if (model.waitingCount > 0 && remainingCopyCount === 0) return false;
-        if (reason === "waiting") return true;
+        if (reason === "waiting") return remainingCopyCount === 0 || !isCrowded(model, remainingCopyCount, this.input);
         if (remainingCopyCount >= Math.max(1, wantedCopyCount(model, this.input))) return true;
         if (reason === "scale_out") {
             const affectedShare = remainingCopyCount > 0 ? AFFECTED_SHARE_WITH_OTHER_COPY : 1;
@@ -320,8 +321,17 @@
 }
 
 function wantedCopyCount(model: ModelSnapshot, input: EngineModelsInput): number {
-    const countForRequests = Math.ceil((model.runningCount + model.waitingCount) / input.requestsPerCopy);
-    return Math.max(model.ratePerSecond >= BUSY_MODEL_RATE_PER_SECOND ? BUSY_MODEL_COPY_COUNT : 0, countForRequests);
+    const isBusy = model.ratePerSecond >= BUSY_MODEL_RATE_PER_SECOND;
+    return Math.max(isBusy ? BUSY_MODEL_COPY_COUNT : 0, copyCountForRequests(model, input));
+}
+
+function copyCountForRequests({ runningCount, waitingCount }: ModelSnapshot, input: EngineModelsInput): number {
+    return Math.ceil((runningCount + waitingCount) / input.requestsPerCopy);
+}
+
+/** Whether the requests for a model are too many for this number of copies. */
+function isCrowded(model: ModelSnapshot, copyCount: number, input: EngineModelsInput): boolean {
+    return copyCountForRequests(model, input) > copyCount;
 }
 
 function activeCountOf(engine: EngineSnapshot): number {
--- a/test/policy/engine-models.test.ts
+++ b/test/policy/engine-models.test.ts
@@ -92,6 +92,29 @@
             ],
             orders: [{ serverId: "e1", load: "m1", unload: "m3", origin: "disk" }],
         },
+        {
+            // Guards against a copy that was loaded for a crowd and unloaded again before the crowd had reached it.
+            name: "does not replace a copy that relieves a crowded one",
+            engines: [
+                createEngine("e1", { loaded: ["m2", "m3"], active: ["m3"], onDisk: ["m1", "m2"] }),
+                createEngine("e2", { loaded: ["m2"], active: ["m2"], activeCount: 12, canExecuteOrder: false }),
+            ],
+            models: [
+                createModel("m1", waiting),
+                createModel("m2", { ratePerSecond: 20, runningCount: 12, waitingCount: 4 }),
+                createModel("m3"),
+            ],
+            orders: [],
+        },
+        {
+            name: "replaces a copy whose crowd has gone",
+            engines: [
+                createEngine("e1", { loaded: ["m2", "m3"], active: ["m3"], onDisk: ["m1", "m2"] }),
+                createEngine("e2", { loaded: ["m2"], active: ["m2"], activeCount: 8, canExecuteOrder: false }),
+            ],
+            models: [createModel("m1", waiting), createModel("m2", { runningCount: 8 }), createModel("m3")],
+            orders: [{ serverId: "e1", load: "m1", unload: "m2", origin: "disk" }],
+        },
         {
             name: "does not replace a copy in use",
             engines: [createEngine("e1", { loaded: ["m2", "m3"], active: ["m2", "m3"], onDisk: ["m1"] })],
