fix(gateway): long responses that nobody read took any amount of memory

Cause: a response counted against the process's budget only until its last byte had come from the server; from then on its whole body waited in the caller's socket, uncounted. It was also copied once more as a whole.

A body over 16 KB is now written part by part and counts until its caller has taken it. While the budget is used up, the connections of callers that have taken nothing for a second are reset, the longest stalled first. A response whose stated length finds no room isn't read at all. Short responses take no room of the budget, so that ordinary callers get theirs beside it.

--- a/packages/gateway/src/node/body-reader.ts
+++ b/packages/gateway/src/node/body-reader.ts
@@ -1,16 +1,10 @@
 import type { Refusal } from "@skylarkmill/protocol";
 import { err, ok, type Result } from "neverthrow";
 import type { IncomingMessage } from "node:http";
-import type { ByteBudget } from "../runtime/byte-budget.ts";
+import { type ByteBudget, MAX_SMALL_BODY_BYTES } from "../runtime/byte-budget.ts";
 import { BODY_BLOCK_BYTES, type BodyBlockPool, RequestBody } from "../runtime/request-body.ts";
 import { refusals } from "../utils/refusals.ts";
 
-/**
- * Size up to which a body takes neither blocks nor room of the budget, so that large bodies leave room for small ones; the
- * number of connections limits them.
- */
-const MAX_SMALL_BODY_BYTES = 16 * 1024;
-
 /** Reads the body of one request within a limit for each body and a budget for all of them. */
 export class BodyReader {
     private readonly request: IncomingMessage;
--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -12,6 +12,7 @@
 import { CallerConnection } from "../runtime/caller-connection.ts";
 import { HttpResponseWriter } from "../runtime/http-response-writer.ts";
 import { BodyBlockPool, type RequestBody } from "../runtime/request-body.ts";
+import { UnreadResponses } from "../runtime/unread-responses.ts";
 import { type Upload, UploadWatch } from "../runtime/upload-watch.ts";
 import type { CallerLimits } from "../types/configuration.ts";
 import type { RequestHead } from "../types/options.ts";
@@ -44,6 +45,8 @@
         startedAtMs: number,
     ) => void;
     readonly onHeadFault: (fault: HeadFault) => void;
+    /** Called for each response that is ended since its caller doesn't read it and memory is short. */
+    readonly onUnreadResponse: () => void;
     readonly onError: (error: unknown) => void;
 }
 
@@ -62,11 +65,13 @@
     private readonly headGuard: RequestHeadGuard;
     private readonly uploadWatch = new UploadWatch();
     private readonly bodyBlockPool = new BodyBlockPool();
+    private readonly unreadResponses: UnreadResponses;
     private maxBodyBytes = DEFAULT_MAX_BODY_BYTES;
     private readonly options: CallerServerOptions;
 
     constructor(options: CallerServerOptions) {
         this.options = options;
+        this.unreadResponses = new UnreadResponses(options.byteBudget, options.onUnreadResponse);
         this.server = createServer({
             ...createHeadGuardServerOptions(DEFAULT_HEAD_LIMITS),
             requestTimeout: 0,
@@ -151,7 +156,7 @@
         this.connections.set(socket, connection);
         // A request that crosses the end of its connection is not handled, since it can't be answered.
         if (!connection.addResponse(response)) return;
-        const writer = new HttpResponseWriter(response, connection, this.options.isClosing);
+        const writer = new HttpResponseWriter(response, connection, this.unreadResponses, this.options.isClosing);
         const head = toRequestHead(request);
         this.openResponses.set(response, { writer, head });
         response.once("close", () => this.openResponses.delete(response));
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -283,6 +283,7 @@
             onError: error => logger.error({ step: "request", err: error }, "request handling failed unexpectedly"),
         });
         this.readyServer = createServer(createInternalServerOptions(), (_request, response) => {
+            onUnreadResponse: () => this.metrics.unreadResponses.inc(),
             const reasons = this.listNotReadyReasons();
             const text = reasons.length === 0 ? "ready\n" : `not ready: ${reasons.join(", ")}\n`;
             const headers = { "content-type": "text/plain", "content-length": Buffer.byteLength(text) };
--- a/packages/gateway/src/runtime/attempt.ts
+++ b/packages/gateway/src/runtime/attempt.ts
@@ -1,6 +1,6 @@
 import { nowMs } from "@skylarkmill/coordination";
 import type { EngineCall, EngineClient, EngineExchange, ResponseHead, ResponseListener } from "../types/engine.ts";
-import type { ByteBudget } from "./byte-budget.ts";
+import { type ByteBudget, MAX_SMALL_BODY_BYTES } from "./byte-budget.ts";
 import type { CrashSuspects } from "./crash-suspects.ts";
 import { EventSplitter, type StreamEvent } from "./event-splitter.ts";
 import type { ServerState } from "./server-state.ts";
@@ -15,7 +15,7 @@
     /** Called when a genuine stream ended after a complete event. */
     onStreamEnd(attempt: Attempt): void;
     /** Called with a complete response that is not a stream. */
-    onResponse(attempt: Attempt, head: ResponseHead, body: Buffer): void;
+    onResponse(attempt: Attempt, head: ResponseHead, body: readonly Buffer[]): void;
     /** Called when the server states that it did not run the request. */
     onNotRun(attempt: Attempt, head: ResponseHead): void;
     /** Called when nothing arrived within the timeout; the attempt continues unless the listener abandons it. */
@@ -39,6 +39,7 @@
     private readonly chunks: Buffer[] = [];
     private bufferedByteCount = 0;
     private exchange: EngineExchange | undefined;
+    private reservedByteCount = 0;
     private isFinished = false;
     private silenceTimer: NodeJS.Timeout | undefined;
 
@@ -101,7 +102,12 @@
         if (head.load !== undefined) this.server.recordReportedLoad(head.load, now);
         if (!head.isGenuine && !head.isNotRun) return this.fail("response unsigned or of another request", true);
         // The head alone states that the request was not run; a faulty server may send a body without end.
-        if (head.isNotRun) this.finishNotRun(head);
+        if (head.isNotRun) return this.finishNotRun(head);
+        // What can't be kept is not read at all, since its memory would stay occupied until it is collected.
+        const hasBody = this.call.request.method !== "HEAD" && head.status !== 304;
+        if (hasBody && !this.isStreaming && !this.tryReserve(head.statedByteCount)) {
+            this.fail("response too large", true);
+        }
     }
 
     private finishNotRun(head: ResponseHead): void {
@@ -114,16 +120,24 @@
         if (this.isFinished) return;
         this.server.lastByteAtMs = nowMs();
         if (this.isStreaming) return this.pushEvents(chunk);
-        if (this.bufferedByteCount + chunk.length > MAX_BUFFERED_BYTES || !this.buffers.tryReserve(chunk.length)) {
-            return this.fail("response too large", true);
-        }
-        this.bufferedByteCount += chunk.length;
+        const byteCount = this.bufferedByteCount + chunk.length;
+        if (!this.tryReserve(byteCount)) return this.fail("response too large", true);
+        this.bufferedByteCount = byteCount;
         this.chunks.push(chunk);
     }
 
     onEnd(): void {
         if (this.isFinished) return;
         if (this.head === undefined) return this.fail("response without a head", true);
+    /** Reserves memory for `byteCount` bytes of the response in all; returns false if there is no room. */
+    private tryReserve(byteCount: number): boolean {
+        if (byteCount <= Math.max(MAX_SMALL_BODY_BYTES, this.reservedByteCount)) return true;
+        if (byteCount > MAX_BUFFERED_BYTES) return false;
+        if (!this.buffers.tryReserve(byteCount - this.reservedByteCount)) return false;
+        this.reservedByteCount = byteCount;
+        return true;
+    }
+
         if (this.isStreaming && (this.eventCount === 0 || this.splitter.pendingByteCount > 0)) {
             this.recordEngineEnd();
             return this.fail("incomplete stream", true);
@@ -132,7 +146,7 @@
         this.finish();
         this.server.recordOutcome(this.head.status < 500);
         if (this.isStreaming) this.listener.onStreamEnd(this);
-        else this.listener.onResponse(this, this.head, Buffer.concat(this.chunks));
+        else this.listener.onResponse(this, this.head, this.chunks);
     }
 
     onFailure(error: Error, wasSent: boolean): void {
@@ -190,7 +204,7 @@
         this.isFinished = true;
         this.endUnanswered();
         clearTimeout(this.silenceTimer);
-        this.buffers.release(this.bufferedByteCount);
+        this.buffers.release(this.reservedByteCount);
         const { modelId, adapterId } = this.call.request;
         this.server.endAttempt(modelId, adapterId);
         return true;
--- a/packages/gateway/src/runtime/byte-budget.ts
+++ b/packages/gateway/src/runtime/byte-budget.ts
@@ -1,6 +1,13 @@
-/** Limits the bytes of requests and incomplete responses that one process buffers, over all requests. */
+/**
+ * Size up to which a body takes no room of the budget, so that large bodies leave room for small ones; the number of
+ * connections limits them.
+ */
+export const MAX_SMALL_BODY_BYTES = 16 * 1024;
+
+/** Limits the bytes of requests and responses that one process buffers, over all requests. */
 export class ByteBudget {
     private usedByteCount = 0;
+    private reclaim: (missingByteCount: number) => void = () => undefined;
 
     constructor(private readonly maxByteCount: number) {}
 
@@ -8,13 +15,25 @@
         return this.usedByteCount;
     }
 
+    /** Sets what is called when there is no room; it may release some. */
+    onShort(reclaim: (missingByteCount: number) => void): void {
+        this.reclaim = reclaim;
+    }
+
     /** Returns false, and reserves nothing, if the limit would be exceeded. */
     tryReserve(byteCount: number): boolean {
+        const missingByteCount = this.usedByteCount + byteCount - this.maxByteCount;
+        if (missingByteCount > 0) this.reclaim(missingByteCount);
         if (this.usedByteCount + byteCount > this.maxByteCount) return false;
         this.usedByteCount += byteCount;
         return true;
     }
 
+    /** Reserves bytes that the process holds already. */
+    reserve(byteCount: number): void {
+        this.usedByteCount += byteCount;
+    }
+
     release(byteCount: number): void {
         this.usedByteCount -= byteCount;
     }
--- a/packages/gateway/src/runtime/gateway-metrics.ts
+++ b/packages/gateway/src/runtime/gateway-metrics.ts
@@ -45,6 +45,11 @@
         "Request heads that were refused, by reason: late, too_large, limit_raised, malformed, ahead or no_memory.",
         ["reason"],
     );
+    readonly unreadResponses = this.counter(
+        "unread_responses_ended_total",
+        "Long responses that were ended for lack of memory, since their callers read nothing.",
+        [],
+    );
     readonly quotaRefusals = this.counter(
         "quota_refusals_total",
         "Requests refused for their workspace's quota, by reason: exceeded, or unknown if no holder answered.",
--- a/packages/gateway/src/runtime/http-response-writer.ts
+++ b/packages/gateway/src/runtime/http-response-writer.ts
@@ -3,7 +3,9 @@
 import type { ServerResponse } from "node:http";
 import type { ResponseWriter } from "../types/response-writer.ts";
 import { createRefusalHeaders } from "../utils/refusals.ts";
+import { MAX_SMALL_BODY_BYTES } from "./byte-budget.ts";
 import type { CallerConnection } from "./caller-connection.ts";
+import { countBytes, type UnreadResponses } from "./unread-responses.ts";
 
 /**
  * Largest body that is sent without a length or chunks. A socket takes it at once, so the end of this process can't cut
@@ -15,12 +17,19 @@
 export class HttpResponseWriter implements ResponseWriter {
     private readonly response: ServerResponse;
     private readonly connection: CallerConnection;
+    private readonly unreadResponses: UnreadResponses;
     private readonly isClosing: () => boolean;
 
     /** @param isClosing Whether connections must be closed after the last response that they owe. */
-    constructor(response: ServerResponse, connection: CallerConnection, isClosing: () => boolean) {
+    constructor(
+        response: ServerResponse,
+        connection: CallerConnection,
+        unreadResponses: UnreadResponses,
+        isClosing: () => boolean,
+    ) {
         this.response = response;
         this.connection = connection;
+        this.unreadResponses = unreadResponses;
         this.isClosing = isClosing;
     }
 
@@ -34,19 +43,19 @@
         });
     }
 
-    sendComplete(status: number, headers: readonly string[], body: Buffer): void {
+    sendComplete(status: number, headers: readonly string[], body: readonly Buffer[]): void {
         if (this.isClosed) return;
-        const own = ["content-length", String(body.length)];
+        const own = ["content-length", String(countBytes(body))];
         this.response.writeHead(status, [...headers, ...own, ...this.createConnectionHeader()]);
-        this.response.end(body);
+        this.endWith(body);
     }
 
-    sendUnverified(status: number, headers: readonly string[], body: Buffer): void {
-        const canEndConnection = body.length <= MAX_CLOSE_DELIMITED_BYTES && this.connection.tryEndWith(this.response);
+    sendUnverified(status: number, headers: readonly string[], body: readonly Buffer[]): void {
+        const canEndConnection = countBytes(body) <= MAX_CLOSE_DELIMITED_BYTES
+            && this.connection.tryEndWith(this.response);
         if (canEndConnection) this.startCloseDelimited(status, headers);
         else this.start(status, headers);
-        this.write(body);
-        this.end();
+        if (!this.isClosed) this.endWith(body);
     }
 
     start(status: number, headers: readonly string[]): void {
@@ -70,7 +79,7 @@
     refuse(refusal: Refusal, moreHeaders: readonly string[] = []): void {
         if (this.isClosed) return;
         const body = Buffer.from(JSON.stringify(toRefusalBody(refusal)));
-        this.sendComplete(refusal.status, [...createRefusalHeaders(refusal), ...moreHeaders], body);
+        this.sendComplete(refusal.status, [...createRefusalHeaders(refusal), ...moreHeaders], [body]);
     }
 
     /** Refuses a request whose body is not complete, and ends the connection that it would come on. */
@@ -84,6 +93,11 @@
         abortResponse(this.response);
     }
 
+    private endWith(body: readonly Buffer[]): void {
+        if (countBytes(body) > MAX_SMALL_BODY_BYTES) this.unreadResponses.send(this.response, body);
+        else this.response.end(Buffer.concat(body));
+    }
+
     private startCloseDelimited(status: number, headers: readonly string[]): void {
         if (this.isClosed) return;
         // Node then writes neither a content length nor chunked encoding.
--- a/packages/gateway/src/runtime/request-task.ts
+++ b/packages/gateway/src/runtime/request-task.ts
@@ -152,7 +152,7 @@
         this.finish("answered");
     }
 
-    onResponse(attempt: Attempt, head: ResponseHead, body: Buffer): void {
+    onResponse(attempt: Attempt, head: ResponseHead, body: readonly Buffer[]): void {
         if (head.status >= 500 && this.tryRetry(attempt, `status ${head.status}`)) return;
         if (this.state === "resent") return this.abortResponse(`resumed with status ${head.status}`);
         this.applyEvent("ANSWER");
@@ -162,7 +162,7 @@
         this.finish("answered");
     }
 
-    private writeResponse(head: ResponseHead, body: Buffer): void {
+    private writeResponse(head: ResponseHead, body: readonly Buffer[]): void {
         if (head.isFramed) return this.writer.sendComplete(head.status, head.headers, body);
         this.writer.sendUnverified(head.status, head.headers, body);
     }
--- a/packages/gateway/src/types/engine.ts
+++ b/packages/gateway/src/types/engine.ts
@@ -145,6 +145,8 @@
     readonly load: ReportedLoad | undefined;
     /** The response has a length or chunked encoding; otherwise its end is that of the connection, also if it is early. */
     readonly isFramed: boolean;
+    /** Length of the body as the head states it; 0 if it states none. */
+    readonly statedByteCount: number;
     /** Headers for the caller, as alternating names and values. */
     readonly headers: readonly string[];
 }
--- a/test/gateway/rate-waits.test.ts
+++ b/test/gateway/rate-waits.test.ts
@@ -83,6 +83,7 @@
     load: undefined,
     isFramed: true,
     headers: ["content-type", "text/event-stream"],
+    statedByteCount: 0,
 };
 
 function createRecord(name: string, bornAtMs = 1): ServerRecord {
--- a/test/platform/uncontrolled-callers.test.ts
+++ b/test/platform/uncontrolled-callers.test.ts
@@ -22,13 +22,16 @@
 beforeEach(async () => {
     folder = mkdtempSync(join(tmpdir(), "uncontrolled-callers-"));
     fixture = await PlatformFixture.start();
-    await fixture.addServer({ id: "d1", service: "desk" });
+});
+
+async function startGateway(bodyByteCount: number | undefined): Promise<void> {
+    await fixture.addServer({ id: "d1", service: "desk", ...(bodyByteCount === undefined ? {} : { bodyByteCount }) });
     const settings = await fixture.createSettings("edge-1");
     const limits = { ...settings.limits, memory_mb: MEMORY_MB, max_fds: MAX_CROWDED_DESCRIPTORS };
     gateway = await startGatewayProcess({ ...settings, limits }, folder, "d1", CROWDED_NODE_FLAGS);
     const { front, ready, control } = settings.listen_addrs;
     ports = { front: front.port, ready: ready.port, control: control.port };
-});
+}
 
 afterEach(async () => {
     await gateway.process.end();
@@ -65,14 +68,25 @@
 const SHORT_LINES = `GET /lookup/x HTTP/1.1\r\nhost: ${HOST}\r\n${
     createLines(index => `${index.toString(36)}:\r\n`)
 }\r\n`;
+/** Lines beyond the limit of a head, up to which Node's parser reads. */
+const UNFINISHED_LINES = `GET /lookup/x HTTP/1.1\r\nhost: ${HOST}\r\n${
+    createLines(index => `${index.toString(36)}:\r\n`, 32_000)
+}`;
 const ODD_LINES = `GET /lookup/x HTTP/1.1\r\nhost: ${HOST}\r\n${createLines(() => "!:\u00ff\t\u00ff\r\n")}\r\n`;
 
 interface CrowdCase {
     readonly name: string;
     readonly traffic: CrowdTraffic;
     readonly port?: PortName;
+    /** Fewer than the connections that the gateway takes, so that an ordinary caller finds one. */
+    readonly clientCount?: number;
+    /** Length of the bodies of the server's responses. */
+    readonly bodyByteCount?: number;
 }
 
+/** Clients for cases in which each connection holds a part of the memory. */
+const MANY_CLIENTS = 190;
+
 // Guards against callers that end the process or hang it, since it keeps what they send and don't read.
 describe("callers that send and never read", () => {
     it.each<CrowdCase>([
@@ -81,6 +95,23 @@
         { name: "requests ahead of many short lines", traffic: { rest: repeat(SHORT_LINES, 20) } },
         { name: "requests ahead of many odd lines", traffic: { rest: repeat(ODD_LINES, 20) } },
         { name: "one request of many short lines a connection", traffic: { start: repeat(SHORT_LINES, 1) } },
+        {
+            name: "unfinished heads of many short lines",
+            traffic: { start: repeat(UNFINISHED_LINES, 1) },
+            clientCount: MANY_CLIENTS,
+        },
+        {
+            name: "unfinished heads of many short lines at the peer port",
+            traffic: { start: repeat(UNFINISHED_LINES, 1) },
+            clientCount: MANY_CLIENTS,
+            port: "control",
+        },
+        {
+            name: "long responses that are not read",
+            traffic: { start: repeat(PROPER, 1) },
+            clientCount: MANY_CLIENTS,
+            bodyByteCount: 4_000_000,
+        },
         {
             name: "heads over the limit",
             traffic: { rest: repeat(`GET /x HTTP/1.1\r\nhost: ${"x".repeat(400_000)}`, 1) },
@@ -102,10 +133,11 @@
             traffic: { rest: repeat(`GET /v1/status HTTP/1.1\r\nhost: ${HOST}\r\n\r\n`, 500) },
             port: "control",
         },
-    ])("leave the process alive within its memory: $name", async ({ traffic, port = "front" }) => {
+    ])("leave the process alive within its memory: $name", async ({ traffic, port = "front", ...crowd }) => {
+        await startGateway(crowd.bodyByteCount);
         const outcome = await playCrowd(
             gateway.process,
-            { port: ports[port], traffic },
+            { port: ports[port], traffic, clientCount: crowd.clientCount },
             async () => await callOnce() === 200,
         );
         expect.soft(outcome.isRunning, JSON.stringify(outcome)).toBe(true);
--- a/test/support/crowd.ts
+++ b/test/support/crowd.ts
@@ -87,7 +87,7 @@
  */
 export async function playCrowd(
     spawned: SpawnedProcess,
-    target: Pick<CrowdOptions, "host" | "port" | "traffic">,
+    target: Pick<CrowdOptions, "host" | "port" | "traffic"> & { readonly clientCount?: number | undefined; },
     isServed: () => Promise<boolean>,
 ): Promise<CrowdOutcome> {
     let largestBytes = 0;
@@ -97,7 +97,7 @@
         largestBytes = Math.max(largestBytes, spawned.readMemoryBytes() || 0);
         largestDescriptorCount = Math.max(largestDescriptorCount, readdirSync(`/proc/${spawned.pid}/fd`).length);
     }, SAMPLE_INTERVAL_MS);
-    const bounds = { clientCount: CLIENT_COUNT, durationMs: CROWD_MS };
+    const bounds = { clientCount: target.clientCount ?? CLIENT_COUNT, durationMs: CROWD_MS };
     await runCrowd({ ...target, ...bounds, maxConnections: MAX_CONNECTIONS, maxBytes: MAX_BYTES });
     const answered = eventually(
         "an ordinary request is answered",
