feat(gateway): fair order of workspaces at servers whose room is short

Each gateway now limits its requests at a server that refuses for lack of room or says that many wait there (PlaceLimit), and lets what waits go in an order that gives each workspace work by its weight (FairOrder). What can't have its turn in time is refused at once, with the time of its turn. In effect only where the configuration has workspaces; servers are asked nothing.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -45,6 +45,7 @@
 export * from "./runtime/rate-reservations.ts";
 export * from "./runtime/rate-schedule.ts";
 export * from "./runtime/stated-rates.ts";
+export * from "./runtime/use-window.ts";
 export * from "./types/claim.ts";
 export * from "./types/duty-lease.ts";
 export * from "./types/key-value-store.ts";
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -9,6 +9,7 @@
 export { EngineCommandRunner, type EngineCommandRunnerOptions } from "./runtime/engine-command-runner.ts";
 export { EngineController, type EngineControllerOptions } from "./runtime/engine-controller.ts";
 export { classifyUnnumberedEvent, EventSplitter, MAX_EVENT_BYTES, type StreamEvent } from "./runtime/event-splitter.ts";
+export { FairOrder, type LineStatus, type OrderedRequest } from "./runtime/fair-order.ts";
 export { type GatewayMember, GatewayMembership, type GatewayMembershipOptions } from "./runtime/gateway-membership.ts";
 export { GatewayMetrics } from "./runtime/gateway-metrics.ts";
 export { LocalDemandTracker } from "./runtime/local-demand-tracker.ts";
@@ -20,6 +21,7 @@
     selectReaders,
 } from "./runtime/member-selection.ts";
 export { OrderRights, type OrderRightsOptions } from "./runtime/order-rights.ts";
+export { PlaceLimit } from "./runtime/place-limit.ts";
 export { PlacementPlanner, type PlacementPlannerOptions } from "./runtime/placement-planner.ts";
 export { BODY_BLOCK_BYTES, BodyBlockPool, RequestBody } from "./runtime/request-body.ts";
 export { RequestTask } from "./runtime/request-task.ts";
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -17,6 +17,7 @@
 import { ByteBudget } from "../runtime/byte-budget.ts";
 import { CrashSuspects } from "../runtime/crash-suspects.ts";
 import { EngineCommandRunner } from "../runtime/engine-command-runner.ts";
+import { FairOrder } from "../runtime/fair-order.ts";
 import { GatewayMembership } from "../runtime/gateway-membership.ts";
 import { GatewayMetrics } from "../runtime/gateway-metrics.ts";
 import type { HttpResponseWriter } from "../runtime/http-response-writer.ts";
@@ -112,6 +113,7 @@
     private readonly retryBudgets = new Map<ServiceId, RetryBudget>();
     private readonly tasks = new Set<RequestTask>();
     private readonly workspaces = new WorkspaceDirectory();
+    private readonly fairOrder = new FairOrder(workspaceId => this.workspaces.weightOf(workspaceId));
     private readonly quotas: WorkspaceQuotas;
     private readonly serverEntries: ServerEntries;
     private configuration: GatewayConfiguration | undefined;
@@ -251,6 +253,7 @@
             byteBudget: new ByteBudget(BUFFERED_MEMORY_SHARE * options.memoryLimitBytes),
             crashSuspects: this.crashSuspects,
             serverRates: this.serverRates,
+            fairOrder: this.fairOrder,
             serverRanking: createServerRanking(options.serverRanking),
             workspaces: this.workspaces,
             quotas: this.quotas,
@@ -280,10 +283,10 @@
                 this.isStopping ? refusals.unavailable("stopping", STOP_RETRY_MS) : refusals.bodyTimeout(),
             handleRequest: (head, body, writer, startedAtMs) => this.handleRequest(head, body, writer, startedAtMs),
             onHeadFault: fault => this.metrics.refusedHeads.inc({ reason: fault }),
+            onUnreadResponse: () => this.metrics.unreadResponses.inc(),
             onError: error => logger.error({ step: "request", err: error }, "request handling failed unexpectedly"),
         });
         this.readyServer = createServer(createInternalServerOptions(), (_request, response) => {
-            onUnreadResponse: () => this.metrics.unreadResponses.inc(),
             const reasons = this.listNotReadyReasons();
             const text = reasons.length === 0 ? "ready\n" : `not ready: ${reasons.join(", ")}\n`;
             const headers = { "content-type": "text/plain", "content-length": Buffer.byteLength(text) };
@@ -453,6 +456,7 @@
             orders: this.orderRights.listHeldEngines(),
             requestsInProgress: this.tasks.size,
             workspaces: this.quotas.listStatus(),
+            lines: this.fairOrder.listStatus(nowMs()),
             suspectParts: this.crashSuspects.listEvidence().filter(({ ends }) => ends.length > 0).length,
             servers: [...this.directory.values()].map(server => ({
                 serverId: server.record.serverId,
--- a/packages/gateway/src/runtime/attempt.ts
+++ b/packages/gateway/src/runtime/attempt.ts
@@ -34,12 +34,13 @@
     private readonly isStream: boolean;
     private readonly buffers: ByteBudget;
     private readonly crashSuspects: CrashSuspects;
+    private startedAtMs = 0;
     private isUnanswered = false;
     private readonly splitter = new EventSplitter();
     private readonly chunks: Buffer[] = [];
     private bufferedByteCount = 0;
-    private exchange: EngineExchange | undefined;
     private reservedByteCount = 0;
+    private exchange: EngineExchange | undefined;
     private isFinished = false;
     private silenceTimer: NodeJS.Timeout | undefined;
 
@@ -62,6 +63,7 @@
     start(engineClient: EngineClient): void {
         const { modelId, adapterId } = this.call.request;
         this.server.beginAttempt(modelId, adapterId);
+        this.startedAtMs = nowMs();
         this.isUnanswered = true;
         this.crashSuspects.beginAttempt(this.call.request.sharedPromptParts);
         const exchange = engineClient.sendRequest(this.call, this);
@@ -100,6 +102,7 @@
         this.server.lastByteAtMs = now;
         this.server.recordReachable();
         if (head.load !== undefined) this.server.recordReportedLoad(head.load, now);
+        this.server.placeLimit.recordResponse(head.load, this.server.inFlightCount, now);
         if (!head.isGenuine && !head.isNotRun) return this.fail("response unsigned or of another request", true);
         // The head alone states that the request was not run; a faulty server may send a body without end.
         if (head.isNotRun) return this.finishNotRun(head);
@@ -126,9 +129,6 @@
         this.chunks.push(chunk);
     }
 
-    onEnd(): void {
-        if (this.isFinished) return;
-        if (this.head === undefined) return this.fail("response without a head", true);
     /** Reserves memory for `byteCount` bytes of the response in all; returns false if there is no room. */
     private tryReserve(byteCount: number): boolean {
         if (byteCount <= Math.max(MAX_SMALL_BODY_BYTES, this.reservedByteCount)) return true;
@@ -138,6 +138,9 @@
         return true;
     }
 
+    onEnd(): void {
+        if (this.isFinished) return;
+        if (this.head === undefined) return this.fail("response without a head", true);
         if (this.isStreaming && (this.eventCount === 0 || this.splitter.pendingByteCount > 0)) {
             this.recordEngineEnd();
             return this.fail("incomplete stream", true);
@@ -207,6 +210,8 @@
         this.buffers.release(this.reservedByteCount);
         const { modelId, adapterId } = this.call.request;
         this.server.endAttempt(modelId, adapterId);
+        const now = nowMs();
+        this.server.placeLimit.recordEnd(now - this.startedAtMs, now);
         return true;
     }
 }
--- a/packages/gateway/src/runtime/gateway-metrics.ts
+++ b/packages/gateway/src/runtime/gateway-metrics.ts
@@ -63,6 +63,10 @@
     readonly unknownKeys = this.counter("unknown_keys_total", "Requests without a key of any workspace.", []);
     readonly skippedLogLines = this.counter("log_lines_skipped_total", "Log lines left out by the rate limit.", []);
     readonly inProgress = this.gauge("requests_in_progress", "Requests without a complete answer.");
+    readonly waitingForPlaces = this.gauge(
+        "requests_waiting_for_places",
+        "Requests that wait for a place at a server, in the order that is fair to workspaces.",
+    );
     readonly plansPlacement = this.gauge(
         "plans_placement",
         "1 while this gateway plans which engine holds which model.",
--- a/packages/gateway/src/runtime/request-task.ts
+++ b/packages/gateway/src/runtime/request-task.ts
@@ -21,6 +21,7 @@
 } from "./request-timing.ts";
 import type { ServerState } from "./server-state.ts";
 import { Admission } from "./stages/admission.ts";
+import { PlaceWait } from "./stages/place-wait.ts";
 import { ReservationWait } from "./stages/reservation-wait.ts";
 import { ServerChoice } from "./stages/server-choice.ts";
 import { StreamContinuity } from "./stages/stream-continuity.ts";
@@ -59,6 +60,7 @@
     private readonly admission: Admission;
     private readonly choice: ServerChoice;
     private readonly reservationWait: ReservationWait;
+    private readonly placeWait: PlaceWait;
     private readonly continuity: StreamContinuity;
     private readonly log: RequestLog;
     private readonly deadlineTimer: NodeJS.Timeout;
@@ -78,6 +80,13 @@
         this.admission = new Admission(context, request);
         this.choice = new ServerChoice(context, serviceId, request);
         this.reservationWait = new ReservationWait(context, this.choice, request);
+        this.placeWait = new PlaceWait(context, {
+            serviceId,
+            request,
+            arrivedAtMs: startedAtMs,
+            priority: this.priority,
+            search: () => this.retryDispatch(),
+        });
         this.continuity = new StreamContinuity(request.lastEventId);
         this.log = new RequestLog(context, route, request, this.timing, () => ({
             sendCount: this.sendCount,
@@ -235,8 +244,14 @@
             : undefined;
         if (decision?.kind === "refuse") return this.refuseSuspect(decision.retryAfterMs);
         const mustWait = decision?.kind === "wait";
-        const server = mustWait ? undefined : this.choice.choose();
-        if (server === undefined) return this.waitForServer(mustWait);
+        const isFirst = !this.choice.mayHaveRun && !this.hasStarted;
+        const server = mustWait || isFirst && this.placeWait.mustQueue()
+            ? undefined
+            : this.choice.choose(this.placeWait.countExtraPlaces());
+        if (server === undefined) {
+            if (isFirst && !mustWait) this.placeWait.enter();
+            return this.waitForServer(mustWait);
+        }
         this.stopWaiting();
         this.send(server);
     }
@@ -277,6 +292,7 @@
             return this.abandon("retry_budget_exhausted");
         }
         this.reservationWait.use(server);
+        if (!isRetry) this.placeWait.recordSend();
         this.sendCount += 1;
         context.metrics.attempts.inc({ reason: this.isResuming ? "resume" : isRetry ? "retry" : "first" });
         const call = {
@@ -328,6 +344,8 @@
             modelEtaMs: modelId === undefined ? undefined : this.context.directory.etaMs(modelId),
             usefulWaitMs,
             remainingMs: this.remainingMs(),
+            placeEtaMs: this.placeWait.etaMs(),
+            placeWaitMs: this.timing.waitDeadlineAtMs - now,
             isWaitOver: now >= this.timing.waitDeadlineAtMs && !this.isResuming,
             holderReturnMs: this.context.serverRates.holderReturnMs,
         });
@@ -338,6 +356,7 @@
 
     private stopWaiting(): void {
         clearTimeout(this.waitTimer);
+        this.placeWait.leave();
         if (!this.isWaiting) return;
         this.isWaiting = false;
         const { modelId, adapterId } = this.request;
@@ -427,6 +446,7 @@
         clearTimeout(this.deadlineTimer);
         this.reservationWait.cancel("refused");
         this.stopWaiting();
+        this.context.fairOrder.schedulePass();
         this.request.body?.discard();
         this.admission.end(this.choice.mayHaveRun || end === "answered");
         this.context.metrics.requests.inc({ kind: this.route.kind, end });
--- a/packages/gateway/src/runtime/server-ranking.ts
+++ b/packages/gateway/src/runtime/server-ranking.ts
@@ -46,12 +46,15 @@
 
 /** Takes the server with the least known load; a random part spreads ties. */
 export class LeastLoadRanking implements ServerRanking {
+    /** @param random Returns a number from 0 to below 1. */
+    constructor(private readonly random: () => number = Math.random) {}
+
     choose(input: RankingInput): ServerState | undefined {
         let best: { readonly server: ServerState; readonly score: number; } | undefined;
         for (const server of input.servers) {
             const slots = Math.max(1, server.record.slotCount);
             const load = FULL_LOAD_PENALTY * server.estimateRequestCount(input.nowMs) / slots;
-            const score = computePenalty(server, input) + load + Math.random() / 2;
+            const score = computePenalty(server, input) + load + this.random() / 2;
             if (best === undefined || score < best.score) best = { server, score };
         }
         return best?.server;
--- a/packages/gateway/src/runtime/server-state.ts
+++ b/packages/gateway/src/runtime/server-state.ts
@@ -1,6 +1,7 @@
 import type { AdapterId, ModelId } from "@skylarkmill/protocol";
 import type { ReportedLoad, ServerRecord } from "../types/engine.ts";
 import type { PlacedModel } from "../types/placement.ts";
+import { PlaceLimit } from "./place-limit.ts";
 
 /** Time for which a server that can't be reached is avoided; doubles with each consecutive failure. */
 const MIN_SUSPECT_MS = 400;
@@ -45,6 +46,8 @@
     failureRate = 0;
     /** Number of this gateway's requests in progress at the server, by model and adapter. */
     readonly runningByTarget = new Map<string, number>();
+    /** Limit of this gateway's requests while the server's room is short. */
+    readonly placeLimit = new PlaceLimit();
     private placedModels: readonly PlacedModel[] | undefined;
     /** Adapters of the models that take requests, by model; undefined until it is needed. */
     private adaptersByModel: ReadonlyMap<ModelId, readonly AdapterId[]> | undefined;
@@ -175,6 +178,7 @@
 
     recordAtCapacity(now: number): void {
         this.atCapacityUntilMs = now + AT_CAPACITY_MS;
+        this.placeLimit.recordRefusal(this.inFlightCount, now);
     }
 
     recordMissingModel(modelId: ModelId, adapterId: AdapterId | undefined, now: number): void {
--- a/packages/gateway/src/runtime/stages/server-choice.ts
+++ b/packages/gateway/src/runtime/stages/server-choice.ts
@@ -11,18 +11,26 @@
     private readonly rejectedBy = new Set<ServerId>();
 
     constructor(
-        private readonly context: Pick<GatewayContext, "dataCentre" | "directory" | "serverRates" | "serverRanking">,
+        private readonly context: Pick<
+            GatewayContext,
+            "dataCentre" | "directory" | "serverRates" | "serverRanking" | "workspaces"
+        >,
         private readonly serviceId: ServiceId,
         private readonly request: CallerRequest,
     ) {}
 
-    /** Chooses a server that has not received the request, or else one that has, since its failure may be temporary. */
-    choose(): ServerState | undefined {
-        return this.chooseUnused() ?? (this.possibleRuns.size > 0 ? this.chooseAmong(this.possibleRuns) : undefined);
+    /**
+     * Chooses a server that has not received the request, or else one that has, since its failure may be temporary.
+     *
+     * @param extraPlaceCount Places that the request may take beyond the limit of a server whose room is short.
+     */
+    choose(extraPlaceCount: number): ServerState | undefined {
+        return this.chooseUnused(extraPlaceCount)
+            ?? (this.possibleRuns.size > 0 ? this.chooseAmong(this.possibleRuns, extraPlaceCount) : undefined);
     }
 
-    chooseUnused(): ServerState | undefined {
-        return this.chooseAmong(undefined);
+    chooseUnused(extraPlaceCount = 0): ServerState | undefined {
+        return this.chooseAmong(undefined, extraPlaceCount);
     }
 
     /** Lists the servers that can serve the request by what they hold, whatever their load. */
@@ -76,12 +84,18 @@
     }
 
     /** Chooses the best usable server: one of `allowed`, or if undefined, one where the request can't have run. */
-    private chooseAmong(allowed: ReadonlyMap<ServerId, number> | undefined): ServerState | undefined {
+    private chooseAmong(
+        allowed: ReadonlyMap<ServerId, number> | undefined,
+        extraPlaceCount: number,
+    ): ServerState | undefined {
         const now = nowMs();
-        const { serverRates, dataCentre, serverRanking } = this.context;
+        const { serverRates, dataCentre, serverRanking, workspaces } = this.context;
+        // One that may have run has had its turn.
+        const isLimited = workspaces.hasWorkspaces && !this.mayHaveRun;
         const usable = this.listCandidates().filter(server => {
             const { serverId } = server.record;
             return server.holdMs(now) === 0 && !this.rejectedBy.has(serverId)
+                && (!isLimited || server.placeLimit.hasRoom(server.inFlightCount, now, extraPlaceCount))
                 && serverRates.canSend(server.record, this.request)
                 && (allowed?.has(serverId) ?? !this.possibleRuns.has(serverId));
         });
--- a/packages/gateway/src/runtime/stages/wait-decision.ts
+++ b/packages/gateway/src/runtime/stages/wait-decision.ts
@@ -11,6 +11,10 @@
     readonly reservation: ReservationState;
     /** Expected time until the request's model is ready; undefined without an estimate. */
     readonly modelEtaMs: number | undefined;
+    /** Expected time until the request has its turn among those that wait for the same servers; undefined if unknown. */
+    readonly placeEtaMs: number | undefined;
+    /** Longest time for which it may wait for its turn. */
+    readonly placeWaitMs: number;
     /** A server that is found later than this can't answer in time. */
     readonly usefulWaitMs: number;
     /** Time until the request's deadline. */
@@ -33,7 +37,7 @@
  * decideWait({ ...situation, modelEtaMs: 6_000, usefulWaitMs: 2_000 }); // { kind: "refuse", code: "model_not_in_time" }
  */
 export function decideWait(situation: WaitSituation): WaitDecision {
-    const { holdMs, reservation, modelEtaMs, usefulWaitMs, remainingMs } = situation;
+    const { holdMs, reservation, modelEtaMs, usefulWaitMs, remainingMs, placeEtaMs } = situation;
     const isEtaInTime = (etaMs: number | undefined): boolean => etaMs !== undefined && etaMs < usefulWaitMs;
     const isInTime = holdMs === undefined
         ? reservation.kind === "granted" || isEtaInTime(modelEtaMs)
@@ -47,6 +51,9 @@
             return { kind: "refuse", code: "rate_holder_lost", retryAfterMs: situation.holderReturnMs };
         }
         if (reservation.kind !== "pending") {
+            if (modelEtaMs === undefined && placeEtaMs !== undefined && placeEtaMs > situation.placeWaitMs) {
+                return { kind: "refuse", code: "servers_full", retryAfterMs: placeEtaMs };
+            }
             if (modelEtaMs !== undefined) return { kind: "refuse", code: "model_not_in_time" };
             if (situation.isWaitOver) return { kind: "refuse", code: "no_server" };
         }
--- a/packages/gateway/src/runtime/workspace-directory.ts
+++ b/packages/gateway/src/runtime/workspace-directory.ts
@@ -16,11 +16,14 @@
 /** Finds the workspace of a request by its key, in the configuration in force. */
 export class WorkspaceDirectory {
     private byDigest: ReadonlyMap<KeyDigest, Workspace> | undefined;
+    private largestRatePerSecond = 1;
     private byId: ReadonlyMap<WorkspaceId, Workspace> = new Map();
 
     /** Applies the workspaces of a configuration; undefined if it has none. */
     apply(workspaces: readonly Workspace[] | undefined): void {
         this.byId = new Map(workspaces?.map(workspace => [workspace.workspaceId, workspace]));
+        const rates = workspaces?.map(({ quota }) => quota?.ratePerSecond ?? 0) ?? [];
+        this.largestRatePerSecond = rates.reduce((largest, rate) => Math.max(largest, rate), 1);
         this.byDigest = workspaces === undefined ? undefined : new Map(
             workspaces.flatMap(workspace => workspace.keyDigests.map(digest => [digest, workspace] as const)),
         );
@@ -31,6 +34,15 @@
         return this.byDigest !== undefined;
     }
 
+    /**
+     * Part of a workspace of what servers can do when their room is short, relative to the others: its quota, or the
+     * largest one of all if it has none.
+     */
+    weightOf(workspaceId: WorkspaceId | undefined): number {
+        const quota = workspaceId === undefined ? undefined : this.byId.get(workspaceId)?.quota;
+        return quota?.ratePerSecond ?? this.largestRatePerSecond;
+    }
+
     get(workspaceId: WorkspaceId): Workspace | undefined {
         return this.byId.get(workspaceId);
     }
--- a/packages/gateway/src/types/context.ts
+++ b/packages/gateway/src/types/context.ts
@@ -2,6 +2,7 @@
 import type { DataCentre, ServiceId } from "@skylarkmill/protocol";
 import type { ByteBudget } from "../runtime/byte-budget.ts";
 import type { CrashSuspects } from "../runtime/crash-suspects.ts";
+import type { FairOrder } from "../runtime/fair-order.ts";
 import type { GatewayMetrics } from "../runtime/gateway-metrics.ts";
 import type { LocalDemandTracker } from "../runtime/local-demand-tracker.ts";
 import type { RetryBudget } from "../runtime/retry-budget.ts";
@@ -21,6 +22,8 @@
     readonly byteBudget: ByteBudget;
     /** Parts of prompts that end engines. */
     readonly crashSuspects: CrashSuspects;
+    /** Order of the requests that wait for places, fair to workspaces. */
+    readonly fairOrder: FairOrder;
     /** Chooses among servers that can take a request. */
     readonly serverRanking: ServerRanking;
     /** Rates that servers state for all gateways together. */
--- a/test/gateway/rate-waits.test.ts
+++ b/test/gateway/rate-waits.test.ts
@@ -5,6 +5,7 @@
     CrashSuspects,
     createServerRanking,
     type EngineCall,
+    FairOrder,
     type GatewayContext,
     GatewayMetrics,
     LocalDemandTracker,
@@ -82,8 +83,8 @@
     weightVersion: undefined,
     load: undefined,
     isFramed: true,
-    headers: ["content-type", "text/event-stream"],
     statedByteCount: 0,
+    headers: ["content-type", "text/event-stream"],
 };
 
 function createRecord(name: string, bornAtMs = 1): ServerRecord {
@@ -137,6 +138,7 @@
     const context: GatewayContext = {
         serverRanking: createServerRanking("least_load"),
         workspaces: new WorkspaceDirectory(),
+        fairOrder: new FairOrder(() => 1),
         quotas: { decide: () => ({ kind: "admitted" }), leave: () => undefined, giveBack: () => undefined },
         dataCentre: DATA_CENTRE,
         directory,
--- a/test/gateway/waiting.test.ts
+++ b/test/gateway/waiting.test.ts
@@ -4,6 +4,7 @@
     type CallerRequest,
     CrashSuspects,
     createServerRanking,
+    FairOrder,
     type GatewayContext,
     GatewayMetrics,
     LocalDemandTracker,
@@ -76,6 +77,7 @@
     const context: GatewayContext = {
         serverRanking: createServerRanking("least_load"),
         workspaces: new WorkspaceDirectory(),
+        fairOrder: new FairOrder(() => 1),
         quotas: { decide: () => ({ kind: "admitted" }), leave: () => undefined, giveBack: () => undefined },
         dataCentre: toId<DataCentre>("dc-1"),
         directory,
