feat(cli): skylarkmill config check

Checks a gateway's configuration document before it is sent: errors by field, entries that never match, limits that contradict each other, and what differs from the version in force.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -54,6 +54,13 @@
 export type * from "./types/placement.ts";
 export type * from "./types/response-writer.ts";
 export type * from "./types/snapshot.ts";
+export {
+    checkConfiguration,
+    checkSuccession,
+    compareConfigurations,
+    type ConfigurationChange,
+    type ConfigurationFinding,
+} from "./utils/configuration-check.ts";
 export { digestKey } from "./utils/digest-key.ts";
 export { parseJson } from "./utils/parse-json.ts";
 export { pickService } from "./utils/pick-service.ts";
--- a/packages/skylarkmill/src/node/command-registry.ts
+++ b/packages/skylarkmill/src/node/command-registry.ts
@@ -86,6 +86,11 @@
     defineOperatorCommand("config get", "Prints the configuration in force."),
     defineOperatorCommand("config apply", "Edits one section of the configuration."),
     defineOperatorCommand("config status", "Prints which versions are in force in which process."),
+    {
+        name: "config check",
+        summary: "Checks a gateway's configuration document before it is sent.",
+        run: async ({ argv }) => (await import("../commands/config-check.ts")).checkConfigurationFile(argv),
+    },
     defineOperatorCommand("audit", "Prints the changes of the configuration."),
     defineOperatorCommand("status", "Prints the state of the system."),
     defineOperatorCommand("drain", "Starts or ends the drain of a host."),
