fix(coordination): unfinished heads of many lines ended the process

1,600 callers on a machine of 250 MB that each sent 32 KB of short header lines and no end of their heads ended a gateway, at its callers' port and at its peer port (276 and 277 MB, SIGABRT; a trial).

Cause: a head counted against the memory for requests only once it was complete. Until then Node's parser keeps all its lines, about 350 KB for a connection.

The guard looks at what the parser keeps after each read, and closes the connection that sends on while such heads take more than a quarter of the memory for requests. Heads of up to 32 lines don't count, so ordinary callers are served beside it.

The crowd of the test is small (190 callers, a heap of 40 MB) and was fixed before the change, when both cases ended the process.

--- a/packages/coordination/src/node/request-head-guard.ts
+++ b/packages/coordination/src/node/request-head-guard.ts
@@ -40,6 +40,8 @@
 /** Least size of a header line, with its end. */
 const MIN_HEADER_LINE_BYTES = 4;
 const DEFAULT_MAX_REQUESTS_AHEAD = 32;
+/** Part of the memory for requests that unfinished heads of many lines may take besides. */
+const UNFINISHED_HEAD_SHARE = 0.25;
 /** Time for which a refused caller may still send; closing at once would reset the connection before it reads the refusal. */
 const LINGER_MS = 1_000;
 
@@ -74,6 +76,8 @@
     readByteCount: number;
     /** Estimated memory of its requests whose responses have not ended. */
     memoryBytes: number;
+    /** Estimated memory of a head that is not complete, if it has many lines. */
+    unfinishedHeadBytes: number;
     owedResponseCount: number;
     newestRequest: IncomingMessage | undefined;
     /** Fault of a head whose refusal waits for earlier responses. */
@@ -98,6 +102,7 @@
     private readonly listeners: Function[]; // eslint-disable-line @typescript-eslint/no-unsafe-function-type -- as of Node
     private readonly arrivals = new WeakMap<IncomingMessage, number>();
     private requestMemoryBytes = 0;
+    private unfinishedHeadBytes = 0;
 
     constructor(server: Server, options: RequestHeadGuardOptions) {
         this.server = server;
@@ -141,6 +146,7 @@
                 serving: undefined,
                 waiting: [],
                 memoryBytes: 0,
+                unfinishedHeadBytes: 0,
                 readByteCount: 0,
                 owedResponseCount: 0,
                 newestRequest: undefined,
@@ -152,8 +158,11 @@
             // Responses that are still to come don't tell that their connection has closed.
             socket.once("close", () => {
                 this.releaseMemory(added, added.memoryBytes);
+                this.setUnfinishedHead(added, 0);
                 added.waiting.length = 0;
             });
+            // Called after Node's parser has read the same bytes.
+            socket.on("data", () => this.countUnfinishedHead(socket, added));
         }
         return connection;
     }
@@ -195,6 +204,25 @@
         this.requestMemoryBytes -= memoryBytes;
     }
 
+    /** Closes the connection of a head that is not complete while such heads take too much memory. */
+    private countUnfinishedHead(socket: Socket, connection: GuardedConnection): void {
+        if (connection.isRefused) return;
+        const rawHeaderCount = countUnfinishedHeaders(socket);
+        const headByteCount = Math.min(socket.bytesRead - connection.readByteCount, connection.parserLimitBytes);
+        this.setUnfinishedHead(
+            connection,
+            rawHeaderCount === 0 ? 0 : estimateRequestMemory(headByteCount, rawHeaderCount),
+        );
+        const { maxRequestMemoryBytes = Infinity } = this.options;
+        const isOver = this.unfinishedHeadBytes > UNFINISHED_HEAD_SHARE * maxRequestMemoryBytes;
+        if (isOver && connection.unfinishedHeadBytes > 0) this.closeOverrun(socket, connection, "no_memory");
+    }
+
+    private setUnfinishedHead(connection: GuardedConnection, byteCount: number): void {
+        this.unfinishedHeadBytes += byteCount - connection.unfinishedHeadBytes;
+        connection.unfinishedHeadBytes = byteCount;
+    }
+
     private passOnNext(connection: GuardedConnection): void {
         connection.serving = undefined;
         const next = connection.waiting.shift();
@@ -315,6 +343,12 @@
     if (parser?.onIncoming !== undefined) parser.onIncoming = () => 0;
 }
 
+/** Counts the names and values that Node's parser keeps of a head that is not complete; 0 if it has few lines. */
+function countUnfinishedHeaders(socket: Socket): number {
+    const { parser } = socket as { parser?: { _headers?: readonly string[]; } | null; };
+    return parser?._headers?.length ?? 0;
+}
+
 function toParserLimit({ maxHeaderBytes }: RequestHeadLimits): number {
     return Math.max(Math.ceil(maxHeaderBytes), MIN_PARSER_HEADER_BYTES);
 }
--- a/test/platform/uncontrolled-callers.test.ts
+++ b/test/platform/uncontrolled-callers.test.ts
@@ -24,11 +24,11 @@
     fixture = await PlatformFixture.start();
 });
 
-async function startGateway(bodyByteCount: number | undefined): Promise<void> {
+async function startGateway(bodyByteCount?: number, nodeFlags = CROWDED_NODE_FLAGS): Promise<void> {
     await fixture.addServer({ id: "d1", service: "desk", ...(bodyByteCount === undefined ? {} : { bodyByteCount }) });
     const settings = await fixture.createSettings("edge-1");
     const limits = { ...settings.limits, memory_mb: MEMORY_MB, max_fds: MAX_CROWDED_DESCRIPTORS };
-    gateway = await startGatewayProcess({ ...settings, limits }, folder, "d1", CROWDED_NODE_FLAGS);
+    gateway = await startGatewayProcess({ ...settings, limits }, folder, "d1", nodeFlags);
     const { front, ready, control } = settings.listen_addrs;
     ports = { front: front.port, ready: ready.port, control: control.port };
 }
@@ -82,10 +82,14 @@
     readonly clientCount?: number;
     /** Length of the bodies of the server's responses. */
     readonly bodyByteCount?: number;
+    /** Flags of Node.js for the gateway. */
+    readonly nodeFlags?: readonly string[];
 }
 
 /** Clients for cases in which each connection holds a part of the memory. */
 const MANY_CLIENTS = 190;
+/** A heap that these clients' unfinished heads fill; a machine takes ten times as many connections. */
+const SMALL_HEAP_FLAGS = ["--max-old-space-size=40", "--max-semi-space-size=2"];
 
 // Guards against callers that end the process or hang it, since it keeps what they send and don't read.
 describe("callers that send and never read", () => {
@@ -99,11 +103,13 @@
             name: "unfinished heads of many short lines",
             traffic: { start: repeat(UNFINISHED_LINES, 1) },
             clientCount: MANY_CLIENTS,
+            nodeFlags: SMALL_HEAP_FLAGS,
         },
         {
             name: "unfinished heads of many short lines at the peer port",
             traffic: { start: repeat(UNFINISHED_LINES, 1) },
             clientCount: MANY_CLIENTS,
+            nodeFlags: SMALL_HEAP_FLAGS,
             port: "control",
         },
         {
@@ -134,7 +140,7 @@
             port: "control",
         },
     ])("leave the process alive within its memory: $name", async ({ traffic, port = "front", ...crowd }) => {
-        await startGateway(crowd.bodyByteCount);
+        await startGateway(crowd.bodyByteCount, crowd.nodeFlags);
         const outcome = await playCrowd(
             gateway.process,
             { port: ports[port], traffic, clientCount: crowd.clientCount },
--- a/test/support/crowd.ts
+++ b/test/support/crowd.ts
@@ -61,7 +61,7 @@
 }
 
 /** Flags of Node.js for a process that a crowd calls. */
-export const CROWDED_NODE_FLAGS = ["--max-old-space-size=100", "--max-semi-space-size=2"];
+export const CROWDED_NODE_FLAGS: readonly string[] = ["--max-old-space-size=100", "--max-semi-space-size=2"];
 /** Descriptors that a process beside a crowd stays below. */
 export const MAX_CROWDED_DESCRIPTORS = 1_000;
 const CLIENT_COUNT = 30;
