feat(gateway): the planner learns how many loads the weight store delivers at once

Loads from the weight store took up to four times their time. On the deployment with 8 gateways the first four, ordered together, took 15, 31, 46 and 61 s and occupied their engines for as long; on the one with 22 gateways a model that many asked for took 41 s in place of 12 after all gateways had restarted, since seven loads were in progress.

Besides, a new planner doesn't know of loads that holders before it ordered.

Orders that a holder didn't send count as loads, but never take the last place. Estimates for waiting requests follow.

--- a/packages/gateway/src/runtime/engine-controller.ts
+++ b/packages/gateway/src/runtime/engine-controller.ts
@@ -65,6 +65,8 @@
     readonly pendingAdapters = new Set<string>();
     /** Whether the tracked state matches the engine: no order has failed since the engine's state was read. */
     isStateKnown = false;
+    /** Whether the engine last reported an order in progress. */
+    private isReportedBusy = false;
     private sequence = 0;
     private unreachableUntilMs = -Infinity;
     private orderQueue: Promise<unknown> = Promise.resolve();
@@ -119,6 +121,7 @@
                 origin: currentJob.origin,
                 expectedMs: currentJob.expectedMs,
             },
+            hasOtherOrder: !this.isStateKnown && this.isReportedBusy && currentJob === undefined,
             coming: [...this.pendingAdapters],
         };
     }
@@ -331,6 +334,7 @@
         replaceValues(this.inMemory, state.inMemory);
         this.unreachableUntilMs = -Infinity;
         // An adapter that is being loaded takes up capacity but is not in the list of loaded adapters yet.
+        this.isReportedBusy = state.isBusy;
         this.isStateKnown = !state.isBusy && state.pendingAdapterCount === 0;
     }
 
--- a/packages/gateway/src/runtime/placement-planner.ts
+++ b/packages/gateway/src/runtime/placement-planner.ts
@@ -18,6 +18,7 @@
 import { RecentCommands } from "./recent-commands.ts";
 import type { ServerDirectory } from "./server-directory.ts";
 import { formatTargetKey, type ServerState } from "./server-state.ts";
+import { StoreLoadLimit } from "./store-load-limit.ts";
 
 /** Interval at which the placement is planned, in addition to planning on changes of demand. */
 const PLAN_INTERVAL_MS = 100;
@@ -86,6 +87,7 @@
     /** Loads in progress, with the time at which the planner first received them in a report. */
     private readonly loadsInProgress = new Map<ServerId, { readonly load: ModelId; readonly sinceMs: number; }>();
     private readonly arrivalRates = new ArrivalRateTracker();
+    private readonly storeLoadLimit: StoreLoadLimit;
     private readonly adapterPlanner: AdapterPlanner;
     private readonly listeners = new Set<() => void>();
     private readonly joinedAtMs = new Map<ServerId, number>();
@@ -105,6 +107,7 @@
     constructor(options: PlacementPlannerOptions) {
         this.options = options;
         const { directory, sendCommand } = options;
+        this.storeLoadLimit = new StoreLoadLimit(options.maxStoreLoadCount);
         this.adapterPlanner = new AdapterPlanner({
             directory,
             getServerRate: options.getServerRate,
@@ -241,11 +244,12 @@
         const isEngineSetComplete = this.recordJoins(engines, now);
         if (isEngineSetComplete) this.setInitialRates(engines, now);
         const models = this.describeModels(profile, now);
+        this.trackStoreLoads(profile, now);
         const orders = this.options.policy.plan({
             engines,
             models,
-            storeLoadCount: engines.filter(engine => engine.isLoadingFromStore).length,
-            maxStoreLoadCount: this.options.maxStoreLoadCount,
+            storeLoadCount: this.countStoreLoads(engines),
+            maxStoreLoadCount: this.storeLoadLimit.value,
             allowsPrefetch: isEngineSetComplete,
             requestsPerCopy: REQUESTS_PER_COPY,
         });
@@ -254,6 +258,29 @@
         this.etas = this.estimateEtas(engines, models, now);
     }
 
+    private trackStoreLoads(profile: EngineProfile, now: number): void {
+        const limitBefore = this.storeLoadLimit.value;
+        const loads = [...this.demand.listEngines().values()].flatMap(({ state: { serverId, job } }) =>
+            job?.origin === "store"
+                ? [{ serverId, fullSpeedMs: profile.models.get(job.load)?.storeLoadMs ?? job.expectedMs }]
+                : []
+        );
+        this.storeLoadLimit.update(loads, now);
+        const { value } = this.storeLoadLimit;
+        if (value === limitBefore) return;
+        this.options.logger.info(
+            { step: "placement.store_loads", limit: value, before: limitBefore },
+            "the weight store delivers another number of loads at full speed",
+        );
+    }
+
+    /** Counts loads from the weight store; an order of an earlier holder may be one, but never keeps the last place. */
+    private countStoreLoads(engines: readonly DescribedEngine[]): number {
+        const knownCount = engines.filter(engine => engine.isLoadingFromStore).length;
+        const otherCount = [...this.demand.listEngines().values()].filter(({ state }) => state.hasOtherOrder).length;
+        return knownCount + Math.min(otherCount, this.storeLoadLimit.value - 1);
+    }
+
     private sendModelOrder(
         order: EngineModelOrder,
         enginesById: ReadonlyMap<ServerId, ReportedEngine>,
@@ -378,7 +405,8 @@
         for (const { state: { serverId, job } } of this.demand.listEngines().values()) {
             if (job === undefined) continue;
             const elapsedMs = now - (this.loadsInProgress.get(serverId)?.sinceMs ?? now);
-            const remainingMs = Math.max(0, job.expectedMs - elapsedMs);
+            const remainingMs = this.storeLoadLimit.remainingMs(serverId, now)
+                ?? Math.max(0, job.expectedMs - elapsedMs);
             etas.set(job.load, remainingMs + LOAD_OVERHEAD_MS);
             if (job.origin === "store") remainingStoreLoadsMs.push(remainingMs);
         }
@@ -399,7 +427,7 @@
                 continue;
             }
             remainingStoreLoadsMs.sort((a, b) => a - b);
-            const hasFreeLoadSlot = remainingStoreLoadsMs.length < this.options.maxStoreLoadCount;
+            const hasFreeLoadSlot = remainingStoreLoadsMs.length < this.storeLoadLimit.value;
             const startDelayMs = hasFreeLoadSlot ? 0 : remainingStoreLoadsMs.shift()!;
             remainingStoreLoadsMs.push(startDelayMs + model.storeLoadMs);
             etas.set(model.modelId, startDelayMs + model.storeLoadMs + LOAD_OVERHEAD_MS);
--- a/packages/gateway/src/types/placement.ts
+++ b/packages/gateway/src/types/placement.ts
@@ -58,6 +58,8 @@
     readonly inMemory: readonly ModelId[];
     /** Model load in progress. */
     readonly job: EngineJob | undefined;
+    /** An order is in progress that the holder didn't send, such as one of the holder before it. */
+    readonly hasOtherOrder?: boolean | undefined;
     /** Adapters that are being loaded, as `model/adapter`. */
     readonly coming: readonly string[];
 }
--- a/packages/gateway/src/utils/peer-schemas.ts
+++ b/packages/gateway/src/utils/peer-schemas.ts
@@ -27,6 +27,7 @@
     models: z.array(placedModel),
     onDisk: z.array(modelId),
     inMemory: z.array(modelId),
+    hasOtherOrder: z.boolean().optional(),
     job: z.object({ load: modelId, unload: modelId.optional(), origin, expectedMs: z.number() }).optional(),
     coming: z.array(z.string()),
 });
--- a/test/gateway/placement-planner.test.ts
+++ b/test/gateway/placement-planner.test.ts
@@ -129,3 +129,72 @@
         planner.stop();
     });
 });
+
+const busyState: EngineState = {
+    serverId: record.serverId,
+    bornAtMs: record.bornAtMs,
+    idle: false,
+    models: [],
+    onDisk: [],
+    inMemory: [],
+    job: undefined,
+    coming: [],
+};
+
+// Guards against a new planner that orders loads from the weight store beside those that it doesn't know of.
+describe("loads from the weight store that a planner counts", () => {
+    beforeEach(() => void vi.useFakeTimers());
+    afterEach(() => void vi.useRealTimers());
+
+    it.each(
+        [
+            {
+                name: "one that its holder sent",
+                changes: { job: { load: OTHER, unload: undefined, origin: "store", expectedMs: 6_000 } },
+                expected: 1,
+            },
+            {
+                name: "a load from disk",
+                changes: { job: { load: OTHER, unload: undefined, origin: "disk", expectedMs: 600 } },
+                expected: 0,
+            },
+            { name: "an order that its holder didn't send", changes: { hasOtherOrder: true }, expected: 1 },
+            { name: "an engine whose state isn't known", changes: { hasOtherOrder: false }, expected: 0 },
+        ] as const,
+    )("$name", async ({ changes, expected }) => {
+        const directory = new ServerDirectory(silentLogger);
+        directory.upsert(record);
+        const counts: number[] = [];
+        const demand: DemandMessage = {
+            gateway: "g1",
+            address: "127.0.0.1:1",
+            waiting: [{ modelId: WANTED, adapterId: undefined, count: 1, oldestWaitMs: 10 }],
+            running: [],
+            arrivals: [],
+            engines: [{ ...busyState, ...changes }],
+            crashEvidence: [],
+            leaving: [],
+            rates: [],
+        };
+        const planner = new PlacementPlanner({
+            directory,
+            policy: {
+                plan: ({ storeLoadCount }) => {
+                    counts.push(storeLoadCount);
+                    return [];
+                },
+            },
+            logger: silentLogger,
+            getServerRate: () => undefined,
+            maxStoreLoadCount: 4,
+            getConfiguration: () => configuration,
+            getTerm: () => 1,
+            createOwnDemand: () => demand,
+            sendCommand: () => undefined,
+        });
+        planner.receiveDemand(demand);
+        await vi.advanceTimersByTimeAsync(PLAN_DELAY_MS);
+        expect(counts).toEqual([expected]);
+        planner.stop();
+    });
+});
