fix(gateway): a response's parts were kept until its caller's connection closed

Cause: the listener for the end of a caller's connection keeps the request's task, the task its attempt, and the attempt the parts of the whole response.

An attempt gives its parts away with the response, and drops them when it ends in another way.

--- a/packages/gateway/src/runtime/attempt.ts
+++ b/packages/gateway/src/runtime/attempt.ts
@@ -146,10 +146,11 @@
             return this.fail("incomplete stream", true);
         }
         if (this.head.status < 300) this.recordAnswer();
+        const body = this.chunks.splice(0);
         this.finish();
         this.server.recordOutcome(this.head.status < 500);
         if (this.isStreaming) this.listener.onStreamEnd(this);
-        else this.listener.onResponse(this, this.head, this.chunks);
+        else this.listener.onResponse(this, this.head, body);
     }
 
     onFailure(error: Error, wasSent: boolean): void {
@@ -208,6 +209,8 @@
         this.endUnanswered();
         clearTimeout(this.silenceTimer);
         this.buffers.release(this.reservedByteCount);
+        // The listener may keep the attempt until the caller's connection has closed.
+        this.chunks.length = 0;
         const { modelId, adapterId } = this.call.request;
         this.server.endAttempt(modelId, adapterId);
         const now = nowMs();
