--- a/packages/gateway/src/runtime/placement-planner.ts
+++ b/packages/gateway/src/runtime/placement-planner.ts
@@ -265,7 +265,7 @@
                 ? [{ serverId, fullSpeedMs: profile.models.get(job.load)?.storeLoadMs ?? job.expectedMs }]
                 : []
         );
-        this.storeLoadLimit.update(loads, now);
+        this.storeLoadLimit.update(loads, now, this.countOtherOrders());
         const { value } = this.storeLoadLimit;
         if (value === limitBefore) return;
         this.options.logger.info(
@@ -277,8 +277,12 @@
     /** Counts loads from the weight store; an order of an earlier holder may be one, but never keeps the last place. */
     private countStoreLoads(engines: readonly DescribedEngine[]): number {
         const knownCount = engines.filter(engine => engine.isLoadingFromStore).length;
-        const otherCount = [...this.demand.listEngines().values()].filter(({ state }) => state.hasOtherOrder).length;
-        return knownCount + Math.min(otherCount, this.storeLoadLimit.value - 1);
+        return knownCount + Math.min(this.countOtherOrders(), this.storeLoadLimit.value - 1);
+    }
+
+    /** Counts orders in progress that the engines' holders didn't send. */
+    private countOtherOrders(): number {
+        return [...this.demand.listEngines().values()].filter(({ state }) => state.hasOtherOrder).length;
     }
 
     private sendModelOrder(
--- a/packages/gateway/src/runtime/store-load-limit.ts
+++ b/packages/gateway/src/runtime/store-load-limit.ts
@@ -24,6 +24,8 @@
     readonly startedAtMs: number;
     /** Loads in progress when it began, with itself. */
     readonly countAtStart: number;
+    /** Other orders in progress then, of which some may have been loads. */
+    readonly otherCountAtStart: number;
 }
 
 /**
@@ -51,8 +53,12 @@
         return this.limit;
     }
 
-    /** Records the loads that are in progress now, over all engines. */
-    update(active: readonly StoreLoad[], now: number): void {
+    /**
+     * Records the loads that are in progress now, over all engines.
+     *
+     * @param otherCount Orders in progress of which nobody knows whether they are loads.
+     */
+    update(active: readonly StoreLoad[], now: number, otherCount = 0): void {
         const activeIds = new Set(active.map(({ serverId }) => serverId));
         for (const load of [...this.loads.values()]) {
             const isActive = activeIds.has(load.serverId);
@@ -63,7 +69,8 @@
         }
         for (const load of active) {
             if (this.loads.has(load.serverId)) continue;
-            this.loads.set(load.serverId, { ...load, startedAtMs: now, countAtStart: this.loads.size + 1 });
+            const countAtStart = this.loads.size + 1;
+            this.loads.set(load.serverId, { ...load, startedAtMs: now, countAtStart, otherCountAtStart: otherCount });
         }
     }
 
@@ -87,11 +94,12 @@
         this.loads.set(ended.serverId, { ...ended, countAtStart: first.countAtStart });
     }
 
-    private judge({ startedAtMs, fullSpeedMs, countAtStart }: TrackedLoad, isActive: boolean, now: number): void {
+    private judge(load: TrackedLoad, isActive: boolean, now: number): void {
+        const { startedAtMs, fullSpeedMs, countAtStart, otherCountAtStart } = load;
         const factor = (now - startedAtMs) / Math.max(1, fullSpeedMs);
         if (factor >= OVERLOAD_FACTOR && countAtStart > 1) {
             // One that is still in progress shows an upper bound; the bound falls until the load has ended.
-            const shown = countAtStart / factor;
+            const shown = (countAtStart + otherCountAtStart) / factor;
             const whole = isActive ? Math.floor(shown + DURATION_TOLERANCE) : Math.round(shown);
             this.limit = Math.min(this.limit, Math.max(1, whole));
             this.overloadedAtMs = now;
--- a/test/gateway/store-load-limit.test.ts
+++ b/test/gateway/store-load-limit.test.ts
@@ -57,6 +57,14 @@
         expect(limit.value).toBe(1);
     });
 
+    it("falls less beside orders that may be loads too", () => {
+        const limit = new StoreLoadLimit(4);
+        const loads = ["a", "b"].map(id => ({ serverId: toId<ServerId>(id), fullSpeedMs: FULL_SPEED_MS }));
+        limit.update(loads, 0, 2);
+        limit.update([], 20_000);
+        expect(limit.value).toBe(2);
+    });
+
     it("isn't changed by a load that was broken off", () => {
         const limit = new StoreLoadLimit(4);
         limit.update([{ serverId: toId<ServerId>("a"), fullSpeedMs: FULL_SPEED_MS }], 0);
