fix(gateway): each arrival let all waiting requests search for places

Under a flood a gateway with n waiting requests looked at all of them for each arrival and each end of a request, on hosts that may have a quarter of a core.

Passes now come at least 10 ms apart. The new case of fair-order.test.ts counts searches: 100 in 100 ms before by construction (one for each call), about 10 now.

--- a/packages/gateway/src/runtime/fair-order.ts
+++ b/packages/gateway/src/runtime/fair-order.ts
@@ -1,8 +1,10 @@
-import { UseWindow } from "@skylarkmill/coordination";
+import { nowMs, UseWindow } from "@skylarkmill/coordination";
 import type { ModelId, ServiceId, WorkspaceId } from "@skylarkmill/protocol";
 
 /** Time over which the rate of a line is measured; also the least time for which it must have been busy. */
 const RATE_WINDOW_MS = 1_000;
+/** Least time between two passes, since each looks at all requests that wait. */
+const MIN_PASS_INTERVAL_MS = 10;
 /** Requests that a workspace may send at once after it has got less than its part: few come evenly spaced. */
 const CREDIT_REQUESTS = 8;
 /** Places beyond a server's limit for workspaces that have got less than their part. */
@@ -59,6 +61,7 @@
     private readonly uses = new Map<ServiceId, ServiceUse>();
     private isPassing = false;
     private isPassScheduled = false;
+    private passedAtMs = -Infinity;
 
     /** @param getWeight Part of a workspace, relative to the others. */
     constructor(private readonly getWeight: (workspaceId: WorkspaceId | undefined) => number) {}
@@ -109,14 +112,16 @@
         use.finishes.set(workspaceId, start + cost / this.getWeight(workspaceId));
     }
 
-    /** Lets the requests that wait search for places once all events of this turn of the event loop are handled. */
+    /** Lets the requests that wait search for places soon, once for all changes until then. */
     schedulePass(): void {
         if (this.isPassScheduled || this.lines.size === 0) return;
         this.isPassScheduled = true;
-        setImmediate(() => {
+        const delayMs = this.passedAtMs + MIN_PASS_INTERVAL_MS - nowMs();
+        setTimeout(() => {
             this.isPassScheduled = false;
+            this.passedAtMs = nowMs();
             this.passThrough();
-        });
+        }, Math.max(0, delayMs));
     }
 
     /** Lets all requests that wait search for places, in order. */
--- a/test/gateway/fair-order.test.ts
+++ b/test/gateway/fair-order.test.ts
@@ -1,7 +1,7 @@
 import { FairOrder, type OrderedRequest, PlaceLimit } from "@skylarkmill/gateway";
 import { createRandom } from "@skylarkmill/policy";
 import { type ServiceId, toId, type WorkspaceId } from "@skylarkmill/protocol";
-import { describe, expect, it } from "vitest";
+import { describe, expect, it, vi } from "vitest";
 import { type PlaceLoad, replayPlaces } from "./support/place-replay.ts";
 
 const SEED = 20_261_207;
@@ -129,6 +129,30 @@
     });
 });
 
+// Guards against a flood that takes the processor, since each arrival lets all requests that wait search for places.
+it("lets requests search at most once in 10 ms, whatever arrives", async () => {
+    vi.useFakeTimers();
+    const order = new FairOrder(() => 1);
+    let searchCount = 0;
+    const request: OrderedRequest = {
+        serviceId: SERVICE,
+        modelId: undefined,
+        workspaceId: toId<WorkspaceId>("a"),
+        priority: 5,
+        arrivedAtMs: 0,
+        cost: 1,
+        search: () => void (searchCount += 1),
+    };
+    order.enter(request, 0);
+    for (let passedMs = 0; passedMs < 100; passedMs += 1) {
+        order.schedulePass();
+        await vi.advanceTimersByTimeAsync(1);
+    }
+    expect(searchCount).toBeGreaterThanOrEqual(9);
+    expect(searchCount).toBeLessThanOrEqual(11);
+    vi.useRealTimers();
+});
+
 describe("the limit of requests at a server whose room is short", () => {
     const load = (waitingCount: number) => ({ runningCount: 6, waitingCount, slotCount: 6 });
 
