fix(gateway): refusals for other reasons limited the requests at a server

An engine also refuses requests that an order in progress concerns. Its limit of requests fell as if it were full, for all models on it.

A refusal now counts only if the load beside it says that all slots are taken, or if it states none. One of the two new cases of fair-order.test.ts fails without the condition.

--- a/packages/gateway/src/runtime/place-limit.ts
+++ b/packages/gateway/src/runtime/place-limit.ts
@@ -23,7 +23,7 @@
  *
  * @example
  * const limit = new PlaceLimit();
- * limit.recordRefusal(3, nowMs());
+ * limit.recordRefusal(undefined, 3, nowMs());
  * limit.hasRoom(3, nowMs()); // false
  */
 export class PlaceLimit {
@@ -52,8 +52,12 @@
         return this.limit;
     }
 
-    /** Records that the server refused a request beside `ownCount` others for lack of room. */
-    recordRefusal(ownCount: number, now: number): void {
+    /**
+     * Records that the server refused a request beside `ownCount` others, with the load that it stated. One with free slots
+     * refused for another reason, such as an order in progress.
+     */
+    recordRefusal(load: ReportedLoad | undefined, ownCount: number, now: number): void {
+        if (load !== undefined && load.runningCount < load.slotCount) return;
         this.endedAtMs = now;
         this.lower(Math.min(this.limit, ownCount > 0 ? ownCount : Math.min(1, this.limit) / 2), now);
     }
--- a/packages/gateway/src/runtime/request-task.ts
+++ b/packages/gateway/src/runtime/request-task.ts
@@ -182,7 +182,7 @@
         this.choice.removePossibleRun(attempt.server.record.serverId);
         this.context.metrics.failures.inc({ cause: `not_run_${head.status}` });
         if (head.status === 421 && modelId !== undefined) attempt.server.recordMissingModel(modelId, adapterId, now);
-        else attempt.server.recordAtCapacity(now);
+        else attempt.server.recordAtCapacity(now, head.load);
         this.retryElsewhere(attempt, `request not run, status ${head.status}`);
     }
 
--- a/packages/gateway/src/runtime/server-state.ts
+++ b/packages/gateway/src/runtime/server-state.ts
@@ -176,9 +176,10 @@
         this.failureRate += NEWEST_OUTCOME_WEIGHT * ((succeeded ? 0 : 1) - this.failureRate);
     }
 
-    recordAtCapacity(now: number): void {
+    /** @param load Load that the server stated in its refusal. */
+    recordAtCapacity(now: number, load?: ReportedLoad): void {
         this.atCapacityUntilMs = now + AT_CAPACITY_MS;
-        this.placeLimit.recordRefusal(this.inFlightCount, now);
+        this.placeLimit.recordRefusal(load, this.inFlightCount, now);
     }
 
     recordMissingModel(modelId: ModelId, adapterId: AdapterId | undefined, now: number): void {
--- a/test/gateway/fair-order.test.ts
+++ b/test/gateway/fair-order.test.ts
@@ -164,10 +164,19 @@
 
     it("is what the server took before it refused", () => {
         const limit = new PlaceLimit();
-        limit.recordRefusal(3, 0);
+        limit.recordRefusal(undefined, 3, 0);
         expect([limit.hasRoom(2, 0), limit.hasRoom(3, 0), limit.hasRoom(3, 0, 1)]).toEqual([true, false, true]);
     });
 
+    it.each([
+        { name: "all slots are taken", runningCount: 6, expected: false },
+        { name: "a slot is free", runningCount: 5, expected: true },
+    ])("follows a refusal by the load beside it: $name", ({ runningCount, expected }) => {
+        const limit = new PlaceLimit();
+        limit.recordRefusal({ runningCount, waitingCount: 0, slotCount: 6 }, 3, 0);
+        expect(limit.hasRoom(3, 0)).toBe(expected);
+    });
+
     it("falls once for all responses of a moment that tell of a long queue", () => {
         const limit = new PlaceLimit();
         limit.recordResponse(load(5), 10, 1_000);
@@ -183,7 +192,7 @@
         { name: "a response after a long time", times: [1_900], expected: 5 },
     ])("grows with time: $name", ({ times, expected }) => {
         const limit = new PlaceLimit();
-        limit.recordRefusal(4, 0);
+        limit.recordRefusal(undefined, 4, 0);
         for (const atMs of times) limit.recordResponse(load(0), 4, atMs);
         expect(limit.value).toBeCloseTo(expected);
     });
@@ -191,14 +200,14 @@
     it("stands for pauses below one request", () => {
         const limit = new PlaceLimit();
         limit.recordEnd(100, 0);
-        limit.recordRefusal(0, 0);
+        limit.recordRefusal(undefined, 0, 0);
         expect(limit.value).toBe(0.5);
         expect([limit.hasRoom(0, 50), limit.hasRoom(0, 100)]).toEqual([false, true]);
     });
 
     it("is lifted when it has not been reached for a while", () => {
         const limit = new PlaceLimit();
-        limit.recordRefusal(4, 0);
+        limit.recordRefusal(undefined, 4, 0);
         limit.recordResponse(load(0), 2, 2_000);
         expect(limit.value).toBe(Infinity);
     });
