test: the aim of fair order stays the bound where it is missed

Two cases of a flood at all of 22 and 60 gateways had no check against the aim; the first one had a weaker one in its place, twice the share without the order, which was wrong: a bound comes from the aim. The weaker check is gone, since these are stricter.

--- a/test/gateway/fair-order.test.ts
+++ b/test/gateway/fair-order.test.ts
@@ -36,6 +36,8 @@
         { gateways: 5, flooded: 5 },
         { gateways: 5, flooded: 2 },
         { gateways: 22, flooded: 2 },
+        { gateways: 22, flooded: 22 },
+        { gateways: 60, flooded: 60 },
     ])("keeps what it had: $gateways gateways, $flooded of them flooded", ({ gateways, flooded }) => {
         const before = replayPlaces(createLoad(gateways, flooded), false, MEASURED_FROM_MS);
         const after = replayPlaces(createLoad(gateways, flooded), true, MEASURED_FROM_MS);
@@ -46,12 +48,6 @@
         expect(after.rejectionsPerRequest).toBeLessThan(0.1 * before.rejectionsPerRequest);
     });
 
-    it("keeps most of it where the flood reaches many gateways that have a place each now and then", () => {
-        const before = replayPlaces(createLoad(22, 22), false, MEASURED_FROM_MS);
-        const after = replayPlaces(createLoad(22, 22), true, MEASURED_FROM_MS);
-        expect(after.inTime.steady).toBeGreaterThan(2 * before.inTime.steady!);
-    });
-
     it("gets places at the servers that are left when one of them ends", () => {
         const loss = { server: 0, atMs: 15_000 };
         const traffic = [
