--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -55,6 +55,7 @@
 export * from "./types/shared-quotas.ts";
 export * from "./types/shared-rates.ts";
 export * from "./types/versioned-record.ts";
+export * from "./utils/byte-collector.ts";
 export * from "./utils/clock.ts";
 export * from "./utils/format-origin.ts";
 export { encodeStoredRecord, parseStoredRecord, type StoredRecord } from "./utils/record-codec.ts";
