--- a/test/failures/uncontrolled-callers.test.ts
+++ b/test/failures/uncontrolled-callers.test.ts
@@ -1,6 +1,6 @@
-import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import { afterAll, beforeAll, describe, it } from "vitest";
 import { type Cluster, startCluster } from "../support/cluster.ts";
-import { CROWDED_NODE_FLAGS, type CrowdTraffic, MAX_CROWDED_DESCRIPTORS, playCrowd } from "../support/crowd.ts";
+import { CROWDED_NODE_FLAGS, type CrowdTraffic, expectSurvival, playCrowd } from "../support/crowd.ts";
 import { createSections } from "./support/fixture.ts";
 
 /** Memory that a process may take beside callers that nobody controls. */
@@ -50,9 +50,6 @@
             const response = await cluster.sendChat({ model: "bench-diagnosis" }).catch(() => undefined);
             return response?.status === 200;
         });
-        expect.soft(outcome.isRunning, JSON.stringify(outcome)).toBe(true);
-        expect.soft(outcome.largestMb).toBeLessThan(MEMORY_MB);
-        expect.soft(outcome.largestDescriptorCount).toBeLessThan(MAX_CROWDED_DESCRIPTORS);
-        expect.soft(outcome.isAnswered).toBe(true);
+        expectSurvival(outcome, MEMORY_MB);
     }, 60_000);
 });
--- a/test/platform/uncontrolled-callers.test.ts
+++ b/test/platform/uncontrolled-callers.test.ts
@@ -1,56 +1,11 @@
-import { mkdtempSync, rmSync } from "node:fs";
-import { request } from "node:http";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
-import { afterEach, beforeEach, describe, expect, it } from "vitest";
-import { CROWDED_NODE_FLAGS, type CrowdTraffic, MAX_CROWDED_DESCRIPTORS, playCrowd } from "../support/crowd.ts";
-import { HOST, PlatformFixture } from "./stand-ins/fixture.ts";
-import { type GatewayProcess, startGatewayProcess } from "./stand-ins/gateway-process.ts";
+import { afterEach, describe, it } from "vitest";
+import type { CrowdTraffic } from "../support/crowd.ts";
+import { CrowdedGateway, type GatewayPortName } from "./stand-ins/crowded-gateway.ts";
+import { HOST } from "./stand-ins/fixture.ts";
 
-/** Memory of the machine; a process that exceeds it is ended. */
-const MEMORY_MB = 200;
-/** Time after which a call without a response is repeated. */
-const CALL_TIMEOUT_MS = 2_500;
+let gateway: CrowdedGateway;
 
-let fixture: PlatformFixture;
-let folder: string;
-let gateway: GatewayProcess;
-let ports: Record<PortName, number>;
-
-type PortName = "front" | "ready" | "control";
-
-beforeEach(async () => {
-    folder = mkdtempSync(join(tmpdir(), "uncontrolled-callers-"));
-    fixture = await PlatformFixture.start();
-});
-
-async function startGateway(bodyByteCount?: number, nodeFlags = CROWDED_NODE_FLAGS): Promise<void> {
-    await fixture.addServer({ id: "d1", service: "desk", ...(bodyByteCount === undefined ? {} : { bodyByteCount }) });
-    const settings = await fixture.createSettings("edge-1");
-    const limits = { ...settings.limits, memory_mb: MEMORY_MB, max_fds: MAX_CROWDED_DESCRIPTORS };
-    gateway = await startGatewayProcess({ ...settings, limits }, folder, "d1", nodeFlags);
-    const { front, ready, control } = settings.listen_addrs;
-    ports = { front: front.port, ready: ready.port, control: control.port };
-}
-
-afterEach(async () => {
-    await gateway.process.end();
-    await fixture.close();
-    rmSync(folder, { recursive: true });
-});
-
-function callOnce(): Promise<number | undefined> {
-    const headers = { host: HOST, "x-attempt-id": fixture.newId(), "x-deadline-ms": "2000" };
-    return new Promise(resolve => {
-        const target = { port: ports.front, host: "127.0.0.1", path: "/lookup/x", headers };
-        const call = request({ ...target, agent: false, timeout: CALL_TIMEOUT_MS }, response => {
-            response.resume().once("end", () => resolve(response.statusCode)).once("error", () => resolve(undefined));
-        });
-        call.once("timeout", () => call.destroy());
-        call.once("error", () => resolve(undefined));
-        call.end();
-    });
-}
+afterEach(() => gateway.close());
 
 function repeat(text: string, count: number): Buffer {
     return Buffer.from(text.repeat(count), "latin1");
@@ -77,7 +32,7 @@
 interface CrowdCase {
     readonly name: string;
     readonly traffic: CrowdTraffic;
-    readonly port?: PortName;
+    readonly port?: GatewayPortName;
     /** Fewer than the connections that the gateway takes, so that an ordinary caller finds one. */
     readonly clientCount?: number;
     /** Length of the bodies of the server's responses. */
@@ -139,16 +94,12 @@
             traffic: { rest: repeat(`GET /v1/status HTTP/1.1\r\nhost: ${HOST}\r\n\r\n`, 500) },
             port: "control",
         },
-    ])("leave the process alive within its memory: $name", async ({ traffic, port = "front", ...crowd }) => {
-        await startGateway(crowd.bodyByteCount, crowd.nodeFlags);
-        const outcome = await playCrowd(
-            gateway.process,
-            { port: ports[port], traffic, clientCount: crowd.clientCount },
-            async () => await callOnce() === 200,
-        );
-        expect.soft(outcome.isRunning, JSON.stringify(outcome)).toBe(true);
-        expect.soft(outcome.largestMb).toBeLessThan(MEMORY_MB);
-        expect.soft(outcome.largestDescriptorCount).toBeLessThan(MAX_CROWDED_DESCRIPTORS);
-        expect.soft(outcome.isAnswered).toBe(true);
-    }, 60_000);
+    ])(
+        "leave the process alive within its memory: $name",
+        async ({ traffic, port = "front", clientCount, ...options }) => {
+            gateway = await CrowdedGateway.start(options);
+            await gateway.expectToSurvive(traffic, { port, clientCount });
+        },
+        60_000,
+    );
 });
--- a/test/support/crowd.ts
+++ b/test/support/crowd.ts
@@ -1,5 +1,6 @@
 import { readdirSync } from "node:fs";
 import { connect, type Socket } from "node:net";
+import { expect } from "vitest";
 import { eventually } from "./eventually.ts";
 import type { SpawnedProcess } from "./spawned-process.ts";
 
@@ -109,3 +110,11 @@
     const largestMb = Math.round(largestBytes / 1_000_000);
     return { isRunning: spawned.isRunning, largestMb, largestDescriptorCount, isAnswered };
 }
+
+/** Expects a process to have lived through a crowd within its memory and descriptors, and to answer afterwards. */
+export function expectSurvival(outcome: CrowdOutcome, maxMb: number): void {
+    expect.soft(outcome.isRunning, JSON.stringify(outcome)).toBe(true);
+    expect.soft(outcome.largestMb).toBeLessThan(maxMb);
+    expect.soft(outcome.largestDescriptorCount).toBeLessThan(MAX_CROWDED_DESCRIPTORS);
+    expect.soft(outcome.isAnswered).toBe(true);
+}
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -1,7 +1,7 @@
 import { defineConfig } from "vitest/config";
 
 /** Tests of a process's memory; each runs apart from other load, after all other tests. */
-const crowdTests = ["test/**/uncontrolled-callers.test.ts"];
+const crowdTests = ["test/**/uncontrolled-*.test.ts"];
 
 const shared = {
     pool: "forks" as const,
