fix(gateway): bodies in one-byte chunks took a hundred times their size

Callers saw a gateway end (SIGABRT, 256 MB on a host of 200) while 150 clients held bodies of 15,000 one-byte chunks open. Cause: a body up to 16 KB was kept as the chunks that came, one Buffer each, and outside of any budget, since its bytes are few. Now its bytes are copied together (ByteCollector), and what is kept counts against a tenth of the process's memory; a request beyond that gets 503 no_memory, not run. No client inside the limits meets it: the connections of a host with 350 MB would all have to hold an unfinished body of 9 KB.

test/platform/uncontrolled-bodies.test.ts, 'many one-byte chunks short of the end' and 'one-byte chunks with long extensions' failed before (256 and 215 MB) and pass now; one case still fails and stays listed. test/platform/large-bodies passes.

--- a/packages/gateway/src/node/body-reader.ts
+++ b/packages/gateway/src/node/body-reader.ts
@@ -1,3 +1,4 @@
+import { ByteCollector } from "@skylarkmill/coordination";
 import type { Refusal } from "@skylarkmill/protocol";
 import { err, ok, type Result } from "neverthrow";
 import type { IncomingMessage } from "node:http";
@@ -5,24 +6,32 @@
 import { BODY_BLOCK_BYTES, type BodyBlockPool, RequestBody } from "../runtime/request-body.ts";
 import { refusals } from "../utils/refusals.ts";
 
-/** Reads the body of one request within a limit for each body and a budget for all of them. */
+/** Memory for the bodies of all requests. */
+export interface BodyMemory {
+    /** For bodies that are larger than `MAX_SMALL_BODY_BYTES`; responses are counted there too. */
+    readonly largeBudget: ByteBudget;
+    readonly smallBudget: ByteBudget;
+    readonly pool: BodyBlockPool;
+}
+
+/** Reads the body of one request within a limit for each body and budgets for all of them. */
 export class BodyReader {
     private readonly request: IncomingMessage;
     private readonly maxBytes: number;
-    private readonly budget: ByteBudget;
-    private readonly pool: BodyBlockPool;
+    private readonly memory: BodyMemory;
     private reservedByteCount = 0;
     private byteCount = 0;
-    private smallChunks: Buffer[] = [];
+    /** A body that has no room of the budget for large ones. */
+    private readonly smallBody = new ByteCollector();
+    private smallReservedByteCount = 0;
     private blocks: Buffer[] = [];
     private body: RequestBody | undefined;
     private isDiscarded = false;
 
-    constructor(request: IncomingMessage, maxBytes: number, budget: ByteBudget, pool: BodyBlockPool) {
+    constructor(request: IncomingMessage, maxBytes: number, memory: BodyMemory) {
         this.request = request;
         this.maxBytes = maxBytes;
-        this.budget = budget;
-        this.pool = pool;
+        this.memory = memory;
     }
 
     /**
@@ -44,8 +53,7 @@
                 const byteCount = this.byteCount + chunk.length;
                 isTooLong = byteCount > maxBytes;
                 if (isTooLong) this.discard();
-                else if (!this.tryReserve(byteCount)) refuse(refusals.noMemory());
-                else this.append(chunk);
+                else if (!this.tryReserve(byteCount) || !this.tryAppend(chunk)) refuse(refusals.noMemory());
             });
             request.once("end", () => {
                 if (isTooLong) resolve(err(refusals.invalidRequest("The body is too long.", 413)));
@@ -67,35 +75,41 @@
         if (this.byteCount === 0) return undefined;
         const lastByteCount = this.byteCount % BODY_BLOCK_BYTES;
         const parts = this.blocks.length === 0
-            ? this.smallChunks
+            ? [this.smallBody.toBuffer()]
             : this.blocks.map((block, index) =>
                 lastByteCount > 0 && index === this.blocks.length - 1 ? block.subarray(0, lastByteCount) : block
             );
+        // The body's parts hold the bytes from here on; their memory stays reserved.
+        this.smallBody.clear();
         this.body = new RequestBody(parts, this.byteCount, () => this.free());
         return this.body;
     }
 
-    /** Keeps a small body in the chunks that came; one that exceeds the limit without a stated length moves to blocks. */
-    private append(chunk: Buffer): void {
+    /**
+     * Appends a chunk; a small body that exceeds its limit without a stated length moves to blocks. Returns false if there
+     * is no room.
+     */
+    private tryAppend(chunk: Buffer): boolean {
         if (this.reservedByteCount === 0) {
-            this.smallChunks.push(chunk);
+            this.smallBody.append(chunk);
             this.byteCount += chunk.length;
-            return;
+            return this.tryReserveSmall();
         }
-        const earlierChunks = this.smallChunks;
-        if (earlierChunks.length > 0) {
-            this.smallChunks = [];
+        if (this.smallBody.byteCount > 0) {
+            const earlierBytes = this.smallBody.toBuffer();
             this.byteCount = 0;
-            for (const earlierChunk of earlierChunks) this.copyToBlocks(earlierChunk);
+            this.copyToBlocks(earlierBytes);
+            this.freeSmall();
         }
         this.copyToBlocks(chunk);
+        return true;
     }
 
     private copyToBlocks(chunk: Buffer): void {
         let offset = 0;
         while (offset < chunk.length) {
             const blockOffset = this.byteCount % BODY_BLOCK_BYTES;
-            if (blockOffset === 0) this.blocks.push(this.pool.take());
+            if (blockOffset === 0) this.blocks.push(this.memory.pool.take());
             const copiedByteCount = chunk.copy(this.blocks.at(-1)!, blockOffset, offset);
             offset += copiedByteCount;
             this.byteCount += copiedByteCount;
@@ -104,11 +118,24 @@
 
     /** Returns the body's memory, once nothing reads it. */
     private free(): void {
-        for (const block of this.blocks) this.pool.give(block);
+        for (const block of this.blocks) this.memory.pool.give(block);
         this.blocks = [];
-        this.smallChunks = [];
-        this.budget.release(this.reservedByteCount);
+        this.memory.largeBudget.release(this.reservedByteCount);
         this.reservedByteCount = 0;
+        this.freeSmall();
+    }
+
+    private freeSmall(): void {
+        this.smallBody.clear();
+        this.memory.smallBudget.release(this.smallReservedByteCount);
+        this.smallReservedByteCount = 0;
+    }
+
+    private tryReserveSmall(): boolean {
+        const missingByteCount = this.smallBody.heldByteCount - this.smallReservedByteCount;
+        if (!this.memory.smallBudget.tryReserve(missingByteCount)) return false;
+        this.smallReservedByteCount += missingByteCount;
+        return true;
     }
 
     /** Reserves the blocks for a body of `byteCount` in all; returns false if there is no room. */
@@ -117,7 +144,7 @@
         const neededByteCount = Math.ceil(byteCount / BODY_BLOCK_BYTES) * BODY_BLOCK_BYTES;
         const missingByteCount = neededByteCount - this.reservedByteCount;
         if (missingByteCount <= 0) return true;
-        if (!this.budget.tryReserve(missingByteCount)) return false;
+        if (!this.memory.largeBudget.tryReserve(missingByteCount)) return false;
         this.reservedByteCount += missingByteCount;
         return true;
     }
--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -8,7 +8,7 @@
 import { type Refusal, toRefusalBody } from "@skylarkmill/protocol";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { Server as NetServer, type Socket } from "node:net";
-import type { ByteBudget } from "../runtime/byte-budget.ts";
+import { ByteBudget } from "../runtime/byte-budget.ts";
 import { CallerConnection } from "../runtime/caller-connection.ts";
 import { HttpResponseWriter } from "../runtime/http-response-writer.ts";
 import { BodyBlockPool, type RequestBody } from "../runtime/request-body.ts";
@@ -17,7 +17,7 @@
 import type { CallerLimits } from "../types/configuration.ts";
 import type { RequestHead } from "../types/options.ts";
 import { createRefusalHeaders, refusals } from "../utils/refusals.ts";
-import { BodyReader } from "./body-reader.ts";
+import { type BodyMemory, BodyReader } from "./body-reader.ts";
 
 /** Limits that apply until a configuration has been read. */
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
@@ -32,7 +32,9 @@
     readonly maxConnections: number;
     /** Memory for requests whose responses have not ended, without their bodies. */
     readonly maxRequestMemoryBytes: number;
-    /** Bytes of bodies and responses that the process may hold. */
+    /** Memory for small bodies of requests whose responses have not ended. */
+    readonly maxSmallBodyMemoryBytes: number;
+    /** Bytes of large bodies and of responses that the process may hold. */
     readonly byteBudget: ByteBudget;
     readonly isClosing: () => boolean;
     /** Returns the time until which a request may wait for its response, as far as its head tells. */
@@ -64,13 +66,18 @@
     private readonly connections = new WeakMap<Socket, CallerConnection>();
     private readonly headGuard: RequestHeadGuard;
     private readonly uploadWatch = new UploadWatch();
-    private readonly bodyBlockPool = new BodyBlockPool();
+    private readonly bodyMemory: BodyMemory;
     private readonly unreadResponses: UnreadResponses;
     private maxBodyBytes = DEFAULT_MAX_BODY_BYTES;
     private readonly options: CallerServerOptions;
 
     constructor(options: CallerServerOptions) {
         this.options = options;
+        this.bodyMemory = {
+            largeBudget: options.byteBudget,
+            smallBudget: new ByteBudget(options.maxSmallBodyMemoryBytes),
+            pool: new BodyBlockPool(),
+        };
         this.unreadResponses = new UnreadResponses(options.byteBudget, options.onUnreadResponse);
         this.server = createServer({
             ...createHeadGuardServerOptions(DEFAULT_HEAD_LIMITS),
@@ -161,7 +168,7 @@
         this.openResponses.set(response, { writer, head });
         response.once("close", () => this.openResponses.delete(response));
         try {
-            const reader = new BodyReader(request, this.maxBodyBytes, this.options.byteBudget, this.bodyBlockPool);
+            const reader = new BodyReader(request, this.maxBodyBytes, this.bodyMemory);
             response.once("close", () => reader.discard());
             const upload = this.watchUpload(request, response, head, startedAtMs, () => {
                 reader.discard();
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -84,6 +84,8 @@
 const BUFFERED_MEMORY_SHARE = 0.2;
 /** Share of the process's memory for requests whose responses have not ended, without their bodies. */
 const REQUEST_MEMORY_SHARE = 0.1;
+/** Share of the process's memory for the small bodies of these requests. */
+const SMALL_BODY_MEMORY_SHARE = 0.1;
 /** Steps of the ports that the gateway needs to be ready. */
 const CALLER_LISTEN_STEP = "caller.listen";
 const READY_LISTEN_STEP = "ready.listen";
@@ -275,6 +277,7 @@
         this.callerServer = new CallerServer({
             maxConnections: options.maxConnections,
             maxRequestMemoryBytes: REQUEST_MEMORY_SHARE * options.memoryLimitBytes,
+            maxSmallBodyMemoryBytes: SMALL_BODY_MEMORY_SHARE * options.memoryLimitBytes,
             byteBudget: this.context.byteBudget,
             isClosing: () => this.isStopping,
             computeDeadlineAtMs: (head, startedAtMs) => this.computeDeadlineAtMs(head, startedAtMs),
--- a/packages/gateway/src/runtime/byte-budget.ts
+++ b/packages/gateway/src/runtime/byte-budget.ts
@@ -1,7 +1,4 @@
-/**
- * Size up to which a body takes no room of the budget, so that large bodies leave room for small ones; the number of
- * connections limits them.
- */
+/** Size up to which a body takes room of a budget of its own, so that large bodies leave room for small ones. */
 export const MAX_SMALL_BODY_BYTES = 16 * 1024;
 
 /** Limits the bytes of requests and responses that one process buffers, over all requests. */
