fix(coordination): bodies in one-byte chunks kept the event loop for themselves

Callers got no answer from a gateway for more than 15 s after 60 clients with one-byte chunks without end had gone. Cause: Node hands over each chunk on its own, so the 64 KiB of one read take some 10 ms as one-byte chunks in place of hundredths; each such connection was read as often as it had bytes, and what the kernel held went on after the callers.

Now a connection whose read takes a millisecond or more while a body is being received is held (PacedRequest) and waits for its turn (LoopShare): one such connection is read at a time, and all of them together take half of the loop. The guard of heads installs it on the callers' ports of gateway and router and on the ports for own processes, operators and probes.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -37,6 +37,7 @@
 } from "./node/request-head-guard.ts";
 export * from "./runtime/head-fault.ts";
 export * from "./runtime/log-limiter.ts";
+export * from "./runtime/loop-share.ts";
 export * from "./runtime/mailbox.ts";
 export { createPermitBroker, type PermitBrokerOptions } from "./runtime/permit-broker.ts";
 export { createPermitClient, type PermitClientOptions } from "./runtime/permit-client.ts";
--- /dev/null
+++ b/packages/coordination/src/node/paced-request.ts
@@ -0,0 +1,67 @@
+import { IncomingMessage, type Server } from "node:http";
+import type { Socket } from "node:net";
+import { LoopShare } from "../runtime/loop-share.ts";
+
+/**
+ * Least time of a read after which its connection waits for its turn. The 64 KiB that Node reads at once take some
+ * hundredths of a millisecond as plain bytes, and some ten milliseconds as one-byte chunks.
+ */
+const COSTLY_READ_MS = 1;
+
+/** The event loop is the same for all servers of the process. */
+const processShare = new LoopShare();
+const newestRequests = new WeakMap<Socket, PacedRequest>();
+
+/** A request whose connection can be held while its body is received; Node would read on otherwise. */
+export class PacedRequest extends IncomingMessage {
+    private isHeldBack = false;
+
+    constructor(socket: Socket) {
+        super(socket);
+        newestRequests.set(socket, this);
+    }
+
+    override _read(size: number): void {
+        if (!this.isHeldBack) super._read(size);
+    }
+
+    get isHeld(): boolean {
+        return this.isHeldBack;
+    }
+
+    hold(): void {
+        this.isHeldBack = true;
+        this.socket.pause();
+    }
+
+    release(): void {
+        this.isHeldBack = false;
+        if (!this.socket.destroyed) this.socket.resume();
+    }
+}
+
+/**
+ * Lets connections whose request bodies take long to read, since they come in very many chunks, take turns. The server's
+ * option `IncomingMessage` has to be `PacedRequest`.
+ *
+ * @example
+ * const server = createServer({ IncomingMessage: PacedRequest });
+ * paceBodies(server);
+ */
+export function paceBodies(server: Server, share = processShare): void {
+    server.on("connection", (socket: Socket) => {
+        let readAtMs = 0;
+        // Node's parser has its listener already and reads in between.
+        socket.prependListener("data", () => {
+            readAtMs = performance.now();
+        });
+        socket.on("data", () => {
+            const costMs = performance.now() - readAtMs;
+            const request = newestRequests.get(socket);
+            if (costMs < COSTLY_READ_MS || request === undefined || socket.destroyed) return;
+            if (request.complete || request.isHeld) return;
+            request.hold();
+            share.add({ costMs, isGone: () => socket.destroyed, resume: () => request.release() });
+        });
+    });
+}
--- a/packages/coordination/src/node/request-head-guard.ts
+++ b/packages/coordination/src/node/request-head-guard.ts
@@ -1,6 +1,7 @@
 import { type IncomingMessage, type Server, type ServerOptions, type ServerResponse, STATUS_CODES } from "node:http";
 import type { Socket } from "node:net";
 import { countHeadBytes, decideHeadFaultAction, estimateRequestMemory, type HeadFault } from "../runtime/head-fault.ts";
+import { paceBodies, PacedRequest } from "./paced-request.ts";
 
 export interface RequestHeadLimits {
     readonly maxHeaderBytes: number;
@@ -53,6 +54,8 @@
  */
 export function createHeadGuardServerOptions(limits: RequestHeadLimits): ServerOptions {
     return {
+        // Its type parameter would make the server's type another one than that of its users.
+        IncomingMessage: PacedRequest as typeof IncomingMessage,
         maxHeaderSize: toParserLimit(limits),
         headersTimeout: Math.ceil(limits.headerTimeoutMs),
         connectionsCheckingInterval: HEAD_CHECK_INTERVAL_MS,
@@ -109,6 +112,7 @@
         this.options = options;
         this.limits = options.limits;
         server.maxHeadersCount = toMaxHeaderCount(options.limits);
+        paceBodies(server);
         this.listeners = server.listeners("request");
         server.removeAllListeners("request");
         server.on("connection", (socket: Socket) => void this.getConnection(socket));
