--- a/packages/coordination/src/node/request-head-guard.ts
+++ b/packages/coordination/src/node/request-head-guard.ts
@@ -55,7 +55,7 @@
 export function createHeadGuardServerOptions(limits: RequestHeadLimits): ServerOptions {
     return {
         // Its type parameter would make the server's type another one than that of its users.
-        IncomingMessage: PacedRequest as typeof IncomingMessage,
+        IncomingMessage: PacedRequest,
         maxHeaderSize: toParserLimit(limits),
         headersTimeout: Math.ceil(limits.headerTimeoutMs),
         connectionsCheckingInterval: HEAD_CHECK_INTERVAL_MS,
