fix(coordination): paced bodies that nobody read yet filled the memory

A body in one-byte chunks whose request waits for the response before it, or whose reader is slow, was read without end into the request's own buffer. Cause: the end of a hold resumed the connection even where Node had paused it since that buffer was full, and reads that the body's reader had asked for meanwhile were lost to Node's record of it.

Now the end of a hold repeats the read that was asked for, and resumes the connection otherwise only while the buffer has room and Node itself has not paused it.

test/coordination/paced-request.test.ts, 'waits in the connection while nobody reads it': 200,000 of 200,000 bytes were buffered before, fewer than 38,230 now. A reader that comes late still gets all of a body.

--- a/packages/coordination/src/node/paced-request.ts
+++ b/packages/coordination/src/node/paced-request.ts
@@ -15,6 +15,8 @@
 /** A request whose connection can be held while its body is received; Node would read on otherwise. */
 export class PacedRequest extends IncomingMessage {
     private isHeldBack = false;
+    /** Whether its reader has asked for more since it is held. */
+    private isReadMissed = false;
 
     constructor(socket: Socket) {
         super(socket);
@@ -22,7 +24,8 @@
     }
 
     override _read(size: number): void {
-        if (!this.isHeldBack) super._read(size);
+        if (this.isHeldBack) this.isReadMissed = true;
+        else super._read(size);
     }
 
     get isHeld(): boolean {
@@ -34,12 +37,23 @@
         this.socket.pause();
     }
 
+    /** Lets Node read on, unless the body's reader is late: it asks for more once it has read what is buffered. */
     release(): void {
         this.isHeldBack = false;
-        if (!this.socket.destroyed) this.socket.resume();
+        if (this.socket.destroyed) return;
+        if (this.isReadMissed) {
+            this.isReadMissed = false;
+            super._read(this.readableHighWaterMark);
+        }
+        else if (this.readableLength < this.readableHighWaterMark && !isPausedByNode(this.socket)) this.socket.resume();
     }
 }
 
+/** Whether the connection waits until its caller has read earlier responses. */
+function isPausedByNode(socket: Socket): boolean {
+    return (socket as { _paused?: boolean; })._paused === true;
+}
+
 /**
  * Lets connections whose request bodies take long to read, since they come in very many chunks, take turns. The server's
  * option `IncomingMessage` has to be `PacedRequest`.
