fix(coordination): bodies that nobody reads yet took a hundred times their size

Cause: a request that waits for the response before it has no BodyReader, so Node keeps its chunks itself, one Buffer each; one read brings 10,900 of them before anything can pause the connection.

Now PacedRequest collects what comes before the first read of its body, and passes it on as one piece then. Requests with readers are not touched.

--- a/packages/coordination/src/node/paced-request.ts
+++ b/packages/coordination/src/node/paced-request.ts
@@ -1,6 +1,7 @@
 import { IncomingMessage, type Server } from "node:http";
 import type { Socket } from "node:net";
 import { LoopShare } from "../runtime/loop-share.ts";
+import { ByteCollector } from "../utils/byte-collector.ts";
 
 /**
  * Least time of a read after which its connection waits for its turn. The 64 KiB that Node reads at once take some
@@ -12,18 +13,37 @@
 const processShare = new LoopShare();
 const newestRequests = new WeakMap<Socket, PacedRequest>();
 
-/** A request whose connection can be held while its body is received; Node would read on otherwise. */
+/**
+ * A request whose connection can be held while its body is received; Node would read on otherwise. What comes before
+ * somebody reads the body is kept by its bytes, since Node would keep each chunk for itself.
+ */
 export class PacedRequest extends IncomingMessage {
     private isHeldBack = false;
     /** Whether its reader has asked for more since it is held. */
     private isReadMissed = false;
+    private hasReader = false;
+    /** Body that came while there was no reader. */
+    private readonly unread = new ByteCollector();
 
     constructor(socket: Socket) {
         super(socket);
         newestRequests.set(socket, this);
     }
 
+    override push(chunk: Buffer | null, encoding?: BufferEncoding): boolean {
+        if (!this.hasReader && chunk) {
+            this.unread.append(chunk);
+            return this.hasRoom;
+        }
+        this.passOnUnread();
+        return super.push(chunk, encoding);
+    }
+
     override _read(size: number): void {
+        if (!this.hasReader) {
+            this.hasReader = true;
+            this.passOnUnread();
+        }
         if (this.isHeldBack) this.isReadMissed = true;
         else super._read(size);
     }
@@ -45,7 +65,17 @@
             this.isReadMissed = false;
             super._read(this.readableHighWaterMark);
         }
-        else if (this.readableLength < this.readableHighWaterMark && !isPausedByNode(this.socket)) this.socket.resume();
+        else if (this.hasRoom && !isPausedByNode(this.socket)) this.socket.resume();
+    }
+
+    private get hasRoom(): boolean {
+        return this.readableLength + this.unread.byteCount < this.readableHighWaterMark;
+    }
+
+    private passOnUnread(): void {
+        if (this.unread.byteCount === 0) return;
+        super.push(this.unread.toBuffer());
+        this.unread.clear();
     }
 }
 
--- a/test/coordination/paced-request.test.ts
+++ b/test/coordination/paced-request.test.ts
@@ -8,8 +8,6 @@
 /** One read of Node takes as many bytes at most. */
 const READ_BYTES = 64 * 1024;
 const TINY_CHUNK = "1\r\nx\r\n";
-/** Bytes of the body that one read may bring. */
-const READ_BODY_BYTES = Math.ceil(READ_BYTES / TINY_CHUNK.length);
 const CHUNKED = "POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n";
 
 let server: Server | undefined;
@@ -34,13 +32,13 @@
     return requests;
 }
 
-describe("a body in one-byte chunks", () => {
+describe("a body in tiny chunks", () => {
     it("waits in the connection while nobody reads it", async () => {
         const requests = await send(CHUNKED + TINY_CHUNK.repeat(200_000));
         const request = await eventually("a request", () => requests[0]);
         // Several turns of its connection.
         await delay(1_000);
-        expect(request.readableLength).toBeLessThan(2 * READ_BODY_BYTES + request.readableHighWaterMark);
+        expect(request.socket.bytesRead).toBeLessThan(4 * READ_BYTES);
     });
 
     it("is received whole by a reader that comes late", async () => {
@@ -51,4 +49,31 @@
         for await (const chunk of request) byteCount += (chunk as Buffer).length;
         expect(byteCount).toBe(200_000);
     });
+
+    it("is kept as few pieces while nobody reads it", async () => {
+        const requests = await send(CHUNKED + TINY_CHUNK.repeat(8_000));
+        const request = await eventually("a request", () => requests[0]);
+        await delay(300);
+        const pieces: Buffer[] = [];
+        request.once("data", (piece: Buffer) => void pieces.push(piece));
+        await eventually("a piece", () => pieces[0]);
+        expect(pieces[0]!.length).toBe(8_000);
+    });
+
+    it.each([
+        { name: "without a body", text: "GET / HTTP/1.1\r\nhost: h\r\n\r\n", body: "" },
+        { name: "with a body that has come", text: `${CHUNKED}${TINY_CHUNK.repeat(3)}0\r\n\r\n`, body: "xxx" },
+        {
+            name: "with tiny and large chunks in turn",
+            text: `${CHUNKED}${`1\r\na\r\n400\r\n${"b".repeat(1_024)}\r\n1\r\nc\r\n`.repeat(3)}0\r\n\r\n`,
+            body: `a${"b".repeat(1_024)}c`.repeat(3),
+        },
+    ])("ends for a reader that comes late: a request $name", async ({ text, body }) => {
+        const requests = await send(text);
+        const request = await eventually("a request", () => requests[0]);
+        await delay(50);
+        let received = "";
+        for await (const chunk of request) received += String(chunk);
+        expect(received).toBe(body);
+    });
 });
