--- /dev/null
+++ b/test/coordination/paced-request.test.ts
@@ -0,0 +1,79 @@
+import { createServer, type IncomingMessage, type Server } from "node:http";
+import { type AddressInfo, connect, type Socket } from "node:net";
+import { setTimeout as delay } from "node:timers/promises";
+import { afterEach, describe, expect, it } from "vitest";
+import { paceBodies, PacedRequest } from "../../packages/coordination/src/node/paced-request.ts";
+import { eventually } from "../support/eventually.ts";
+
+/** One read of Node takes as many bytes at most. */
+const READ_BYTES = 64 * 1024;
+const TINY_CHUNK = "1\r\nx\r\n";
+const CHUNKED = "POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n";
+
+let server: Server | undefined;
+let client: Socket | undefined;
+
+afterEach(() => {
+    client?.destroy();
+    server?.closeAllConnections();
+    server?.close();
+});
+
+/** Starts a server and sends it `text`; resolves with the requests that it gets. */
+async function send(text: string): Promise<IncomingMessage[]> {
+    const requests: IncomingMessage[] = [];
+    server = createServer({ IncomingMessage: PacedRequest });
+    paceBodies(server);
+    server.on("request", request => requests.push(request));
+    await new Promise<void>(resolve => server!.listen(0, "127.0.0.1", resolve));
+    client = connect((server.address() as AddressInfo).port, "127.0.0.1");
+    client.on("error", () => undefined);
+    client.write(text);
+    return requests;
+}
+
+describe("a body in tiny chunks", () => {
+    it("waits in the connection while nobody reads it", async () => {
+        const requests = await send(CHUNKED + TINY_CHUNK.repeat(200_000));
+        const request = await eventually("a request", () => requests[0]);
+        // Several turns of its connection.
+        await delay(1_000);
+        expect(request.socket.bytesRead).toBeLessThan(4 * READ_BYTES);
+    });
+
+    it("is received whole by a reader that comes late", async () => {
+        const requests = await send(`${CHUNKED}${TINY_CHUNK.repeat(200_000)}0\r\n\r\n`);
+        const request = await eventually("a request", () => requests[0]);
+        await delay(300);
+        let byteCount = 0;
+        for await (const chunk of request) byteCount += (chunk as Buffer).length;
+        expect(byteCount).toBe(200_000);
+    });
+
+    it("is kept as few pieces while nobody reads it", async () => {
+        const requests = await send(CHUNKED + TINY_CHUNK.repeat(8_000));
+        const request = await eventually("a request", () => requests[0]);
+        await delay(300);
+        const pieces: Buffer[] = [];
+        request.once("data", (piece: Buffer) => void pieces.push(piece));
+        await eventually("a piece", () => pieces[0]);
+        expect(pieces[0]!.length).toBe(8_000);
+    });
+
+    it.each([
+        { name: "without a body", text: "GET / HTTP/1.1\r\nhost: h\r\n\r\n", body: "" },
+        { name: "with a body that has come", text: `${CHUNKED}${TINY_CHUNK.repeat(3)}0\r\n\r\n`, body: "xxx" },
+        {
+            name: "with tiny and large chunks in turn",
+            text: `${CHUNKED}${`1\r\na\r\n400\r\n${"b".repeat(1_024)}\r\n1\r\nc\r\n`.repeat(3)}0\r\n\r\n`,
+            body: `a${"b".repeat(1_024)}c`.repeat(3),
+        },
+    ])("ends for a reader that comes late: a request $name", async ({ text, body }) => {
+        const requests = await send(text);
+        const request = await eventually("a request", () => requests[0]);
+        await delay(50);
+        let received = "";
+        for await (const chunk of request) received += String(chunk);
+        expect(received).toBe(body);
+    });
+});
