fix(coordination): a pause of the process held bodies for as long again

A read that spans a suspension of the process, or the time in which its host gives it no processor, counted as that many seconds of the event loop: its connection and all that wait behind it were held as long, twice over. Cause: the cost of a read is wall time, without a bound.

Now LoopShare counts at most 100 ms for one read.

--- a/packages/coordination/src/runtime/loop-share.ts
+++ b/packages/coordination/src/runtime/loop-share.ts
@@ -2,6 +2,11 @@
 
 /** Part of the event loop's time that costly reads may take together; the rest is for ordinary requests. */
 const DEFAULT_MAX_SHARE = 0.5;
+/**
+ * Longest time that counts for one read. A read of one-byte chunks takes some 15 ms of a whole core, measured; far more
+ * means that the process was suspended during the read.
+ */
+const MAX_READ_COST_MS = 100;
 
 /** A connection that waits until it may be read again. */
 export interface WaitingRead {
@@ -37,7 +42,7 @@
 
     /** Adds a connection that is not read any more; `resume` is called once, when it may be. */
     add(read: WaitingRead): void {
-        const pauseMs = read.costMs * (1 / this.maxShare - 1);
+        const pauseMs = limitCost(read) * (1 / this.maxShare - 1);
         this.freeAtMs = Math.max(this.freeAtMs, nowMs()) + pauseMs;
         this.waiting.push(read);
         this.schedule();
@@ -54,7 +59,7 @@
         const next = leftMs > 0 ? undefined : this.takeNext();
         if (next !== undefined) {
             // The next connection waits until this one has been read; a read that is longer adds to the time.
-            this.freeAtMs = nowMs() + next.costMs;
+            this.freeAtMs = nowMs() + limitCost(next);
             next.resume();
         }
         this.schedule();
@@ -67,3 +72,7 @@
         return undefined;
     }
 }
+
+function limitCost({ costMs }: WaitingRead): number {
+    return Math.min(costMs, MAX_READ_COST_MS);
+}
--- a/test/coordination/loop-share.test.ts
+++ b/test/coordination/loop-share.test.ts
@@ -72,6 +72,16 @@
         expect(share.waitingCount).toBe(0);
     });
 
+    it("don't wait for the time in which the process was suspended during a read", () => {
+        const share = new LoopShare();
+        const resumed: string[] = [];
+        share.add({ costMs: 4_000, isGone: () => false, resume: () => resumed.push("suspended") });
+        share.add({ costMs: 10, isGone: () => false, resume: () => resumed.push("next") });
+        vi.advanceTimersByTime(500);
+        expect(resumed).toEqual(["suspended", "next"]);
+        expect(share.waitingCount).toBe(0);
+    });
+
     it("are resumed after a pause that fits the read, when nobody else waits", () => {
         const share = new LoopShare(0.5);
         const resume = vi.fn();
