fix(coordination): ordinary uploads were held after reads that took long

An upload of stated length was held after each read that took a millisecond or more: after a suspension, a garbage collection, or a slow listener. Cause: the time of a read alone decided, and on a slow host it shows other things than chunks.

Now only bodies in chunks are held. Of a stated length a read brings one piece, and takes hundredths of a millisecond.

--- a/packages/coordination/src/node/paced-request.ts
+++ b/packages/coordination/src/node/paced-request.ts
@@ -104,6 +104,8 @@
             const request = newestRequests.get(socket);
             if (costMs < COSTLY_READ_MS || request === undefined || socket.destroyed) return;
             if (request.complete || request.isHeld) return;
+            // Of a body of stated length, a read brings one piece; such a read took long for another reason.
+            if (request.headers["transfer-encoding"] === undefined) return;
             request.hold();
             share.add({ costMs, isGone: () => socket.destroyed, resume: () => request.release() });
         });
--- a/test/coordination/paced-request.test.ts
+++ b/test/coordination/paced-request.test.ts
@@ -77,3 +77,25 @@
         expect(received).toBe(body);
     });
 });
+
+describe("a body of a stated length", () => {
+    it("is not held after a read that took long", async () => {
+        const byteCount = 1024 * 1024;
+        const requests = await send("");
+        const isHeld: boolean[] = [];
+        let receivedByteCount = 0;
+        server!.on("request", (request: PacedRequest) => {
+            request.on("data", (chunk: Buffer) => {
+                receivedByteCount += chunk.length;
+                // As if the process were suspended.
+                const endAtMs = performance.now() + 5;
+                while (performance.now() < endAtMs);
+                setImmediate(() => isHeld.push(request.isHeld));
+            });
+        });
+        client!.write(`POST / HTTP/1.1\r\nhost: h\r\ncontent-length: ${byteCount}\r\n\r\n${"x".repeat(byteCount)}`);
+        await eventually("the body", () => receivedByteCount === byteCount || undefined);
+        expect(requests).toHaveLength(1);
+        expect(isHeld).not.toContain(true);
+    });
+});
