fix(router): bodies that never end took the router's memory and its room

60 callers with one-byte chunks ended a router (258 MB, heap of 100 MB; the bound is 220). Cause: a body was kept as the chunks that came, one Buffer each. Besides, a chunked body reserved the full 4 MiB when it began, and a stated one its length, so that 16 bodies that never ended made the router refuse all others for 30 s, or for as long as their X-Request-Timeout-Ms said.

--- a/packages/router/src/node/router.ts
+++ b/packages/router/src/node/router.ts
@@ -28,6 +28,7 @@
 import { randomBytes } from "node:crypto";
 import type { Server } from "node:http";
 import { AgentPools } from "../runtime/agent-pools.ts";
+import { BodyMemory } from "../runtime/body-memory.ts";
 import { DemandTracker } from "../runtime/demand-tracker.ts";
 import { DurationTracker } from "../runtime/duration-tracker.ts";
 import { KeyedRequests } from "../runtime/keyed-requests.ts";
@@ -130,6 +131,7 @@
             agentPools: this.agentPools,
             metrics: new RouterMetrics(() => requestTracker.totalCount),
             requestTracker,
+            bodyMemory: new BodyMemory(limits.maxBufferedBodyBytes),
             demand: new DemandTracker(),
             durationTracker: new DurationTracker(policies.estimator),
             failureLogLimiter: new LogLimiter(MAX_FAILURE_LOG_LINES_PER_SECOND),
--- a/packages/router/src/runtime/request-handler.ts
+++ b/packages/router/src/runtime/request-handler.ts
@@ -148,33 +148,28 @@
     }
 
     private async readBody(callerRequest: CallerRequest, options: RequestOptions): Promise<Buffer | undefined> {
-        const { maxBodyBytes } = this.context.options.limits;
-        if (!this.reserveBody(callerRequest)) {
+        const { bodyMemory, options: { limits: { maxBodyBytes } } } = this.context;
+        const { incoming, writer } = callerRequest;
+        if (!this.hasRoomFor(incoming)) {
             this.refuse(callerRequest, refusals.overloaded("queue_full", OVERLOAD_RETRY_MS));
             return undefined;
         }
-        const body = await readBody(callerRequest.incoming, maxBodyBytes, options.timeoutMs ?? BODY_TIMEOUT_MS);
+        const share = bodyMemory.open();
+        writer.onClose(() => share.release());
+        const timeoutMs = options.timeoutMs ?? BODY_TIMEOUT_MS;
+        const body = await readBody(incoming, { maxBytes: maxBodyBytes, timeoutMs, share });
         if (body.isOk()) return body.value;
         if (body.error === undefined) this.recordOutcome("none", callerRequest, "disconnected");
         else this.refuse(callerRequest, body.error);
         return undefined;
     }
 
-    /** Reserves memory for the body, if the limits allow it. A body of unknown length reserves the maximum length. */
-    private reserveBody({ incoming, writer }: CallerRequest): boolean {
-        const { requestTracker, options: { limits } } = this.context;
-        const isChunked = incoming.headers["transfer-encoding"] !== undefined;
-        const length = isChunked ? limits.maxBodyBytes : Number(incoming.headers["content-length"] ?? 0);
-        const sizeBytes = Math.min(length, limits.maxBodyBytes);
-        if (
-            requestTracker.totalCount > limits.maxRequests
-            || requestTracker.bufferedBodyBytes + sizeBytes > limits.maxBufferedBodyBytes
-        ) {
-            return false;
-        }
-        requestTracker.reserveBody(sizeBytes);
-        writer.onClose(() => requestTracker.releaseBody(sizeBytes));
-        return true;
+    /** Whether the limits allow one more request with a body of the stated length; memory is held as the body arrives. */
+    private hasRoomFor(incoming: IncomingMessage): boolean {
+        const { requestTracker, bodyMemory, options: { limits } } = this.context;
+        const statedByteCount = Number(incoming.headers["content-length"] ?? 0);
+        return requestTracker.totalCount <= limits.maxRequests
+            && bodyMemory.makeRoom(Math.min(statedByteCount, limits.maxBodyBytes));
     }
 
     private toRequestSpec(
--- a/packages/router/src/runtime/request-tracker.ts
+++ b/packages/router/src/runtime/request-tracker.ts
@@ -1,29 +1,15 @@
 import type { ServiceId } from "@skylarkmill/protocol";
 
-/** Tracks the requests in progress, in total and per service, and the size of their bodies in memory. */
+/** Tracks the requests in progress, in total and per service. */
 export class RequestTracker {
     private readonly countsByService = new Map<ServiceId, number>();
     private readonly idleListeners: (() => void)[] = [];
     private count = 0;
-    private reservedBodyBytes = 0;
 
     get totalCount(): number {
         return this.count;
     }
 
-    /** Total size reserved for request bodies in memory. */
-    get bufferedBodyBytes(): number {
-        return this.reservedBodyBytes;
-    }
-
-    reserveBody(sizeBytes: number): void {
-        this.reservedBodyBytes += sizeBytes;
-    }
-
-    releaseBody(sizeBytes: number): void {
-        this.reservedBodyBytes -= sizeBytes;
-    }
-
     serviceCount(serviceId: ServiceId): number {
         return this.countsByService.get(serviceId) ?? 0;
     }
--- a/packages/router/src/types/context.ts
+++ b/packages/router/src/types/context.ts
@@ -3,6 +3,7 @@
 import type { AttemptId } from "@skylarkmill/protocol";
 import type Logger from "bunyan";
 import type { AgentPools } from "../runtime/agent-pools.ts";
+import type { BodyMemory } from "../runtime/body-memory.ts";
 import type { DemandTracker } from "../runtime/demand-tracker.ts";
 import type { DurationTracker } from "../runtime/duration-tracker.ts";
 import type { RequestTracker } from "../runtime/request-tracker.ts";
@@ -23,6 +24,7 @@
     readonly agentPools: AgentPools;
     readonly metrics: RouterMetrics;
     readonly requestTracker: RequestTracker;
+    readonly bodyMemory: BodyMemory;
     readonly demand: DemandTracker;
     readonly durationTracker: DurationTracker;
     readonly failureLogLimiter: LogLimiter;
