test: responses of servers in one-byte chunks to many callers

The crowds' clients can read what comes, and the stand-in doesn't pile up what a gateway doesn't read.

--- a/test/platform/stand-ins/platform-server.ts
+++ b/test/platform/stand-ins/platform-server.ts
@@ -59,6 +59,9 @@
  *   are no response come until the gateway closes the connection.
  * - `trickled_event`: after two events, a byte of the next one now and then, without its end.
  * - `slow_events`: a sound stream with pauses shorter than the silence after which a stream moves.
+ * - `tiny_pieces`: a sound response in one-byte chunks.
+ * - `unfinished_tiny_body`, `unfinished_tiny_event`: many one-byte chunks short of the end, then nothing more.
+ * - `endless_tiny_body`, `endless_tiny_event`, `endless_tiny_events`: one-byte chunks without end.
  */
 export type ServerFault =
     | "refused_as_not_run"
@@ -84,7 +87,28 @@
     | "endless_not_run_body"
     | "endless_unsigned_body"
     | "trickled_event"
-    | "slow_events";
+    | "slow_events"
+    | "tiny_pieces"
+    | "unfinished_tiny_body"
+    | "unfinished_tiny_event"
+    | "endless_tiny_body"
+    | "endless_tiny_event"
+    | "endless_tiny_events";
+
+/** Each is kept by a gateway that takes it for a short body, or for the start of an event. */
+const UNFINISHED_BYTES = 15_000;
+/** One-byte chunks that are written at once. */
+const TINY_CHUNKS = toTinyChunks("x".repeat(10_000));
+const TINY_EVENTS = toTinyChunks("data: some words\n\n".repeat(600));
+
+/** Encodes a text in chunks of one byte. */
+function toTinyChunks(text: string): string {
+    return Array.from(text, character => `1\r\n${character}\r\n`).join("");
+}
+
+function createChunkedHead(rawHeaders: string): string {
+    return `HTTP/1.1 200 OK\r\n${rawHeaders}Transfer-Encoding: chunked\r\n\r\n`;
+}
 
 /** Starts of responses that go on with bytes without end. */
 const ENDLESS_STARTS: Partial<Record<ServerFault, (rawHeaders: string) => { start: string; filler: string; }>> = {
@@ -102,6 +126,20 @@
         start: "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
         filler: "x".repeat(65_536),
     }),
+    unfinished_tiny_body: rawHeaders => ({
+        start: createChunkedHead(rawHeaders) + toTinyChunks("x".repeat(UNFINISHED_BYTES)),
+        filler: "",
+    }),
+    unfinished_tiny_event: rawHeaders => ({
+        start: createChunkedHead(rawHeaders) + toTinyChunks(`data: ${"x".repeat(UNFINISHED_BYTES)}`),
+        filler: "",
+    }),
+    endless_tiny_body: rawHeaders => ({ start: createChunkedHead(rawHeaders), filler: TINY_CHUNKS }),
+    endless_tiny_event: rawHeaders => ({
+        start: createChunkedHead(rawHeaders) + toTinyChunks("data: "),
+        filler: TINY_CHUNKS,
+    }),
+    endless_tiny_events: rawHeaders => ({ start: createChunkedHead(rawHeaders), filler: TINY_EVENTS }),
 };
 /** Spaces and headers that a gateway adds make a head longer than the caller's. */
 const MAX_HEAD_BYTES = 64 * 1024;
@@ -399,6 +437,7 @@
         const headers: Record<string, string> = { "x-attempt-id": fault === "wrong_attempt_id" ? "another" : id };
         if (fault !== "missing_seal_header") headers["x-response-seal"] = SEAL;
         if (fault === "status_500") return void response.writeHead(500, headers).end("failed");
+        if (fault === "tiny_pieces") return this.respondInTinyPieces(request.socket, headers, model !== "");
         if (model !== "") return this.respondWithStream(request, response, headers, fault);
         await sleep(this.responseDelaysMs.shift() ?? this.options.responseDelayMs ?? 1);
         this.respondAsService(request, response, headers, fault);
@@ -437,7 +476,8 @@
         socket.on("error", () => undefined);
         socket.write(start);
         while (!socket.destroyed && performance.now() < endAtMs) {
-            if (socket.write(filler)) received.fillerByteCount += filler.length;
+            // What the gateway doesn't read must not pile up here.
+            if (!socket.writableNeedDrain && socket.write(filler)) received.fillerByteCount += filler.length;
             await sleep(FILLER_INTERVAL_MS);
         }
         received.isAbandoned = performance.now() < endAtMs;
@@ -473,6 +513,20 @@
         else response.end();
     }
 
+    private respondInTinyPieces(socket: Socket, headers: Record<string, string>, isStream: boolean): void {
+        const id = String(headers["x-attempt-id"]);
+        const body = isStream ? this.createStream(id) : this.createBody(id);
+        const rawHeaders = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join("");
+        socket.on("error", () => undefined);
+        socket.write(`${createChunkedHead(rawHeaders)}${toTinyChunks(body)}0\r\n\r\n`);
+    }
+
+    /** Returns all events of a stream. */
+    createStream(requestId: string): string {
+        const count = this.options.eventCount ?? 6;
+        return Array.from({ length: count }, (_, index) => this.createEvent(requestId, index + 1)).join("");
+    }
+
     /** Returns the whole body of a plain service's response. */
     createBody(requestId: string): string {
         return `${this.namePrefix(requestId)}done by ${this.id}`.padEnd(this.options.bodyByteCount ?? 0, ".");
