fix(gateway): bodies of responses in one-byte chunks took a hundred times their size

Cause: an attempt kept a response that is no stream as the pieces that came, one Buffer each, while its budget counts their bytes. Such a body was written piece by piece as well, each a call of its own inside the one before. Now the pieces are copied together (ByteCollector, whose parts are passed on uncopied).

test/platform/uncontrolled-answers.test.ts: the four crowds with bodies failed before (252 to 254 MB, the process ended) and pass now, as does the single body of 200,000 one-byte chunks, which did not arrive within 60 s before.

--- a/packages/coordination/src/utils/byte-collector.ts
+++ b/packages/coordination/src/utils/byte-collector.ts
@@ -34,9 +34,14 @@
         else this.copy(piece);
     }
 
+    /** Returns the bytes in order, in buffers that are not copied; the collector stays usable. */
+    toParts(): Buffer[] {
+        return [...this.parts, ...this.getUsedBlock()];
+    }
+
     /** Returns the bytes in order; the collector stays usable. */
     toBuffer(): Buffer {
-        const parts = [...this.parts, ...this.getUsedBlock()];
+        const parts = this.toParts();
         return parts.length === 1 ? parts[0]! : Buffer.concat(parts, this.collectedByteCount);
     }
 
--- a/packages/gateway/src/runtime/attempt.ts
+++ b/packages/gateway/src/runtime/attempt.ts
@@ -1,4 +1,4 @@
-import { nowMs } from "@skylarkmill/coordination";
+import { ByteCollector, nowMs } from "@skylarkmill/coordination";
 import type { EngineCall, EngineClient, EngineExchange, ResponseHead, ResponseListener } from "../types/engine.ts";
 import { type ByteBudget, MAX_SMALL_BODY_BYTES } from "./byte-budget.ts";
 import type { CrashSuspects } from "./crash-suspects.ts";
@@ -37,8 +37,7 @@
     private startedAtMs = 0;
     private isUnanswered = false;
     private readonly splitter = new EventSplitter();
-    private readonly chunks: Buffer[] = [];
-    private bufferedByteCount = 0;
+    private readonly body = new ByteCollector();
     private reservedByteCount = 0;
     private exchange: EngineExchange | undefined;
     private isFinished = false;
@@ -123,10 +122,8 @@
         if (this.isFinished) return;
         this.server.lastByteAtMs = nowMs();
         if (this.isStreaming) return this.pushEvents(chunk);
-        const byteCount = this.bufferedByteCount + chunk.length;
-        if (!this.tryReserve(byteCount)) return this.fail("response too large", true);
-        this.bufferedByteCount = byteCount;
-        this.chunks.push(chunk);
+        if (!this.tryReserve(this.body.byteCount + chunk.length)) return this.fail("response too large", true);
+        this.body.append(chunk);
     }
 
     /** Reserves memory for `byteCount` bytes of the response in all; returns false if there is no room. */
@@ -146,7 +143,7 @@
             return this.fail("incomplete stream", true);
         }
         if (this.head.status < 300) this.recordAnswer();
-        const body = this.chunks.splice(0);
+        const body = this.body.toParts();
         this.finish();
         this.server.recordOutcome(this.head.status < 500);
         if (this.isStreaming) this.listener.onStreamEnd(this);
@@ -210,7 +207,7 @@
         clearTimeout(this.silenceTimer);
         this.buffers.release(this.reservedByteCount);
         // The listener may keep the attempt until the caller's connection has closed.
-        this.chunks.length = 0;
+        this.body.clear();
         const { modelId, adapterId } = this.call.request;
         this.server.endAttempt(modelId, adapterId);
         const now = nowMs();
--- a/test/coordination/byte-collector.test.ts
+++ b/test/coordination/byte-collector.test.ts
@@ -38,6 +38,7 @@
         expect(collector.byteCount).toBe(byteCount);
         expect(collector.toBuffer().equals(bytes)).toBe(true);
         expect(collector.toBuffer().equals(bytes)).toBe(true);
+        expect(Buffer.concat(collector.toParts()).equals(bytes)).toBe(true);
         collector.clear();
         expect(collector.byteCount).toBe(0);
         expect(collector.toBuffer().length).toBe(0);
