fix(gateway): events in one-byte chunks took a hundred times their size

Cause: EventSplitter kept the pieces of an incomplete event as they came, one Buffer each, in slices that keep all that a read brought. Now they are copied together (ByteCollector).

--- a/packages/gateway/src/runtime/event-splitter.ts
+++ b/packages/gateway/src/runtime/event-splitter.ts
@@ -1,3 +1,5 @@
+import { ByteCollector } from "@skylarkmill/coordination";
+
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 /** Largest event; a server that sends a longer one is faulty, since an event holds a few tokens. */
@@ -19,20 +21,19 @@
  * if (splitter.isEventTooLong) close();
  */
 export class EventSplitter {
-    private pending: Buffer[] = [];
-    private pendingBytes = 0;
+    private readonly pending = new ByteCollector();
     /** End of the pending bytes: whether the last line is empty so far, and whether a line end may follow. */
     private isAtLineStart = false;
     private isAfterCarriageReturn = false;
 
     /** Number of buffered bytes of an incomplete event. */
     get pendingByteCount(): number {
-        return this.pendingBytes;
+        return this.pending.byteCount;
     }
 
     /** Whether the incomplete event is longer than any event may be. */
     get isEventTooLong(): boolean {
-        return this.pendingBytes > MAX_EVENT_BYTES;
+        return this.pendingByteCount > MAX_EVENT_BYTES;
     }
 
     push(chunk: Buffer): StreamEvent[] {
@@ -40,19 +41,22 @@
         let start = 0;
         for (let end = this.findEventEnd(chunk, start); end > 0; end = this.findEventEnd(chunk, start)) {
             const tail = chunk.subarray(start, end);
-            const raw = this.pending.length === 0 ? tail : Buffer.concat([...this.pending, tail]);
+            const raw = this.takePending(tail);
             events.push({ raw, id: parseEventId(raw) });
-            this.pending = [];
-            this.pendingBytes = 0;
             start = end;
         }
-        if (start < chunk.length) {
-            this.pending.push(chunk.subarray(start));
-            this.pendingBytes += chunk.length - start;
-        }
+        if (start < chunk.length) this.pending.append(chunk.subarray(start));
         return events;
     }
 
+    private takePending(tail: Buffer): Buffer {
+        if (this.pending.byteCount === 0) return tail;
+        this.pending.append(tail);
+        const raw = this.pending.toBuffer();
+        this.pending.clear();
+        return raw;
+    }
+
     /** Returns the index after the blank line that ends the event; 0 while the event is incomplete. */
     private findEventEnd(chunk: Buffer, start: number): number {
         let index = start;
--- a/test/gateway/event-splitter.test.ts
+++ b/test/gateway/event-splitter.test.ts
@@ -1,6 +1,7 @@
 import { classifyUnnumberedEvent, EventSplitter, MAX_EVENT_BYTES } from "@skylarkmill/gateway";
 import fc from "fast-check";
 import { describe, expect, it } from "vitest";
+import { MAX_HELD_BYTES, TinyPieces } from "../support/held-memory.ts";
 import { seeded } from "../support/seed.ts";
 
 const CHUNK_BYTES = 16 * 1024;
@@ -69,6 +70,15 @@
         }
     });
 
+    // Guards against memory that grows with the number of pieces.
+    it("takes little more memory than an incomplete event", async () => {
+        const splitter = new EventSplitter();
+        const pieces = new TinyPieces();
+        await pieces.passTo(piece => void splitter.push(piece));
+        expect(splitter.pendingByteCount).toBe(pieces.text.length);
+        expect(pieces.heldByteCount).toBeLessThan(MAX_HELD_BYTES);
+    });
+
     it("does linear work on a long event", () => {
         const measureNsPerByte = (byteCount: number): number => {
             const splitter = new EventSplitter();
