fix(gateway): a body over the limit was read to its end before its refusal

A caller who announces 50 GB, or sends chunks without end, got no answer until its deadline, and a caller whose deadline passes got 408, which it repeats, in place of 413. Cause: BodyReader resolved only at the end of a body that it discards.

A caller who reads only after it has sent three times the limit still gets the 413.

--- a/packages/gateway/src/node/body-reader.ts
+++ b/packages/gateway/src/node/body-reader.ts
@@ -35,8 +35,8 @@
     }
 
     /**
-     * Resolves with the whole body, or with a refusal as soon as it is clear that the body is not taken; the rest of it is
-     * discarded then. An `undefined` error means that the caller has disconnected.
+     * Resolves with the whole body, or with a refusal as soon as it is clear that the body is not taken. What it keeps is
+     * freed then; see `RefusedBody` for the rest of the body. An `undefined` error means that the caller has disconnected.
      */
     read(): Promise<Result<RequestBody | undefined, Refusal | undefined>> {
         const { request, maxBytes } = this;
@@ -46,18 +46,17 @@
                 this.discard();
                 resolve(err(refusal));
             };
-            let isTooLong = false;
-            if (statedByteCount <= maxBytes && !this.tryReserve(statedByteCount)) refuse(refusals.noMemory());
+            const tooLong = refusals.invalidRequest("The body is too long.", 413);
+            if (statedByteCount > maxBytes) refuse(tooLong);
+            else if (!this.tryReserve(statedByteCount)) refuse(refusals.noMemory());
             request.on("data", (chunk: Buffer) => {
                 if (this.isDiscarded) return;
                 const byteCount = this.byteCount + chunk.length;
-                isTooLong = byteCount > maxBytes;
-                if (isTooLong) this.discard();
+                if (byteCount > maxBytes) refuse(tooLong);
                 else if (!this.tryReserve(byteCount) || !this.tryAppend(chunk)) refuse(refusals.noMemory());
             });
             request.once("end", () => {
-                if (isTooLong) resolve(err(refusals.invalidRequest("The body is too long.", 413)));
-                else if (!this.isDiscarded) resolve(ok(this.complete()));
+                if (!this.isDiscarded) resolve(ok(this.complete()));
             });
             request.once("error", () => resolve(err(undefined)));
             request.once("close", () => resolve(err(undefined)));
--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -11,6 +11,7 @@
 import { ByteBudget } from "../runtime/byte-budget.ts";
 import { CallerConnection } from "../runtime/caller-connection.ts";
 import { HttpResponseWriter } from "../runtime/http-response-writer.ts";
+import { RefusedBody } from "../runtime/refused-body.ts";
 import { BodyBlockPool, type RequestBody } from "../runtime/request-body.ts";
 import { UnreadResponses } from "../runtime/unread-responses.ts";
 import { type Upload, UploadWatch } from "../runtime/upload-watch.ts";
@@ -25,6 +26,10 @@
 const DEFAULT_HEAD_LIMITS: RequestHeadLimits = { maxHeaderBytes: 64 * 1024, headerTimeoutMs: 10_000 };
 /** Time for the body of a request whose head states no valid deadline. */
 const DEFAULT_BODY_TIMEOUT_MS = 30_000;
+/** Multiple of the limit up to which the rest of a body is read whose request has been refused. */
+const DISCARD_FACTOR = 4;
+/** Time after which the connection of a refused body is closed even if its caller has not taken the refusal. */
+const REFUSED_END_MS = 1_000;
 /** Idle time after which TCP keep-alive probes a caller's connection, since a host that loses power sends no reset. */
 const TCP_PROBE_DELAY_MS = 10_000;
 
@@ -66,6 +71,7 @@
     private readonly connections = new WeakMap<Socket, CallerConnection>();
     private readonly headGuard: RequestHeadGuard;
     private readonly uploadWatch = new UploadWatch();
+    private readonly refusedBodies = new Set<RefusedBody>();
     private readonly bodyMemory: BodyMemory;
     private readonly unreadResponses: UnreadResponses;
     private maxBodyBytes = DEFAULT_MAX_BODY_BYTES;
@@ -126,6 +132,7 @@
     refuseUploads(refusal: Refusal): RequestHead[] {
         const uploads = [...this.openResponses.values()].filter(({ writer }) => !writer.hasStarted);
         for (const { writer } of uploads) writer.refuse(refusal);
+        for (const body of this.refusedBodies) body.end();
         return uploads.map(({ head }) => head);
     }
 
@@ -153,6 +160,24 @@
         return upload;
     }
 
+    /** Refuses a request whose body isn't taken; the rest of the body is still read within bounds. */
+    private refuseBody(upload: Upload, writer: HttpResponseWriter, refusal: Refusal): void {
+        const { request } = upload;
+        const { socket } = request;
+        if (request.readableEnded) return writer.refuse(refusal);
+        writer.startUploadRefusal(refusal);
+        const refusedBody = new RefusedBody(request, {
+            maxByteCount: DISCARD_FACTOR * this.maxBodyBytes,
+            maxMs: Math.min(Math.max(0, upload.computeDeadlineAtMs() - performance.now()), DEFAULT_BODY_TIMEOUT_MS),
+            onEnd: () => {
+                this.refusedBodies.delete(refusedBody);
+                writer.end();
+                setTimeout(() => socket.destroy(), REFUSED_END_MS).unref();
+            },
+        });
+        this.refusedBodies.add(refusedBody);
+    }
+
     private async receiveRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const startedAtMs = this.headGuard.getArrivalMs(request);
         // The caller's connection can fail at any time; the `close` event that follows is handled.
@@ -177,7 +202,8 @@
             const body = await reader.read();
             if (body.isOk()) this.uploadWatch.remove(upload);
             if (body.isErr()) {
-                if (body.error !== undefined) writer.refuse(body.error);
+                this.uploadWatch.remove(upload);
+                if (body.error !== undefined) this.refuseBody(upload, writer, body.error);
                 return;
             }
             await waitForLoopTurn();
--- a/packages/gateway/src/runtime/http-response-writer.ts
+++ b/packages/gateway/src/runtime/http-response-writer.ts
@@ -89,6 +89,19 @@
         this.refuse(refusal, this.isClosing() ? [] : ["connection", "close"]);
     }
 
+    /**
+     * Sends the whole refusal of a request whose body still comes; `end` then ends its connection, on which the refusal would
+     * get lost if it were ended at once.
+     */
+    startUploadRefusal(refusal: Refusal): void {
+        if (this.isClosed) return;
+        this.connection.tryEndWith(this.response);
+        const body = JSON.stringify(toRefusalBody(refusal));
+        const own = ["content-length", String(Buffer.byteLength(body)), "connection", "close"];
+        this.response.writeHead(refusal.status, [...createRefusalHeaders(refusal), ...own]);
+        this.response.write(body);
+    }
+
     abort(): void {
         abortResponse(this.response);
     }
