--- a/packages/gateway/src/runtime/refused-body.ts
+++ b/packages/coordination/src/runtime/refused-body.ts
@@ -1,10 +1,15 @@
 import type { IncomingMessage } from "node:http";
 
+/** The part of a request that matters here. */
+export type RefusedRequest = Pick<IncomingMessage, "once"> & {
+    readonly socket: Pick<IncomingMessage["socket"], "on" | "off">;
+};
+
 /** Time without a byte after which a body that was refused isn't read any longer. */
 const STALL_MS = 2_000;
 
 export interface RefusedBodyOptions {
-    /** Bytes that are still read. */
+    /** Bytes that are still read from the connection. */
     readonly maxByteCount: number;
     /** Time for which the body is still read, however slowly it comes. */
     readonly maxMs: number;
@@ -24,13 +29,17 @@
     private leftByteCount: number;
     private readonly stallTimer: NodeJS.Timeout;
     private readonly endTimer: NodeJS.Timeout;
+    private readonly discard = (chunk: Buffer): void => this.countBytes(chunk.length);
+    private readonly socket: RefusedRequest["socket"];
     private isEnded = false;
 
-    constructor(request: IncomingMessage, private readonly options: RefusedBodyOptions) {
+    constructor(request: RefusedRequest, private readonly options: RefusedBodyOptions) {
         this.leftByteCount = options.maxByteCount;
         this.stallTimer = setTimeout(() => this.end(), STALL_MS);
         this.endTimer = setTimeout(() => this.end(), options.maxMs);
-        request.on("data", (chunk: Buffer) => this.discard(chunk.length));
+        // Node drops the bytes of a body whose response has ended; only the connection tells of them.
+        this.socket = request.socket;
+        this.socket.on("data", this.discard);
         request.once("end", () => this.end());
         request.once("close", () => this.end());
     }
@@ -39,13 +48,13 @@
     end(): void {
         if (this.isEnded) return;
         this.isEnded = true;
+        this.socket.off("data", this.discard);
         clearTimeout(this.stallTimer);
         clearTimeout(this.endTimer);
         this.options.onEnd();
     }
 
-    private discard(byteCount: number): void {
-        if (this.isEnded) return;
+    private countBytes(byteCount: number): void {
         this.stallTimer.refresh();
         this.leftByteCount -= byteCount;
         if (this.leftByteCount < 0) this.end();
--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -2,6 +2,7 @@
     createHeadGuardServerOptions,
     type HeadFault,
     type RawRefusal,
+    RefusedBody,
     RequestHeadGuard,
     type RequestHeadLimits,
 } from "@skylarkmill/coordination";
@@ -11,7 +12,6 @@
 import { ByteBudget } from "../runtime/byte-budget.ts";
 import { CallerConnection } from "../runtime/caller-connection.ts";
 import { HttpResponseWriter } from "../runtime/http-response-writer.ts";
-import { RefusedBody } from "../runtime/refused-body.ts";
 import { BodyBlockPool, type RequestBody } from "../runtime/request-body.ts";
 import { UnreadResponses } from "../runtime/unread-responses.ts";
 import { type Upload, UploadWatch } from "../runtime/upload-watch.ts";
--- a/test/gateway/refused-body.test.ts
+++ b/test/coordination/refused-body.test.ts
@@ -1,7 +1,6 @@
-import type { IncomingMessage } from "node:http";
-import { PassThrough } from "node:stream";
+import { RefusedBody, type RefusedRequest } from "@skylarkmill/coordination";
+import { EventEmitter } from "node:events";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { RefusedBody } from "../../packages/gateway/src/runtime/refused-body.ts";
 
 const MAX_BYTES = 1_000;
 const MAX_MS = 10_000;
@@ -38,21 +37,23 @@
             expectedEndMs: 7_500,
         },
     ])("$name", async ({ chunkByteCount, intervalMs, endAfter = Infinity, expectedEndMs }) => {
-        const request = new PassThrough();
+        const socket = new EventEmitter();
+        const request = Object.assign(new EventEmitter(), { socket });
         let endedAtMs: number | undefined;
         const startedAtMs = performance.now();
         const onEnd = vi.fn(() => endedAtMs ??= performance.now() - startedAtMs);
-        new RefusedBody(request as unknown as IncomingMessage, { maxByteCount: MAX_BYTES, maxMs: MAX_MS, onEnd });
+        new RefusedBody(request as unknown as RefusedRequest, { maxByteCount: MAX_BYTES, maxMs: MAX_MS, onEnd });
         let chunkCount = 0;
         const timer = setInterval(() => {
             chunkCount += 1;
-            if (chunkCount <= endAfter) request.write(Buffer.alloc(chunkByteCount));
-            if (chunkCount === endAfter) request.end();
+            if (chunkCount <= endAfter) socket.emit("data", Buffer.alloc(chunkByteCount));
+            if (chunkCount === endAfter) request.emit("end");
         }, intervalMs);
         await vi.advanceTimersByTimeAsync(2 * MAX_MS);
         clearInterval(timer);
         expect(endedAtMs).toBe(expectedEndMs);
         expect(onEnd).toHaveBeenCalledOnce();
         expect(vi.getTimerCount()).toBe(0);
+        expect(socket.listenerCount("data")).toBe(0);
     });
 });
