feat(gateway): metrics and a log line for the memory of the process

Reports of processes that end by themselves came without logs, and neither metrics nor logs said how much memory a gateway takes or what takes it: heap, buffers outside of it and the rest couldn't be told apart afterwards.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -20,9 +20,17 @@
     MIN_READER_COUNT,
     selectReaders,
 } from "./runtime/member-selection.ts";
+export {
+    decideMemoryLevel,
+    type MemoryLevel,
+    type MemoryUsage,
+    MemoryWatch,
+    type MemoryWatchOptions,
+} from "./runtime/memory-watch.ts";
 export { OrderRights, type OrderRightsOptions } from "./runtime/order-rights.ts";
 export { PlaceLimit } from "./runtime/place-limit.ts";
 export { PlacementPlanner, type PlacementPlannerOptions } from "./runtime/placement-planner.ts";
+export { type ProcessMetricsOptions, registerProcessMetrics } from "./runtime/process-metrics.ts";
 export { BODY_BLOCK_BYTES, BodyBlockPool, RequestBody } from "./runtime/request-body.ts";
 export { RequestTask } from "./runtime/request-task.ts";
 export { computeRequestTiming, type RequestTiming } from "./runtime/request-timing.ts";
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -23,8 +23,10 @@
 import type { HttpResponseWriter } from "../runtime/http-response-writer.ts";
 import { countRunningRequests, LocalDemandTracker } from "../runtime/local-demand-tracker.ts";
 import { MemberSelection, selectReaders } from "../runtime/member-selection.ts";
+import { MemoryWatch } from "../runtime/memory-watch.ts";
 import { OrderRights } from "../runtime/order-rights.ts";
 import { PlacementPlanner } from "../runtime/placement-planner.ts";
+import { registerProcessMetrics } from "../runtime/process-metrics.ts";
 import type { RequestBody } from "../runtime/request-body.ts";
 import { RequestTask } from "../runtime/request-task.ts";
 import { computeRequestTiming } from "../runtime/request-timing.ts";
@@ -46,6 +48,7 @@
 import { refusals } from "../utils/refusals.ts";
 import { RouteTable } from "../utils/route-table.ts";
 import { CallerServer } from "./caller-server.ts";
+import { countDescriptors } from "./count-descriptors.ts";
 import { createPeerApp } from "./peer-app.ts";
 import { PeerClient } from "./peer-client.ts";
 import { PlacementSynchronizer } from "./placement-synchronizer.ts";
@@ -107,6 +110,7 @@
     private readonly crashSuspects: CrashSuspects;
     private readonly serverRates: ServerRates;
     private readonly synchronizer: PlacementSynchronizer;
+    private readonly memoryWatch: MemoryWatch;
     private readonly peerClient = new PeerClient();
     private readonly callerServer: CallerServer;
     private readonly readyServer: Server;
@@ -296,6 +300,18 @@
             response.writeHead(reasons.length === 0 ? 200 : 503, headers).end(text);
         });
         guardInternalServer(this.readyServer);
+        this.memoryWatch = new MemoryWatch({
+            limitBytes: options.memoryLimitBytes,
+            logger,
+            readResidentBytes: () => process.memoryUsage.rss(),
+            readUsage: () => process.memoryUsage(),
+        });
+        registerProcessMetrics({
+            registry: this.metrics.registry,
+            limitBytes: options.memoryLimitBytes,
+            readUsage: () => process.memoryUsage(),
+            countDescriptors,
+        });
         const app = createPeerApp({
             planner: this.planner,
             commandRunner: this.commandRunner,
@@ -347,6 +363,7 @@
         this.planner.start();
         this.synchronizer.start();
         this.quotas.start();
+        this.memoryWatch.start();
         return ResultAsync.combine([
             this.listen(this.callerServer.server, callerListen, CALLER_LISTEN_STEP),
             this.listen(this.readyServer, readyListen, READY_LISTEN_STEP),
@@ -390,6 +407,7 @@
             { step: "stopped", open: aborted.length, tookMs: Math.round(nowMs() - startedAtMs) },
             "gateway stopped",
         );
+        this.memoryWatch.stop();
         this.serverRates.stop();
         this.quotas.stop();
         this.synchronizer.stop();
