fix(adapters): answers of store and engines in tiny pieces kept all that was read

Cause: readBoundedBody and the lines of a watch kept the pieces as they came, a Buffer each, in slices that keep all that a read brought, while their limits count bytes. Now they are copied together (ByteCollector).

--- a/packages/adapters/src/runtime/bounded-body.ts
+++ b/packages/adapters/src/runtime/bounded-body.ts
@@ -1,3 +1,4 @@
+import { ByteCollector } from "@skylarkmill/coordination";
 import { ProtocolError } from "@skylarkmill/protocol";
 
 /** Reads a whole body as text; rejects with `ProtocolError` as soon as it exceeds `maxBytes`. */
@@ -6,12 +7,12 @@
     maxBytes: number,
     context: { readonly step: string; readonly peer: string; },
 ): Promise<string> {
-    const chunks: Uint8Array[] = [];
-    let sizeBytes = 0;
+    const collector = new ByteCollector();
     for await (const chunk of body) {
-        sizeBytes += chunk.byteLength;
-        if (sizeBytes > maxBytes) throw new ProtocolError(`the answer is longer than ${maxBytes} bytes`, context);
-        chunks.push(chunk);
+        collector.append(chunk);
+        if (collector.byteCount > maxBytes) {
+            throw new ProtocolError(`the answer is longer than ${maxBytes} bytes`, context);
+        }
     }
-    return Buffer.concat(chunks).toString("utf8");
+    return collector.toBuffer().toString("utf8");
 }
--- a/packages/adapters/src/runtime/etcd-watch.ts
+++ b/packages/adapters/src/runtime/etcd-watch.ts
@@ -1,4 +1,4 @@
-import type { WatchEvent } from "@skylarkmill/coordination";
+import { ByteCollector, type WatchEvent } from "@skylarkmill/coordination";
 import { ProtocolError, UnavailableError } from "@skylarkmill/protocol";
 import { Client } from "undici";
 import { toKeyValueEntry } from "../utils/etcd-keys.ts";
@@ -30,20 +30,18 @@
     maxBytes: number,
     peer: string,
 ): AsyncGenerator<string> {
-    let pending: Buffer[] = [];
-    let pendingByteCount = 0;
+    const pending = new ByteCollector();
     for await (const chunk of body) {
         let start = 0;
         for (let end = chunk.indexOf(LINE_FEED); end >= 0; end = chunk.indexOf(LINE_FEED, start)) {
-            const line = Buffer.concat([...pending, chunk.subarray(start, end)]).toString("utf8").trim();
-            pending = [];
-            pendingByteCount = 0;
+            pending.append(chunk.subarray(start, end));
+            const line = pending.toBuffer().toString("utf8").trim();
+            pending.clear();
             start = end + 1;
             if (line !== "") yield line;
         }
-        if (start < chunk.length) pending.push(chunk.subarray(start));
-        pendingByteCount += chunk.length - start;
-        if (pendingByteCount > maxBytes) {
+        if (start < chunk.length) pending.append(chunk.subarray(start));
+        if (pending.byteCount > maxBytes) {
             throw new ProtocolError("the watch message is too long", { step: STEP, peer });
         }
     }
--- a/test/adapters/watch-lines.test.ts
+++ b/test/adapters/watch-lines.test.ts
@@ -1,6 +1,7 @@
 import fc from "fast-check";
 import { describe, expect, it } from "vitest";
 import { readLines } from "../../packages/adapters/src/runtime/etcd-watch.ts";
+import { MAX_HELD_BYTES, TinyPieces } from "../support/held-memory.ts";
 import { seeded } from "../support/seed.ts";
 
 const CHUNK_BYTES = 1024;
@@ -55,6 +56,12 @@
         expect(await measureMsPerByte(LONG_LINE_BYTES)).toBeLessThan(MAX_WORK_GROWTH * msPerByte);
     });
 
+    it("take little more memory than their bytes in tiny pieces", async () => {
+        const pieces = new TinyPieces(undefined, "\n");
+        expect(await collect(pieces.read(), Infinity)).toEqual([pieces.text]);
+        expect(pieces.heldByteCount).toBeLessThan(MAX_HELD_BYTES);
+    });
+
     it("end the watch if one is longer than a message may be", async () => {
         await expect(collect(cut(Buffer.alloc(4 * CHUNK_BYTES), [CHUNK_BYTES]), CHUNK_BYTES)).rejects.toMatchObject({
             message: "the watch message is too long",
--- a/test/support/held-memory.ts
+++ b/test/support/held-memory.ts
@@ -11,6 +11,8 @@
 const collectGarbage = runInNewContext("gc") as () => void;
 
 function measureBufferBytes(): number {
+    // Buffers that nothing holds are freed beside the program, at the latest before the next collection.
+    collectGarbage();
     collectGarbage();
     return process.memoryUsage().arrayBuffers;
 }
