fix(coordination): responses of peers in tiny pieces kept all that was read

Cause: StallTimer.readText kept the pieces as they came and had no limit of its own; its users had one only by their HTTP client.

--- a/packages/coordination/src/utils/stall-timer.ts
+++ b/packages/coordination/src/utils/stall-timer.ts
@@ -1,3 +1,5 @@
+import { ByteCollector } from "./byte-collector.ts";
+
 /**
  * Aborts a transfer that stalls or takes too long altogether. A large response over a narrow link takes longer than a
  * small one, so that a single timeout for both would either never let it complete or hide a silent peer.
@@ -5,7 +7,7 @@
  * @example
  * const timer = new StallTimer(700, 6_000);
  * const response = await agent.request({ ...request, signal: timer.signal });
- * const text = await timer.readText(response.body);
+ * const text = await timer.readText(response.body, 1024 * 1024);
  */
 export class StallTimer {
     private readonly controller = new AbortController();
@@ -34,16 +36,20 @@
         return this.byteCount;
     }
 
-    /** Reads a body to its end. Throws the error of the body, or the reason of the abort. */
-    async readText(body: AsyncIterable<Uint8Array>): Promise<string> {
-        const chunks: Uint8Array[] = [];
+    /**
+     * Reads a body to its end. Throws the error of the body, the reason of the abort, or a `RangeError` as soon as the body
+     * exceeds `maxBytes`.
+     */
+    async readText(body: AsyncIterable<Uint8Array>, maxBytes: number): Promise<string> {
+        const collector = new ByteCollector();
         this.restart(this.stallTimeoutMs);
         for await (const chunk of body) {
             this.byteCount += chunk.length;
-            chunks.push(chunk);
+            if (this.byteCount > maxBytes) throw new RangeError(`the response is longer than ${maxBytes} bytes`);
+            collector.append(chunk);
             this.restart(this.stallTimeoutMs);
         }
-        return Buffer.concat(chunks).toString("utf8");
+        return collector.toBuffer().toString("utf8");
     }
 
     stop(): void {
--- a/packages/gateway/src/node/peer-client.ts
+++ b/packages/gateway/src/node/peer-client.ts
@@ -153,7 +153,7 @@
                 response.body.on("error", () => undefined).destroy();
                 return err(new UnavailableError("the peer's response belongs to another call", context));
             }
-            const text = await timer.readText(response.body as AsyncIterable<Uint8Array>);
+            const text = await timer.readText(response.body as AsyncIterable<Uint8Array>, MAX_RESPONSE_BYTES);
             if (response.statusCode < 300) return ok(text);
             return err(new UnavailableError(`the peer responded with status ${response.statusCode}`, context));
         }
