--- a/packages/agent/src/runtime/response-body.ts
+++ b/packages/agent/src/runtime/response-body.ts
@@ -1,3 +1,4 @@
+import { ByteCollector } from "@skylarkmill/coordination";
 import type { AttemptId } from "@skylarkmill/protocol";
 import { err, ok, type Result } from "neverthrow";
 import { parseObject, responseIds } from "./stream-checker.ts";
@@ -13,13 +14,11 @@
     contentLength: string | string[] | undefined,
     maxBytes: number,
 ): Promise<Result<Uint8Array, string>> {
-    const parts: Uint8Array[] = [];
-    let size = 0;
+    const collector = new ByteCollector();
     try {
         for await (const part of body) {
-            parts.push(part);
-            size += part.length;
-            if (size > maxBytes) return err("The answer is too long.");
+            collector.append(part);
+            if (collector.byteCount > maxBytes) return err("The answer is too long.");
         }
     }
     catch (error) {
@@ -27,10 +26,10 @@
             `The answer broke off: ${error instanceof Error ? error.message : String(error)}.`,
         );
     }
-    if (contentLength !== undefined && Number(contentLength) !== size) {
+    if (contentLength !== undefined && Number(contentLength) !== collector.byteCount) {
         return err("The answer's length differs from its Content-Length.");
     }
-    return ok(Buffer.concat(parts));
+    return ok(collector.toBuffer());
 }
 
 /** Checks that a complete response body belongs to the attempt. The error describes the failed check. */
