--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -58,6 +58,7 @@
 export * from "./types/versioned-record.ts";
 export * from "./utils/byte-collector.ts";
 export * from "./utils/clock.ts";
+export * from "./utils/event-end-scanner.ts";
 export * from "./utils/format-origin.ts";
 export { encodeStoredRecord, parseStoredRecord, type StoredRecord } from "./utils/record-codec.ts";
 export * from "./utils/rendezvous.ts";
--- a/packages/gateway/src/runtime/event-splitter.ts
+++ b/packages/gateway/src/runtime/event-splitter.ts
@@ -1,7 +1,5 @@
-import { ByteCollector } from "@skylarkmill/coordination";
+import { ByteCollector, EventEndScanner } from "@skylarkmill/coordination";
 
-const LINE_FEED = 0x0a;
-const CARRIAGE_RETURN = 0x0d;
 /** Largest event; a server that sends a longer one is faulty, since an event holds a few tokens. */
 export const MAX_EVENT_BYTES = 1024 * 1024;
 
@@ -22,9 +20,7 @@
  */
 export class EventSplitter {
     private readonly pending = new ByteCollector();
-    /** End of the pending bytes: whether the last line is empty so far, and whether a line end may follow. */
-    private isAtLineStart = false;
-    private isAfterCarriageReturn = false;
+    private readonly scanner = new EventEndScanner();
 
     /** Number of buffered bytes of an incomplete event. */
     get pendingByteCount(): number {
@@ -39,7 +35,7 @@
     push(chunk: Buffer): StreamEvent[] {
         const events: StreamEvent[] = [];
         let start = 0;
-        for (let end = this.findEventEnd(chunk, start); end > 0; end = this.findEventEnd(chunk, start)) {
+        for (let end = this.scanner.findEnd(chunk, start); end > 0; end = this.scanner.findEnd(chunk, start)) {
             const tail = chunk.subarray(start, end);
             const raw = this.takePending(tail);
             events.push({ raw, id: parseEventId(raw) });
@@ -56,31 +52,6 @@
         this.pending.clear();
         return raw;
     }
-
-    /** Returns the index after the blank line that ends the event; 0 while the event is incomplete. */
-    private findEventEnd(chunk: Buffer, start: number): number {
-        let index = start;
-        while (index < chunk.length) {
-            if (this.isAtLineStart) {
-                const byte = chunk[index]!;
-                index += 1;
-                if (byte === LINE_FEED) {
-                    this.isAtLineStart = false;
-                    this.isAfterCarriageReturn = false;
-                    return index;
-                }
-                if (byte === CARRIAGE_RETURN && !this.isAfterCarriageReturn) this.isAfterCarriageReturn = true;
-                else this.isAtLineStart = false;
-                continue;
-            }
-            const lineEnd = chunk.indexOf(LINE_FEED, index);
-            if (lineEnd < 0) return 0;
-            this.isAtLineStart = true;
-            this.isAfterCarriageReturn = false;
-            index = lineEnd + 1;
-        }
-        return 0;
-    }
 }
 
 function parseEventId(raw: Buffer): number | undefined {
