fix(router): buffered responses in tiny pieces kept all that was read

Cause: the relay kept a response until its end, and once more as the outcome of a request with an idempotency key, as the pieces that came; one that became too long was passed on piece by piece. Now they are copied together (ByteCollector).

--- a/packages/router/src/runtime/response-relay.ts
+++ b/packages/router/src/runtime/response-relay.ts
@@ -1,3 +1,4 @@
+import { ByteCollector } from "@skylarkmill/coordination";
 import type { RequestSpec, ResponseHead } from "../types/request.ts";
 import { refusals } from "../utils/refusals.ts";
 import { StreamTail } from "../utils/stream-tail.ts";
@@ -29,11 +30,9 @@
 export class ResponseRelay {
     private readonly options: ResponseRelayOptions;
     private readonly tail: StreamTail | undefined;
-    private readonly bufferedChunks: Buffer[] = [];
-    private bufferedBytes = 0;
+    private readonly bufferedBody = new ByteCollector();
     private isBuffering: boolean;
-    private outcomeChunks: Buffer[] | undefined;
-    private outcomeBytes = 0;
+    private outcome: ByteCollector | undefined;
 
     constructor(options: ResponseRelayOptions) {
         this.options = options;
@@ -42,7 +41,7 @@
             ? new StreamTail()
             : undefined;
         this.isBuffering = canBuffer(head, spec, options.maxBufferedBytes);
-        this.outcomeChunks = spec.idempotencyKey !== undefined && !spec.isIdempotent ? [] : undefined;
+        this.outcome = spec.idempotencyKey !== undefined && !spec.isIdempotent ? new ByteCollector() : undefined;
         if (!this.isBuffering) options.writer.sendHead(head);
     }
 
@@ -61,10 +60,7 @@
     end(): boolean {
         const { writer, head } = this.options;
         if (this.isBuffering) {
-            writer.sendComplete(
-                head,
-                this.bufferedChunks.length === 1 ? this.bufferedChunks[0]! : Buffer.concat(this.bufferedChunks),
-            );
+            writer.sendComplete(head, this.bufferedBody.toBuffer());
             return true;
         }
         if (this.tail === undefined || this.tail.isComplete) {
@@ -78,17 +74,17 @@
 
     /** Returns the body to store as the outcome; undefined if it is too long or the request has no outcome to store. */
     outcomeBody(): Buffer | undefined {
-        return this.outcomeChunks === undefined ? undefined : Buffer.concat(this.outcomeChunks);
+        return this.outcome?.toBuffer();
     }
 
     /** Buffers a chunk; starts to forward if the buffer limit is exceeded. */
     private bufferChunk(chunk: Buffer): void {
-        this.bufferedChunks.push(chunk);
-        this.bufferedBytes += chunk.length;
-        if (this.bufferedBytes <= this.options.maxBufferedBytes) return;
+        this.bufferedBody.append(chunk);
+        if (this.bufferedBody.byteCount <= this.options.maxBufferedBytes) return;
         this.isBuffering = false;
         this.options.writer.sendHead(this.options.head);
-        for (const bufferedChunk of this.bufferedChunks.splice(0)) this.forwardChunk(bufferedChunk);
+        for (const part of this.bufferedBody.toParts()) this.forwardChunk(part);
+        this.bufferedBody.clear();
     }
 
     private forwardChunk(chunk: Buffer): void {
@@ -101,10 +97,8 @@
 
     /** Keeps a chunk for the stored outcome, unless the body becomes too long. */
     private keepOutcomeChunk(chunk: Buffer): void {
-        if (this.outcomeChunks === undefined) return;
-        this.outcomeBytes += chunk.length;
-        if (this.outcomeBytes > MAX_OUTCOME_BODY_BYTES) this.outcomeChunks = undefined;
-        else this.outcomeChunks.push(chunk);
+        this.outcome?.append(chunk);
+        if (this.outcome !== undefined && this.outcome.byteCount > MAX_OUTCOME_BODY_BYTES) this.outcome = undefined;
     }
 }
 
--- /dev/null
+++ b/test/router/tiny-pieces.test.ts
@@ -0,0 +1,60 @@
+import { describe, expect, it } from "vitest";
+import { ResponseRelay } from "../../packages/router/src/runtime/response-relay.ts";
+import type { ResponseWriter } from "../../packages/router/src/runtime/response-writer.ts";
+import type { RequestSpec } from "../../packages/router/src/types/request.ts";
+import { MAX_HELD_BYTES, TinyPieces } from "../support/held-memory.ts";
+
+/** Keeps what the caller is sent. */
+class RecordedWriter {
+    readonly parts: Buffer[] = [];
+
+    get text(): string {
+        return Buffer.concat(this.parts).toString();
+    }
+
+    sendHead(): void {}
+
+    sendComplete(_head: unknown, body: Buffer): void {
+        this.parts.push(body);
+    }
+
+    write(part: Buffer): boolean {
+        this.parts.push(part);
+        return true;
+    }
+}
+
+function createRelay(writer: RecordedWriter, maxBufferedBytes: number): ResponseRelay {
+    const target = { modelId: "bench-diagnosis" };
+    return new ResponseRelay({
+        writer: writer as unknown as ResponseWriter,
+        spec: { method: "POST", target, idempotencyKey: "k1", isIdempotent: false } as unknown as RequestSpec,
+        head: { status: 200, headers: { "content-type": "application/json" } },
+        source: { pause: () => undefined, resume: () => undefined },
+        maxBufferedBytes,
+    });
+}
+
+// Guards against an agent whose response takes a hundred times its size.
+describe("a buffered response in tiny pieces", () => {
+    it("takes little more memory than its bytes, also as an outcome", async () => {
+        const writer = new RecordedWriter();
+        const relay = createRelay(writer, 1_000_000);
+        const pieces = new TinyPieces();
+        await pieces.passTo(piece => relay.push(piece));
+        expect(pieces.heldByteCount).toBeLessThan(MAX_HELD_BYTES);
+        expect(relay.end()).toBe(true);
+        expect(writer.text).toBe(pieces.text);
+        expect(relay.outcomeBody()?.toString()).toBe(pieces.text);
+    });
+
+    it("is passed on in few parts once it is too long to be buffered", async () => {
+        const writer = new RecordedWriter();
+        const relay = createRelay(writer, 999);
+        const pieces = new TinyPieces();
+        await pieces.passTo(piece => relay.push(piece));
+        relay.push(Buffer.from("y"));
+        expect(writer.text).toBe(`${pieces.text}y`);
+        expect(writer.parts.length).toBeLessThan(10);
+    });
+});
