fix(router): an agent's error event in several pieces was followed by another

Cause: StreamTail looked for an error event within each chunk only, so that one that came in pieces was not seen and the router added its own. Now it looks across the seam of two chunks as well. Its tail is a copy, which doesn't keep what was read with it.

tiny-pieces.test.ts, 'a stream that ends with an error', failed before.

--- a/packages/router/src/utils/stream-tail.ts
+++ b/packages/router/src/utils/stream-tail.ts
@@ -9,11 +9,11 @@
     private hasErrorEvent = false;
 
     push(chunk: Buffer): void {
-        // An error event is not detected in a chunk of 4096 bytes or more, or if it is split across chunks.
-        if (!this.hasErrorEvent && chunk.length < 4096 && this.containsErrorEvent(chunk)) this.hasErrorEvent = true;
-        this.tail = chunk.length >= TAIL_BYTES
-            ? chunk.subarray(chunk.length - TAIL_BYTES)
-            : Buffer.concat([this.tail, chunk]).subarray(-TAIL_BYTES);
+        const seam = Buffer.concat([this.tail, chunk.subarray(0, TAIL_BYTES)]);
+        // An error event is not detected inside a chunk of 4096 bytes or more.
+        this.hasErrorEvent ||= this.containsErrorEvent(seam) || chunk.length < 4096 && this.containsErrorEvent(chunk);
+        // The chunk's own bytes would keep all that was read with it.
+        this.tail = chunk.length >= TAIL_BYTES ? Buffer.from(chunk.subarray(-TAIL_BYTES)) : seam.subarray(-TAIL_BYTES);
     }
 
     /** The last event is `data: [DONE]`. */
--- a/test/router/tiny-pieces.test.ts
+++ b/test/router/tiny-pieces.test.ts
@@ -1,8 +1,20 @@
-import { describe, expect, it } from "vitest";
+import type { ServerId } from "@skylarkmill/protocol";
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { ResponseRelay } from "../../packages/router/src/runtime/response-relay.ts";
 import type { ResponseWriter } from "../../packages/router/src/runtime/response-writer.ts";
 import type { RequestSpec } from "../../packages/router/src/types/request.ts";
 import { MAX_HELD_BYTES, TinyPieces } from "../support/held-memory.ts";
+import type { AgentBehaviour } from "./support/fake-agent.ts";
+import { Harness, preferServers } from "./support/harness.ts";
+
+/** Sends a response whose body comes in chunks of one byte. */
+function respondInTinyPieces(status: number, headers: Record<string, string>, body: string): AgentBehaviour {
+    return (_request, response) => {
+        response.writeHead(status, headers);
+        for (const character of body) response.write(character);
+        response.end();
+    };
+}
 
 /** Keeps what the caller is sent. */
 class RecordedWriter {
@@ -58,3 +70,24 @@
         expect(writer.parts.length).toBeLessThan(10);
     });
 });
+
+// Guards against responses whose meaning depends on how they are cut.
+describe("a response in tiny pieces", () => {
+    let harness: Harness;
+    beforeEach(async () => {
+        harness = await new Harness().start({
+            policies: { chooser: preferServers(["engine-1", "ledger-1"] as ServerId[]) },
+        });
+    });
+    afterEach(() => harness.stop());
+
+    it.each([
+        { name: "a stream", ending: "data: [DONE]\n\n" },
+        { name: "a stream that ends with an error", ending: 'data: {"error":{"code":"gap"}}\n\n' },
+    ])("reaches the caller unchanged: $name", async ({ ending }) => {
+        const body = `data: {"choices":[]}\n\n${ending}`;
+        harness.agents["engine-1"]!.behaviour = respondInTinyPieces(200, { "content-type": "text/event-stream" }, body);
+        const response = await harness.chat({ model: "bench-diagnosis", stream: true });
+        expect(response.text).toBe(body);
+    });
+});
