fix(router): a refusal in more than 16 pieces lost its reason

Cause: the router kept at most 16 chunks of a refusal's body, whatever their size, so that one in tiny pieces was no JSON and its caller got a generic reason; 16 large ones were kept whole. Now 64 KiB are kept, in any pieces.

tiny-pieces.test.ts, 'keeps the reason of a refusal', failed before: its code was a generic one.

--- a/packages/router/src/runtime/request-task.ts
+++ b/packages/router/src/runtime/request-task.ts
@@ -1,4 +1,4 @@
-import { nowMs } from "@skylarkmill/coordination";
+import { ByteCollector, nowMs } from "@skylarkmill/coordination";
 import type { ServerView } from "@skylarkmill/policy";
 import { type Execution, HEADERS, type Refusal, type ServerId } from "@skylarkmill/protocol";
 import type { RouterContext } from "../types/context.ts";
@@ -23,6 +23,8 @@
 const MAX_MOVES = 8;
 /** Maximum number of attempts that may have run without a response; the request itself may end its servers. */
 const MAX_LOST_RUNS = 3;
+/** Bytes of a refusal's body that are kept, besides the rest of the chunk that reaches the limit; later ones are dropped. */
+const MAX_REFUSAL_BYTES = 64 * 1024;
 /** Minimum remaining time for another attempt. */
 const MIN_ATTEMPT_MS = 5;
 /**
@@ -50,7 +52,7 @@
     private readonly onEnded: (result: RequestResult) => void;
     private readonly attempts = new Set<Attempt>();
     private readonly triedServerIds = new Set<ServerId>();
-    private readonly refusalChunks = new Map<Attempt, Buffer[]>();
+    private readonly refusalBodies = new Map<Attempt, ByteCollector>();
     private state: RequestState = INITIAL_STATE;
     /** The attempt whose response is relayed. */
     private sourceAttempt: Attempt | undefined;
@@ -156,7 +158,7 @@
     onHead(attempt: Attempt, head: ResponseHead): void {
         this.applyLoadHeader(attempt, head);
         if (readExecution(head) !== undefined) {
-            this.refusalChunks.set(attempt, []);
+            this.refusalBodies.set(attempt, new ByteCollector());
             return;
         }
         if (this.sourceAttempt !== undefined) return attempt.cancel();
@@ -178,20 +180,19 @@
     onData(attempt: Attempt, chunk: Buffer): void {
         if (attempt === this.sourceAttempt) this.relay?.push(chunk);
         else {
-            const chunks = this.refusalChunks.get(attempt);
-            if (chunks === undefined) this.onLateChunk();
-            // Limits the memory for the body of a refusal; later chunks are dropped.
-            else if (chunks.length < 16) chunks.push(chunk);
+            const body = this.refusalBodies.get(attempt);
+            if (body === undefined) this.onLateChunk();
+            else if (body.byteCount < MAX_REFUSAL_BYTES) body.append(chunk);
         }
     }
 
     onEnd(attempt: Attempt): void {
         this.attempts.delete(attempt);
         if (attempt === this.sourceAttempt) return this.handleResponseEnd(attempt);
-        const chunks = this.refusalChunks.get(attempt);
+        const body = this.refusalBodies.get(attempt);
         const execution = attempt.head === undefined ? undefined : readExecution(attempt.head);
-        if (attempt.head === undefined || chunks === undefined || execution === undefined) return;
-        this.handleRefusal(attempt, readAgentRefusal(attempt.head, execution, Buffer.concat(chunks)));
+        if (attempt.head === undefined || body === undefined || execution === undefined) return;
+        this.handleRefusal(attempt, readAgentRefusal(attempt.head, execution, body.toBuffer()));
     }
 
     onFailure(attempt: Attempt, error: Error): void {
--- a/test/router/tiny-pieces.test.ts
+++ b/test/router/tiny-pieces.test.ts
@@ -90,4 +90,16 @@
         const response = await harness.chat({ model: "bench-diagnosis", stream: true });
         expect(response.text).toBe(body);
     });
+
+    it("keeps the reason of a refusal", async () => {
+        const error = { type: "invalid_request_error", code: "prompt_too_long", message: "The prompt is too long." };
+        harness.agents["engine-1"]!.behaviour = respondInTinyPieces(
+            400,
+            { "content-type": "application/json", "x-skylarkmill-execution": "not_run" },
+            JSON.stringify({ error }),
+        );
+        const response = await harness.chat({ model: "bench-diagnosis" });
+        expect(response.status).toBe(400);
+        expect(JSON.parse(response.text)).toMatchObject({ error });
+    });
 });
