fix(coordination): callers without a key ended processes through the peers' port

30 to 60 connections to the port for other processes ended a router and an agent (181 MB, heap of 100 MB) without any key: calls whose data came in tiny frames, and very many calls at once; large bodies took 455 MB (bound 220). 1,200 silent connections took as many descriptors for as long as they liked. Causes: the key was checked after the message had been read and kept as the frames that came; calls of one connection had no limit; a connection needed no call.

One connection has at most 128 calls at a time.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -20,6 +20,7 @@
 } from "./node/http-server.ts";
 export { createInternalServerOptions, guardInternalServer } from "./node/internal-server-guard.ts";
 export { createPeerClient, type PeerClient, type PeerClientOptions } from "./node/peer-client.ts";
+export type { PeerConnectionLimits } from "./node/peer-connections.ts";
 export {
     createPeerServer,
     createPeerServerWhenFree,
--- a/packages/coordination/src/node/peer-server.ts
+++ b/packages/coordination/src/node/peer-server.ts
@@ -3,12 +3,19 @@
 import { PeerService, type UnavailableError } from "@skylarkmill/protocol";
 import type { ResultAsync } from "neverthrow";
 import { createHash, timingSafeEqual } from "node:crypto";
-import { createServer, type Http2Server, type ServerHttp2Session } from "node:http2";
-import type { Socket } from "node:net";
+import { constants, createServer, type Http2Server } from "node:http2";
 import { listen, listenWhenFree, type ListenWhenFreeOptions } from "./http-server.ts";
 import { MAX_PEER_MESSAGE_BYTES } from "./peer-client.ts";
+import { type PeerConnectionLimits, PeerConnections } from "./peer-connections.ts";
 
 const LISTEN_STEP = "peer.listen";
+/** Calls of one connection at the same time; clients keep further ones back. */
+const MAX_CONCURRENT_CALLS = 128;
+/** Error as the Connect protocol has it. */
+const UNAUTHENTICATED_BODY = JSON.stringify({
+    code: "unauthenticated",
+    message: "the peer key is missing or wrong",
+});
 
 export interface PeerServerOptions {
     readonly host: string;
@@ -17,6 +24,8 @@
     /** Accepted peer keys; several are allowed, so that keys can be rotated. */
     readonly keys: () => readonly string[];
     readonly handlers: Partial<ServiceImpl<typeof PeerService>>;
+    /** Limits of connections without an accepted key. @default the defaults of `PeerConnectionLimits` */
+    readonly connectionLimits?: Partial<PeerConnectionLimits>;
     /** Called for each call with a missing or wrong key (`key`) and each malformed or oversized message (`message`). */
     readonly onRefused?: (reason: "key" | "message") => void;
 }
@@ -69,12 +78,6 @@
         .map(port => port === undefined ? undefined : toPeerServer(port, server, connections));
 }
 
-/** Open connections of a server. */
-interface PeerConnections {
-    readonly sockets: ReadonlySet<Socket>;
-    readonly sessions: ReadonlySet<ServerHttp2Session>;
-}
-
 function toPeerServer(port: number, server: Http2Server, connections: PeerConnections): PeerServer {
     return { port, close: () => closePeerServer(server, connections) };
 }
@@ -82,11 +85,6 @@
 function createHttpServer(
     options: PeerServerOptions,
 ): { readonly server: Http2Server; readonly connections: PeerConnections; } {
-    const requirePeerKey: Interceptor = next => request => {
-        if (isAcceptedSecret(request.header.get("authorization") ?? undefined, options.keys())) return next(request);
-        options.onRefused?.("key");
-        throw new ConnectError("the peer key is missing or wrong", Code.Unauthenticated);
-    };
     const reportMalformedMessages: Interceptor = next => async request => {
         try {
             return await next(request);
@@ -97,30 +95,31 @@
             throw error;
         }
     };
-    const server = createServer(connectNodeAdapter({
+    const handleCall = connectNodeAdapter({
         routes: router => router.service(PeerService, options.handlers),
-        interceptors: [reportMalformedMessages, requirePeerKey],
+        interceptors: [reportMalformedMessages],
         readMaxBytes: MAX_PEER_MESSAGE_BYTES,
         grpc: false,
         grpcWeb: false,
-    }));
-    return { server, connections: trackConnections(server) };
-}
-
-function trackConnections(server: Http2Server): PeerConnections {
-    const sockets = new Set<Socket>();
-    const sessions = new Set<ServerHttp2Session>();
-    server.on("connection", (socket: Socket) => {
-        sockets.add(socket);
-        socket.once("close", () => sockets.delete(socket));
     });
-    server.on("session", session => {
-        sessions.add(session);
-        session.on("close", () => sessions.delete(session));
-        // Without a listener the error would crash the process; calls on the connection report it.
-        session.on("error", () => undefined);
+    const server = createServer({ settings: { maxConcurrentStreams: MAX_CONCURRENT_CALLS } });
+    const connections = new PeerConnections(server, options.connectionLimits);
+    // Nothing of a call without a key is read, and it gets no further than its head.
+    server.on("request", (request, response) => {
+        if (isAcceptedSecret(request.headers.authorization, options.keys())) {
+            connections.accept(request.stream.session);
+            handleCall(request, response);
+            return;
+        }
+        options.onRefused?.("key");
+        // The connection can break at any time.
+        request.on("error", () => undefined);
+        response.on("error", () => undefined);
+        response.writeHead(401, { "content-type": "application/json" }).end(UNAUTHENTICATED_BODY);
+        request.stream.close(constants.NGHTTP2_NO_ERROR);
+        connections.refuse(request.stream.session);
     });
-    return { sockets, sessions };
+    return { server, connections };
 }
 
 function closePeerServer(server: Http2Server, { sockets, sessions }: PeerConnections): Promise<void> {
--- a/test/support/cluster.ts
+++ b/test/support/cluster.ts
@@ -109,6 +109,11 @@
         return `http://${this.address}:${this.member(router).operatorPort}`;
     }
 
+    /** Port for calls of other processes; it is on the cluster's address. */
+    peerPort(name: string): number {
+        return this.member(name).peerPort;
+    }
+
     hostId(name: string): string {
         return `host-${name}`;
     }
