fix(coordination): whole bodies in one-byte chunks didn't take turns

An ordinary caller got no answer within 5 s beside 60 callers on kept connections, each of which sent its next body of 10,800 one-byte chunks after the response to the one before (trial on a bare server with PacedRequest). Cause: a read that ended a body, or that ended with the head of another request, held nothing, though its chunks took as long.

Now every read that took long holds its connection if one of its requests is in chunks.

--- a/packages/coordination/src/node/paced-request.ts
+++ b/packages/coordination/src/node/paced-request.ts
@@ -11,7 +11,8 @@
 
 /** The event loop is the same for all servers of the process. */
 const processShare = new LoopShare();
-const newestRequests = new WeakMap<Socket, PacedRequest>();
+/** Of each connection, the newest request before its last read, and those that this read brought. */
+const recentRequests = new WeakMap<Socket, PacedRequest[]>();
 
 /**
  * A request whose connection can be held while its body is received; Node would read on otherwise. What comes before
@@ -27,7 +28,9 @@
 
     constructor(socket: Socket) {
         super(socket);
-        newestRequests.set(socket, this);
+        const recent = recentRequests.get(socket);
+        if (recent === undefined) recentRequests.set(socket, [this]);
+        else recent.push(this);
     }
 
     override push(chunk: Buffer | null, encoding?: BufferEncoding): boolean {
@@ -65,7 +68,7 @@
             this.isReadMissed = false;
             super._read(this.readableHighWaterMark);
         }
-        else if (this.hasRoom && !isPausedByNode(this.socket)) this.socket.resume();
+        else if ((this.complete || this.hasRoom) && !isPausedByNode(this.socket)) this.socket.resume();
     }
 
     private get hasRoom(): boolean {
@@ -79,14 +82,18 @@
     }
 }
 
+function isChunked({ headers }: IncomingMessage): boolean {
+    return headers["transfer-encoding"] !== undefined;
+}
+
 /** Whether the connection waits until its caller has read earlier responses. */
 function isPausedByNode(socket: Socket): boolean {
     return (socket as { _paused?: boolean; })._paused === true;
 }
 
 /**
- * Lets connections whose request bodies take long to read, since they come in very many chunks, take turns. The server's
- * option `IncomingMessage` has to be `PacedRequest`.
+ * Lets connections whose request bodies take long to read, since they come in very many chunks, take turns, also after a
+ * body that is complete: the next one may follow at once. The server's option `IncomingMessage` has to be `PacedRequest`.
  *
  * @example
  * const server = createServer({ IncomingMessage: PacedRequest });
@@ -101,11 +108,12 @@
         });
         socket.on("data", () => {
             const costMs = performance.now() - readAtMs;
-            const request = newestRequests.get(socket);
-            if (costMs < COSTLY_READ_MS || request === undefined || socket.destroyed) return;
-            if (request.complete || request.isHeld) return;
+            const recent = recentRequests.get(socket) ?? [];
+            const request = recent.at(-1);
             // Of a body of stated length, a read brings one piece; such a read took long for another reason.
-            if (request.headers["transfer-encoding"] === undefined) return;
+            const isCostly = costMs >= COSTLY_READ_MS && recent.some(isChunked);
+            recent.splice(0, recent.length - 1);
+            if (!isCostly || request === undefined || request.isHeld || socket.destroyed) return;
             request.hold();
             share.add({ costMs, isGone: () => socket.destroyed, resume: () => request.release() });
         });
--- a/test/coordination/paced-request.test.ts
+++ b/test/coordination/paced-request.test.ts
@@ -1,7 +1,7 @@
 import { createServer, type IncomingMessage, type Server } from "node:http";
 import { type AddressInfo, connect, type Socket } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
-import { afterEach, describe, expect, it } from "vitest";
+import { afterEach, describe, expect, it, vi } from "vitest";
 import { paceBodies, PacedRequest } from "../../packages/coordination/src/node/paced-request.ts";
 import { eventually } from "../support/eventually.ts";
 
@@ -14,6 +14,7 @@
 let client: Socket | undefined;
 
 afterEach(() => {
+    vi.restoreAllMocks();
     client?.destroy();
     server?.closeAllConnections();
     server?.close();
@@ -78,6 +79,36 @@
     });
 });
 
+describe("whole bodies in tiny chunks", () => {
+    // What one read brings: a part of a body is held in any case.
+    const whole = `${CHUNKED}${TINY_CHUNK.repeat(9_000)}0\r\n\r\n`;
+    const statedHead = "POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 1\r\n\r\n";
+
+    it.each([
+        { name: "one after the other", text: whole, rest: "" },
+        { name: "before a head of a stated length", text: whole + statedHead, rest: "x" },
+    ])("take turns too: $name", async ({ text, rest }) => {
+        const hold = vi.spyOn(PacedRequest.prototype, "hold");
+        const requests = await send("");
+        let responseCount = 0;
+        server!.on("request", (request, response) => {
+            request.resume();
+            request.once("end", () => {
+                responseCount += 1;
+                response.end();
+            });
+        });
+        for (let round = 1; round <= 3; round += 1) {
+            client!.write(text);
+            await eventually("the heads", () => requests.length === round * (rest === "" ? 1 : 2) || undefined);
+            await eventually("a turn", () => !requests.some(request => (request as PacedRequest).isHeld) || undefined);
+            expect(hold.mock.calls.length).toBeGreaterThanOrEqual(round);
+            client!.write(rest);
+            await eventually("the responses", () => responseCount === requests.length || undefined);
+        }
+    });
+});
+
 describe("a body of a stated length", () => {
     it("is not held after a read that took long", async () => {
         const byteCount = 1024 * 1024;
