fix(gateway): bodies at the peer port's handlers had no limit

30 callers with large chunks without end to POST /v1/commands ended a gateway of 200 MB (252 MB), and 30 with one-byte chunks took it to 345 MB. Cause: the handlers for other gateways' messages read a body of any length as one text. Now BodyReader reads them, up to 4 MiB within 10 s, and a twentieth of the process's memory each for small and for large ones; past that 413, 408 or 503.

--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -25,7 +25,7 @@
 import { MemberSelection, selectReaders } from "../runtime/member-selection.ts";
 import { OrderRights } from "../runtime/order-rights.ts";
 import { PlacementPlanner } from "../runtime/placement-planner.ts";
-import type { RequestBody } from "../runtime/request-body.ts";
+import { BodyBlockPool, type RequestBody } from "../runtime/request-body.ts";
 import { RequestTask } from "../runtime/request-task.ts";
 import { computeRequestTiming } from "../runtime/request-timing.ts";
 import { RetryBudget } from "../runtime/retry-budget.ts";
@@ -86,6 +86,8 @@
 const REQUEST_MEMORY_SHARE = 0.1;
 /** Share of the process's memory for the small bodies of these requests. */
 const SMALL_BODY_MEMORY_SHARE = 0.1;
+/** Share of the process's memory for the bodies of other gateways' messages, small and large ones each. */
+const PEER_BODY_MEMORY_SHARE = 0.05;
 /** Steps of the ports that the gateway needs to be ready. */
 const CALLER_LISTEN_STEP = "caller.listen";
 const READY_LISTEN_STEP = "ready.listen";
@@ -308,6 +310,11 @@
             metrics: this.metrics,
             listNotReadyReasons: () => this.listNotReadyReasons(),
             getStatus: () => this.status(),
+            bodyMemory: {
+                largeBudget: new ByteBudget(PEER_BODY_MEMORY_SHARE * options.memoryLimitBytes),
+                smallBudget: new ByteBudget(PEER_BODY_MEMORY_SHARE * options.memoryLimitBytes),
+                pool: new BodyBlockPool(),
+            },
         });
         this.peerServer = createAdaptorServer({
             fetch: app.fetch,
--- a/packages/gateway/src/node/peer-app.ts
+++ b/packages/gateway/src/node/peer-app.ts
@@ -1,6 +1,9 @@
+import type { HttpBindings } from "@hono/node-server";
 import { nowMs, type ReservationRequest, type ReservationResponse } from "@skylarkmill/coordination";
-import { HEADERS } from "@skylarkmill/protocol";
+import { HEADERS, type Refusal } from "@skylarkmill/protocol";
 import { type Context, Hono } from "hono";
+import { HTTPException } from "hono/http-exception";
+import type { ContentfulStatusCode } from "hono/utils/http-status";
 import type { CrashSuspects } from "../runtime/crash-suspects.ts";
 import type { EngineCommandRunner } from "../runtime/engine-command-runner.ts";
 import type { GatewayMetrics } from "../runtime/gateway-metrics.ts";
@@ -11,10 +14,15 @@
 import type { WorkspaceQuotas } from "../runtime/workspace-quotas.ts";
 import type { DemandResponse } from "../types/placement.ts";
 import { commandSchema, demandSchema, quotaRequestSchema, reservationRequestSchema } from "../utils/peer-schemas.ts";
+import { refusals } from "../utils/refusals.ts";
+import { type BodyMemory, BodyReader } from "./body-reader.ts";
 import { PLACEMENT_LONG_POLL_MS, VIEW_LONG_POLL_MS } from "./peer-client.ts";
 
 /** Shortest time between two placement responses to a gateway that waits for no change, per gateway of the cluster. */
 const RESPONSE_MS_PER_GATEWAY = 3;
+/** Limits of a message's body. */
+const MAX_MESSAGE_BYTES = 4 * 1024 * 1024;
+const MESSAGE_TIMEOUT_MS = 10_000;
 
 export interface PeerAppOptions {
     readonly planner: PlacementPlanner;
@@ -30,12 +38,16 @@
     /** Lists why the gateway isn't ready; empty if it is. */
     readonly listNotReadyReasons: () => readonly string[];
     readonly getStatus: () => object;
+    readonly bodyMemory: BodyMemory;
 }
 
+type PeerContext = Context<{ Bindings: HttpBindings; }>;
+
 /** Creates the HTTP interface for other gateways and for operators. */
-export function createPeerApp(options: PeerAppOptions): Hono {
+export function createPeerApp(options: PeerAppOptions): Hono<{ Bindings: HttpBindings; }> {
     const { planner, commandRunner, directory, view, crashSuspects, serverRates, metrics } = options;
-    const app = new Hono();
+    const app = new Hono<{ Bindings: HttpBindings; }>();
+    const readJson = (c: PeerContext): Promise<unknown> => readMessage(c, options.bodyMemory);
     app.use(async (c, next) => {
         await next();
         const callId = c.req.header(HEADERS.callId);
@@ -110,18 +122,36 @@
     return app;
 }
 
-/** Reads the body as JSON; returns undefined, which no schema accepts, if it is not JSON. */
-async function readJson(c: Context): Promise<unknown> {
+/**
+ * Reads the body as JSON; returns undefined, which no schema accepts, if it is not JSON. Throws `HTTPException` if the body
+ * isn't taken.
+ */
+async function readMessage(c: PeerContext, memory: BodyMemory): Promise<unknown> {
+    const { incoming } = c.env;
+    const reader = new BodyReader(incoming, MAX_MESSAGE_BYTES, memory);
+    let timer: NodeJS.Timeout | undefined;
+    const timeout = new Promise<undefined>(resolve => timer = setTimeout(resolve, MESSAGE_TIMEOUT_MS, undefined));
     try {
-        return await c.req.json();
+        const body = await Promise.race([reader.read(), timeout]);
+        if (body === undefined) throw toException(refusals.bodyTimeout());
+        if (body.isErr()) throw toException(body.error ?? refusals.bodyTimeout());
+        return JSON.parse(Buffer.concat(body.value?.parts ?? []).toString("utf8"));
     }
     catch (error) {
         if (error instanceof SyntaxError) return undefined;
         throw error;
     }
+    finally {
+        clearTimeout(timer);
+        reader.discard();
+    }
+}
+
+function toException({ status, message }: Refusal): HTTPException {
+    return new HTTPException(status as ContentfulStatusCode, { message });
 }
 
-function respondNotPlanner(c: Context): Response {
+function respondNotPlanner(c: PeerContext): Response {
     return c.json({ error: "this gateway is not the planner" }, 409);
 }
 
--- a/test/gateway/placement-responses.test.ts
+++ b/test/gateway/placement-responses.test.ts
@@ -74,6 +74,7 @@
         metrics: new GatewayMetrics(),
         listNotReadyReasons: () => [],
         getStatus: () => ({}),
+        bodyMemory: undefined as never,
     });
     return { planner, app };
 }
--- a/test/platform/uncontrolled-bodies.test.ts
+++ b/test/platform/uncontrolled-bodies.test.ts
@@ -18,6 +18,9 @@
 }
 
 const HEAD = `POST /lookup/x HTTP/1.1\r\nhost: ${HOST}\r\nx-attempt-id: a1\r\nx-deadline-ms: 60000\r\n`;
+/** Head of a call between gateways, whose handler reads the body. */
+const PEER_HEAD = "POST /v1/commands HTTP/1.1\r\nhost: h\r\ncontent-type: application/json\r\n";
+const PEER_CHUNKED = `${PEER_HEAD}transfer-encoding: chunked\r\n\r\n`;
 const CHUNKED = `${HEAD}transfer-encoding: chunked\r\n\r\n`;
 const TINY_CHUNK = "1\r\nx\r\n";
 const SMALL_CHUNK = `40\r\n${"x".repeat(64)}\r\n`;
@@ -103,6 +106,23 @@
             clientCount: MANY_CLIENTS,
             port: "control",
         },
+        {
+            name: "large chunks without end to a handler at the peer port",
+            traffic: createEndless(PEER_CHUNKED, LARGE_CHUNK, 1),
+            port: "control",
+        },
+        {
+            name: "a stated length, short of the end, to a handler at the peer port",
+            traffic: {
+                start: repeat(`${PEER_HEAD}content-length: 4000000\r\n\r\n${"x".repeat(3_900_000)}`, 1),
+            },
+            port: "control",
+        },
+        {
+            name: "one-byte chunks to a handler at the peer port",
+            traffic: createEndless(PEER_CHUNKED, TINY_CHUNK, 10_000),
+            port: "control",
+        },
     ])("leave the process alive within its memory: $name", async ({ traffic, port = "front", clientCount }) => {
         gateway = await CrowdedGateway.start({ maxBodyBytes: MAX_BODY_BYTES });
         await gateway.expectToSurvive(traffic, { port, clientCount });
