fix(coordination): a suspension during a costly read held all such connections as long

A connection that is read while the process is suspended for 60 s was charged with 60 s; it and all others that wait were held for twice that, past their deadlines. Now one read counts 250 ms at most.

--- a/packages/coordination/src/runtime/loop-share.ts
+++ b/packages/coordination/src/runtime/loop-share.ts
@@ -2,6 +2,8 @@
 
 /** Part of the event loop's time that costly reads may take together; the rest is for ordinary requests. */
 const DEFAULT_MAX_SHARE = 0.5;
+/** Longest time that counts for one read; the process was suspended during a longer one. */
+const MAX_COST_MS = 250;
 
 /** A connection that waits until it may be read again. */
 export interface WaitingRead {
@@ -37,9 +39,10 @@
 
     /** Adds a connection that is not read any more; `resume` is called once, when it may be. */
     add(read: WaitingRead): void {
-        const pauseMs = read.costMs * (1 / this.maxShare - 1);
+        const costMs = Math.min(read.costMs, MAX_COST_MS);
+        const pauseMs = costMs * (1 / this.maxShare - 1);
         this.freeAtMs = Math.max(this.freeAtMs, nowMs()) + pauseMs;
-        this.waiting.push(read);
+        this.waiting.push({ ...read, costMs });
         this.schedule();
     }
 
--- a/test/coordination/loop-share.test.ts
+++ b/test/coordination/loop-share.test.ts
@@ -72,6 +72,18 @@
         expect(share.waitingCount).toBe(0);
     });
 
+    // A suspension of the process, or of its machine, in the middle of a read is no cost of that read.
+    it("don't wait longer after a read that lasted for 60 s", () => {
+        const share = new LoopShare();
+        const resumed: number[] = [];
+        const add = (index: number, costMs: number): void =>
+            share.add({ costMs, isGone: () => false, resume: () => resumed.push(index) });
+        add(0, 60_000);
+        for (let index = 1; index < 10; index += 1) add(index, 10);
+        vi.advanceTimersByTime(1_000);
+        expect(resumed).toHaveLength(10);
+    });
+
     it("are resumed after a pause that fits the read, when nobody else waits", () => {
         const share = new LoopShare(0.5);
         const resume = vi.fn();
