fix(coordination): complete bodies in one-byte chunks were never held

A caller who sends one body of 10,000 one-byte chunks after the other, each complete with its read, took 10 ms of the loop for each, and nothing held its connection, since only unfinished bodies were. Now a costly read that brought 100 pieces or more holds the connection also when the body is complete; the next request waits for its turn. Without pieces a costly read goes on being nobody's fault: its time may be the handler's, or another process's.

--- a/packages/coordination/src/node/paced-request.ts
+++ b/packages/coordination/src/node/paced-request.ts
@@ -8,12 +8,20 @@
  */
 const COSTLY_READ_MS = 1;
 
+/**
+ * Least number of a body's pieces in a costly read after which a connection waits although the body is complete. Without
+ * pieces the time went elsewhere, such as to the request's handler.
+ */
+const MIN_COSTLY_PIECES = 100;
+
 /** The event loop is the same for all servers of the process. */
 const processShare = new LoopShare();
 const newestRequests = new WeakMap<Socket, PacedRequest>();
 
 /** A request whose connection can be held while its body is received; Node would read on otherwise. */
 export class PacedRequest extends IncomingMessage {
+    /** Pieces of the body that came since the connection's last read began. */
+    pieceCount = 0;
     private isHeldBack = false;
 
     constructor(socket: Socket) {
@@ -25,6 +33,11 @@
         if (!this.isHeldBack) super._read(size);
     }
 
+    override push(piece: unknown, encoding?: BufferEncoding): boolean {
+        this.pieceCount += 1;
+        return super.push(piece, encoding);
+    }
+
     get isHeld(): boolean {
         return this.isHeldBack;
     }
@@ -54,12 +67,14 @@
         // Node's parser has its listener already and reads in between.
         socket.prependListener("data", () => {
             readAtMs = performance.now();
+            const request = newestRequests.get(socket);
+            if (request !== undefined) request.pieceCount = 0;
         });
         socket.on("data", () => {
             const costMs = performance.now() - readAtMs;
             const request = newestRequests.get(socket);
             if (costMs < COSTLY_READ_MS || request === undefined || socket.destroyed) return;
-            if (request.complete || request.isHeld) return;
+            if (request.isHeld || request.complete && request.pieceCount < MIN_COSTLY_PIECES) return;
             request.hold();
             share.add({ costMs, isGone: () => socket.destroyed, resume: () => request.release() });
         });
