--- a/packages/coordination/src/node/paced-request.ts
+++ b/packages/coordination/src/node/paced-request.ts
@@ -9,6 +9,12 @@
  */
 const COSTLY_READ_MS = 1;
 
+/**
+ * Least number of a body's pieces in a costly read after which a connection waits although the body is complete. Without
+ * pieces the time went elsewhere, such as to the request's handler.
+ */
+const MIN_COSTLY_PIECES = 100;
+
 /** The event loop is the same for all servers of the process. */
 const processShare = new LoopShare();
 /** Of each connection, the newest request before its last read, and those that this read brought. */
@@ -19,6 +25,8 @@
  * somebody reads the body is kept by its bytes, since Node would keep each chunk for itself.
  */
 export class PacedRequest extends IncomingMessage {
+    /** Pieces of the body that came since the connection's last read began. */
+    pieceCount = 0;
     private isHeldBack = false;
     /** Whether its reader has asked for more since it is held. */
     private isReadMissed = false;
@@ -34,6 +42,7 @@
     }
 
     override push(chunk: Buffer | null, encoding?: BufferEncoding): boolean {
+        this.pieceCount += 1;
         if (!this.hasReader && chunk) {
             this.unread.append(chunk);
             return this.hasRoom;
@@ -82,8 +91,9 @@
     }
 }
 
-function isChunked({ headers }: IncomingMessage): boolean {
-    return headers["transfer-encoding"] !== undefined;
+/** Whether the body's pieces may be what a read took long for; of a body of stated length, a read brings one. */
+function isInPieces({ headers, complete, pieceCount }: PacedRequest): boolean {
+    return headers["transfer-encoding"] !== undefined && (!complete || pieceCount >= MIN_COSTLY_PIECES);
 }
 
 /** Whether the connection waits until its caller has read earlier responses. */
@@ -105,13 +115,13 @@
         // Node's parser has its listener already and reads in between.
         socket.prependListener("data", () => {
             readAtMs = performance.now();
+            for (const request of recentRequests.get(socket) ?? []) request.pieceCount = 0;
         });
         socket.on("data", () => {
             const costMs = performance.now() - readAtMs;
             const recent = recentRequests.get(socket) ?? [];
             const request = recent.at(-1);
-            // Of a body of stated length, a read brings one piece; such a read took long for another reason.
-            const isCostly = costMs >= COSTLY_READ_MS && recent.some(isChunked);
+            const isCostly = costMs >= COSTLY_READ_MS && recent.some(isInPieces);
             recent.splice(0, recent.length - 1);
             if (!isCostly || request === undefined || request.isHeld || socket.destroyed) return;
             request.hold();
--- a/packages/coordination/src/runtime/loop-share.ts
+++ b/packages/coordination/src/runtime/loop-share.ts
@@ -42,9 +42,10 @@
 
     /** Adds a connection that is not read any more; `resume` is called once, when it may be. */
     add(read: WaitingRead): void {
-        const pauseMs = limitCost(read) * (1 / this.maxShare - 1);
+        const costMs = Math.min(read.costMs, MAX_READ_COST_MS);
+        const pauseMs = costMs * (1 / this.maxShare - 1);
         this.freeAtMs = Math.max(this.freeAtMs, nowMs()) + pauseMs;
-        this.waiting.push(read);
+        this.waiting.push({ ...read, costMs });
         this.schedule();
     }
 
@@ -59,7 +60,7 @@
         const next = leftMs > 0 ? undefined : this.takeNext();
         if (next !== undefined) {
             // The next connection waits until this one has been read; a read that is longer adds to the time.
-            this.freeAtMs = nowMs() + limitCost(next);
+            this.freeAtMs = nowMs() + next.costMs;
             next.resume();
         }
         this.schedule();
@@ -72,7 +73,3 @@
         return undefined;
     }
 }
-
-function limitCost({ costMs }: WaitingRead): number {
-    return Math.min(costMs, MAX_READ_COST_MS);
-}
