fix(coordination): each held connection read 64 KiB more into no budget

A connection that waits for its turn kept up to 64 KiB in its own buffer, which no budget counts: 131 MB at the 2,000 connections of a gateway with 4,200 descriptors (reckoned). Cause: a paused socket of Node reads on until its buffer is full, and one read fills it.

Now a hold stops the reads of the connection's handle, and its end starts them again if Node takes the handle to read. The bytes stay in the kernel.

--- a/packages/coordination/src/node/paced-request.ts
+++ b/packages/coordination/src/node/paced-request.ts
@@ -58,12 +58,17 @@
     hold(): void {
         this.isHeldBack = true;
         this.socket.pause();
+        // A paused socket reads once more, up to 64 KiB, into its own buffer.
+        getHandle(this.socket)?.readStop();
     }
 
     /** Lets Node read on, unless the body's reader is late: it asks for more once it has read what is buffered. */
     release(): void {
         this.isHeldBack = false;
         if (this.socket.destroyed) return;
+        const handle = getHandle(this.socket);
+        // Otherwise Node starts it itself.
+        if (handle?.reading === true) handle.readStart();
         if (this.isReadMissed) {
             this.isReadMissed = false;
             super._read(this.readableHighWaterMark);
@@ -86,6 +91,17 @@
     return headers["transfer-encoding"] !== undefined;
 }
 
+interface ReadHandle {
+    /** Whether Node takes it to read; a hold doesn't change that. */
+    readonly reading: boolean;
+    readStart(): void;
+    readStop(): void;
+}
+
+function getHandle(socket: Socket): ReadHandle | undefined {
+    return (socket as { _handle?: ReadHandle; })._handle;
+}
+
 /** Whether the connection waits until its caller has read earlier responses. */
 function isPausedByNode(socket: Socket): boolean {
     return (socket as { _paused?: boolean; })._paused === true;
--- a/test/coordination/paced-request.test.ts
+++ b/test/coordination/paced-request.test.ts
@@ -51,6 +51,18 @@
         expect(byteCount).toBe(200_000);
     });
 
+    it("leaves nothing in its connection's own buffer while it is held", async () => {
+        const requests = await send(CHUNKED + TINY_CHUNK.repeat(200_000));
+        const request = await eventually("a request", () => requests[0]);
+        request.resume();
+        let largestByteCount = 0;
+        for (let turn = 0; turn < 200; turn += 1) {
+            await new Promise(resolve => setImmediate(resolve));
+            largestByteCount = Math.max(largestByteCount, request.socket.readableLength);
+        }
+        expect(largestByteCount).toBe(0);
+    });
+
     it("is kept as few pieces while nobody reads it", async () => {
         const requests = await send(CHUNKED + TINY_CHUNK.repeat(8_000));
         const request = await eventually("a request", () => requests[0]);
