fix(coordination): ever new connections took the event loop with their first reads

Callers got no answer for more than 15 s after 190 clients had sent 10,000 one-byte chunks on ever new connections. Cause: a connection is held only after its first costly read, so who connects again reads for nothing.

Now an address owes the time of its costly reads, up to half of the loop (ReadDebts). While it does, its new connections wait for their turn before they are read, up to 64 of them, and further ones are closed. Other addresses aren't touched; an address without costly reads never owes anything.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -47,6 +47,7 @@
 export * from "./runtime/quota-ledger.ts";
 export * from "./runtime/rate-reservations.ts";
 export * from "./runtime/rate-schedule.ts";
+export * from "./runtime/read-debts.ts";
 export { RefusedBody, type RefusedBodyOptions, type RefusedRequest } from "./runtime/refused-body.ts";
 export * from "./runtime/stated-rates.ts";
 export * from "./runtime/use-window.ts";
--- a/packages/coordination/src/node/paced-request.ts
+++ b/packages/coordination/src/node/paced-request.ts
@@ -1,7 +1,10 @@
 import { IncomingMessage, type Server } from "node:http";
 import type { Socket } from "node:net";
 import { LoopShare } from "../runtime/loop-share.ts";
+import { ReadDebts } from "../runtime/read-debts.ts";
 import { ByteCollector } from "../utils/byte-collector.ts";
+import { NewConnections } from "./new-connections.ts";
+import { getReadHandle } from "./read-handle.ts";
 
 /**
  * Least time of a read after which its connection waits for its turn. The 64 KiB that Node reads at once take some
@@ -15,6 +18,9 @@
  */
 const MIN_COSTLY_PIECES = 100;
 
+/** Part of the event loop's time that connections from one address may take before new ones from there have to wait. */
+const MAX_ADDRESS_SHARE = 0.5;
+
 /** The event loop is the same for all servers of the process. */
 const processShare = new LoopShare();
 /** Of each connection, the newest request before its last read, and those that this read brought. */
@@ -68,14 +74,14 @@
         this.isHeldBack = true;
         this.socket.pause();
         // A paused socket reads once more, up to 64 KiB, into its own buffer.
-        getHandle(this.socket)?.readStop();
+        getReadHandle(this.socket)?.readStop();
     }
 
     /** Lets Node read on, unless the body's reader is late: it asks for more once it has read what is buffered. */
     release(): void {
         this.isHeldBack = false;
         if (this.socket.destroyed) return;
-        const handle = getHandle(this.socket);
+        const handle = getReadHandle(this.socket);
         // Otherwise Node starts it itself.
         if (handle?.reading === true) handle.readStart();
         if (this.isReadMissed) {
@@ -101,17 +107,6 @@
     return headers["transfer-encoding"] !== undefined && (!complete || pieceCount >= MIN_COSTLY_PIECES);
 }
 
-interface ReadHandle {
-    /** Whether Node takes it to read; a hold doesn't change that. */
-    readonly reading: boolean;
-    readStart(): void;
-    readStop(): void;
-}
-
-function getHandle(socket: Socket): ReadHandle | undefined {
-    return (socket as { _handle?: ReadHandle; })._handle;
-}
-
 /** Whether the connection waits until its caller has read earlier responses. */
 function isPausedByNode(socket: Socket): boolean {
     return (socket as { _paused?: boolean; })._paused === true;
@@ -125,8 +120,11 @@
  * const server = createServer({ IncomingMessage: PacedRequest });
  * paceBodies(server);
  */
-export function paceBodies(server: Server, share = processShare): void {
+export function paceBodies(server: Server, share = processShare, debts = new ReadDebts(MAX_ADDRESS_SHARE)): void {
+    const newConnections = new NewConnections(share, debts);
     server.on("connection", (socket: Socket) => {
+        const { remoteAddress } = socket;
+        newConnections.admit(socket);
         let readAtMs = 0;
         // Node's parser has its listener already and reads in between.
         socket.prependListener("data", () => {
@@ -139,6 +137,7 @@
             const request = recent.at(-1);
             const isCostly = costMs >= COSTLY_READ_MS && recent.some(isInPieces);
             recent.splice(0, recent.length - 1);
+            if (isCostly && remoteAddress !== undefined) debts.add(remoteAddress, costMs);
             if (!isCostly || request === undefined || request.isHeld || socket.destroyed) return;
             request.hold();
             share.add({ costMs, isGone: () => socket.destroyed, resume: () => request.release() });
--- a/packages/coordination/src/runtime/loop-share.ts
+++ b/packages/coordination/src/runtime/loop-share.ts
@@ -6,7 +6,7 @@
  * Longest time that counts for one read. A read of one-byte chunks takes some 15 ms of a whole core, measured; far more
  * means that the process was suspended during the read.
  */
-const MAX_READ_COST_MS = 100;
+export const MAX_READ_COST_MS = 100;
 
 /** A connection that waits until it may be read again. */
 export interface WaitingRead {
--- a/test/platform/uncontrolled-bodies.test.ts
+++ b/test/platform/uncontrolled-bodies.test.ts
@@ -90,6 +90,11 @@
             name: "requests ahead with stated bodies",
             traffic: { rest: repeat(`${HEAD}content-length: 10000\r\n\r\n${"x".repeat(10_000)}`, 10) },
         },
+        {
+            name: "one-byte chunks on ever new connections",
+            traffic: { start: repeat(CHUNKED + TINY_CHUNK.repeat(10_000), 1), closesWhenSent: true },
+            clientCount: 190,
+        },
         {
             name: "one-byte chunks without end at the readiness port",
             traffic: createEndless(CHUNKED, TINY_CHUNK, 10_000),
--- a/test/support/crowd.ts
+++ b/test/support/crowd.ts
@@ -8,6 +8,8 @@
 export interface CrowdTraffic {
     /** Whether the client reads what comes; it never does by default. */
     readonly readsResponses?: boolean;
+    /** Whether the client closes its connection once all is sent, and opens the next one; by default it stays open. */
+    readonly closesWhenSent?: boolean;
     /** Sent once, at the start of the connection. */
     readonly start?: Buffer;
     /** Sent again and again after that, whenever the connection takes more; nothing by default. */
@@ -49,7 +51,10 @@
             if (socket.write(chunk)) timers.add(setTimeout(() => send(traffic.rest), 1));
             else socket.once("drain", () => send(traffic.rest));
         };
-        socket.once("connect", () => send(traffic.start ?? traffic.rest));
+        socket.once("connect", () => {
+            if (traffic.closesWhenSent === true) socket.end(traffic.start ?? "", () => socket.destroy());
+            else send(traffic.start ?? traffic.rest);
+        });
         // Its connection may be refused or reset at any time.
         socket.on("error", () => undefined);
         socket.once("close", () => {
