--- a/test/platform/uncontrolled-answers.test.ts
+++ b/test/platform/uncontrolled-answers.test.ts
@@ -8,6 +8,9 @@
 const BODY_BYTES = 200_000;
 const EVENT_COUNT = 2_000;
 const STREAM = { path: "/chat/x", headers: "x-model: m1\r\nx-token-count: 100,60\r\n" };
+const DRAFT = { ...STREAM, path: "/draft/x" };
+/** Runs on after its caller has gone. */
+const ORDER = { path: "/orders/x", headers: "" };
 const RESPONSE = { path: "/lookup/x", headers: "" };
 
 let gateway: CrowdedGateway;
@@ -37,6 +40,13 @@
         { name: "events short of the end", request: STREAM, fault: "unfinished_tiny_event", readsResponses: true },
         { name: "events without end", request: STREAM, fault: "endless_tiny_event", readsResponses: true },
         { name: "streams without end", request: STREAM, fault: "endless_tiny_events", readsResponses: true },
+        { name: "bodies without end, not repeated", request: ORDER, fault: "endless_tiny_body", readsResponses: true },
+        {
+            name: "streams without end, not resumed",
+            request: DRAFT,
+            fault: "endless_tiny_events",
+            readsResponses: true,
+        },
         { name: "whole streams that nobody reads", request: STREAM, fault: "tiny_pieces", readsResponses: false },
     ])("leave the process alive within its memory: $name", async ({ request, fault, readsResponses }) => {
         gateway = await CrowdedGateway.start({ bodyByteCount: BODY_BYTES, eventCount: EVENT_COUNT });
