--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -36,6 +36,7 @@
     type RequestHeadGuardOptions,
     type RequestHeadLimits,
 } from "./node/request-head-guard.ts";
+export * from "./runtime/body-memory.ts";
 export * from "./runtime/head-fault.ts";
 export * from "./runtime/log-limiter.ts";
 export * from "./runtime/loop-share.ts";
--- a/packages/router/src/runtime/body-memory.ts
+++ b/packages/coordination/src/runtime/body-memory.ts
@@ -1,4 +1,4 @@
-import { nowMs } from "@skylarkmill/coordination";
+import { nowMs } from "../utils/clock.ts";
 
 /** Time that a body may take in any case; a body within the limit arrives in a part of it over an ordinary link. */
 const MIN_RECEIVE_MS = 1000;
--- a/packages/router/src/node/router.ts
+++ b/packages/router/src/node/router.ts
@@ -2,6 +2,7 @@
 import { type ConfigView, createConfigView, KEYS } from "@skylarkmill/config";
 import type { PlacementDuty } from "@skylarkmill/control";
 import {
+    BodyMemory,
     type ClaimWriter,
     closeServer,
     createClaimWriter,
@@ -28,7 +29,6 @@
 import { randomBytes } from "node:crypto";
 import type { Server } from "node:http";
 import { AgentPools } from "../runtime/agent-pools.ts";
-import { BodyMemory } from "../runtime/body-memory.ts";
 import { DemandTracker } from "../runtime/demand-tracker.ts";
 import { DurationTracker } from "../runtime/duration-tracker.ts";
 import { KeyedRequests } from "../runtime/keyed-requests.ts";
--- a/packages/router/src/types/context.ts
+++ b/packages/router/src/types/context.ts
@@ -1,9 +1,8 @@
 import type { ConfigView } from "@skylarkmill/config";
-import type { LogLimiter } from "@skylarkmill/coordination";
+import type { BodyMemory, LogLimiter } from "@skylarkmill/coordination";
 import type { AttemptId } from "@skylarkmill/protocol";
 import type Logger from "bunyan";
 import type { AgentPools } from "../runtime/agent-pools.ts";
-import type { BodyMemory } from "../runtime/body-memory.ts";
 import type { DemandTracker } from "../runtime/demand-tracker.ts";
 import type { DurationTracker } from "../runtime/duration-tracker.ts";
 import type { RequestTracker } from "../runtime/request-tracker.ts";
--- a/packages/router/src/utils/read-body.ts
+++ b/packages/router/src/utils/read-body.ts
@@ -1,8 +1,7 @@
-import { ByteCollector } from "@skylarkmill/coordination";
+import { type BodyShare, ByteCollector } from "@skylarkmill/coordination";
 import type { Refusal } from "@skylarkmill/protocol";
 import { err, ok, type Result } from "neverthrow";
 import type { IncomingMessage } from "node:http";
-import type { BodyShare } from "../runtime/body-memory.ts";
 import { refusals } from "./refusals.ts";
 
 /**
--- a/test/router/body-memory-replay.test.ts
+++ b/test/coordination/body-memory.test.ts
@@ -1,6 +1,6 @@
+import { BodyMemory, type BodyShare } from "@skylarkmill/coordination";
 import fc from "fast-check";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { BodyMemory, type BodyShare } from "../../packages/router/src/runtime/body-memory.ts";
 import { seeded } from "../support/seed.ts";
 
 const MAX_BYTES = 1_000;
