fix(agent): bodies that never end had no limit over all of them

60 callers with the right key and 3.9 MB each, short of the end, took an agent to 351 MB (bound 220). Cause: up to 4 MiB a request were kept, with no limit over all requests.

--- a/packages/agent/src/node/agent.ts
+++ b/packages/agent/src/node/agent.ts
@@ -1,5 +1,6 @@
 import { KEYS } from "@skylarkmill/config";
 import {
+    BodyMemory,
     createPeerServerWhenFree,
     createPermitClient,
     createRecordStore,
@@ -155,6 +156,7 @@
             listen: requestListen,
             peerKeys,
             maxBodyBytes: limits.maxBodyBytes,
+            bodyMemory: new BodyMemory(limits.maxBufferedBodyBytes),
             handle: request => handler.handle(request),
             serverLoadHeader: () => createServerLoadHeader(this.statusSources),
             isReady: () => this.isReady,
--- a/packages/agent/src/node/request-server.ts
+++ b/packages/agent/src/node/request-server.ts
@@ -1,6 +1,7 @@
 import { createAdaptorServer, type HttpBindings } from "@hono/node-server";
 import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
 import {
+    type BodyMemory,
     createInternalServerOptions,
     guardInternalServer,
     isAcceptedSecret,
@@ -28,6 +29,9 @@
 /** Interval at which a server that closes looks for open responses. */
 const CLOSE_CHECK_INTERVAL_MS = 20;
 
+/** Retry delay sent while there is no memory for a body. */
+const NO_MEMORY_RETRY_MS = 1000;
+
 /** Routers reuse connections; Node's default of 5 s would close most of them between two requests. */
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
 
@@ -46,6 +50,7 @@
     readonly listen: ListenAddress;
     readonly peerKeys: () => readonly string[];
     readonly maxBodyBytes: number;
+    readonly bodyMemory: BodyMemory;
     readonly handle: (request: RoutedRequest) => Promise<AgentResponse>;
     readonly serverLoadHeader: () => string;
     readonly isReady: () => boolean;
@@ -139,13 +144,13 @@
     const head = parseRequestHead(header, Date.now());
     if (head.isErr()) return err(REFUSALS.badRequestHead(head.error));
     const signal = createDisconnectSignal(outgoing, head.value.deadlineAtMs);
-    const body = await readRequestBody(incoming, options.maxBodyBytes);
+    const share = options.bodyMemory.open();
+    outgoing.once("close", () => share.release());
+    const body = await readRequestBody(incoming, options.maxBodyBytes, share);
     if (body.isErr()) {
-        return err(
-            body.error === "too_large"
-                ? REFUSALS.bodyTooLarge()
-                : REFUSALS.badRequestHead("The body broke off."),
-        );
+        if (body.error === "too_large") return err(REFUSALS.bodyTooLarge());
+        if (body.error === "no_memory") return err(REFUSALS.overloaded("no_memory", NO_MEMORY_RETRY_MS));
+        return err(REFUSALS.badRequestHead("The body broke off."));
     }
     return ok(
         await options.handle({
--- a/packages/agent/src/types/options.ts
+++ b/packages/agent/src/types/options.ts
@@ -18,6 +18,8 @@
     readonly maxQueuedCount: number;
     /** Maximum size of a request body. @default 4 MiB */
     readonly maxBodyBytes: number;
+    /** Total size of the request bodies held in memory. @default 64 MiB */
+    readonly maxBufferedBodyBytes: number;
     /** Maximum size of a non-streamed response of a model engine, which is buffered and checked. @default 16 MiB */
     readonly maxResponseBytes: number;
     /** Interval between reads of the engine's index. @default 1000 */
--- a/packages/agent/src/utils/resolve-options.ts
+++ b/packages/agent/src/utils/resolve-options.ts
@@ -12,6 +12,7 @@
 const DEFAULT_LIMITS: AgentLimits = {
     maxQueuedCount: 1000,
     maxBodyBytes: 4 * MIB,
+    maxBufferedBodyBytes: 64 * MIB,
     maxResponseBytes: 16 * MIB,
     indexIntervalMs: 1000,
     settleMs: 2000,
--- a/test/failures/uncontrolled-bodies.test.ts
+++ b/test/failures/uncontrolled-bodies.test.ts
@@ -1,6 +1,7 @@
+import { HEADERS } from "@skylarkmill/protocol";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { callInChunks } from "../support/chunked-caller.ts";
-import { type Cluster, startCluster } from "../support/cluster.ts";
+import { type Cluster, PEER_KEY, startCluster } from "../support/cluster.ts";
 import { CROWDED_NODE_FLAGS, type CrowdTraffic, expectSurvival, playCrowd } from "../support/crowd.ts";
 import { createSections } from "./support/fixture.ts";
 
@@ -24,6 +25,8 @@
 
 const CHAT = "POST /v1/chat/completions HTTP/1.1\r\nhost: h\r\ncontent-type: application/json\r\n";
 const EDIT = "PUT /operator/config/models HTTP/1.1\r\nhost: h\r\ncontent-type: application/json\r\n";
+const KEYED_CHAT = `${CHAT}${HEADERS.peerKey}: ${PEER_KEY}\r\n${HEADERS.requestId}: r\r\n${HEADERS.attemptId}: a\r\n`
+    + `${HEADERS.service}: workshop-assistant\r\n${HEADERS.remainingMs}: 600000\r\n`;
 const CHUNKED = "transfer-encoding: chunked\r\n\r\n";
 const TINY_CHUNK = "1\r\nx\r\n";
 const LARGE_CHUNK = `10000\r\n${"x".repeat(65_536)}\r\n`;
@@ -55,6 +58,16 @@
     ];
 }
 
+async function expectProcessToSurvive({ process: name, at, traffic, clientCount }: BodyCrowd): Promise<void> {
+    const target = new URL(at === "operators" ? cluster.operatorUrl(name) : cluster.url(name));
+    const address = { host: target.hostname, port: Number(target.port) };
+    const outcome = await playCrowd(cluster.process(name), { ...address, traffic, clientCount }, async () => {
+        const response = await cluster.sendChat({ model: "bench-diagnosis" }).catch(() => undefined);
+        return response?.status === 200;
+    });
+    expectSurvival(outcome, MEMORY_MB);
+}
+
 // Guards against callers that end a process or keep it busy by the number of pieces in which their bodies come, or by
 // bodies that never end.
 describe("bodies of callers that send and never read", () => {
@@ -93,16 +106,21 @@
             traffic: { start: repeat(CHAT + CHUNKED + LARGE_CHUNK.repeat(60), 1) },
             clientCount: 60,
         },
-    ])("leave $process alive within its memory: $name of $at", async ({ process: name, at, ...crowd }) => {
-        const target = new URL(at === "operators" ? cluster.operatorUrl(name) : cluster.url(name));
-        const address = { host: target.hostname, port: Number(target.port) };
-        const { traffic, clientCount } = crowd;
-        const outcome = await playCrowd(cluster.process(name), { ...address, traffic, clientCount }, async () => {
-            const response = await cluster.sendChat({ model: "bench-diagnosis" }).catch(() => undefined);
-            return response?.status === 200;
-        });
-        expectSurvival(outcome, MEMORY_MB);
-    }, 60_000);
+    ])("leave $process alive within its memory: $name of $at", expectProcessToSurvive, 60_000);
+});
+
+// Guards against bodies that are read because their callers have a key or a token.
+describe("bodies of callers with a key that send and never read", () => {
+    it.each<BodyCrowd>([
+        ...createTinyChunkCases("agent-1", KEYED_CHAT, "callers"),
+        {
+            name: "large chunks short of the end",
+            process: "agent-1",
+            at: "callers",
+            traffic: { start: repeat(KEYED_CHAT + CHUNKED + LARGE_CHUNK.repeat(60), 1) },
+            clientCount: 60,
+        },
+    ])("leave $process alive within its memory: $name of $at", expectProcessToSurvive, 60_000);
 });
 
 // Guards against limits that refuse a single request within the limits.
--- a/test/support/cluster.ts
+++ b/test/support/cluster.ts
@@ -40,7 +40,7 @@
     readonly signal?: AbortSignal;
 }
 
-const PEER_KEY = "cluster-peer-key";
+export const PEER_KEY = "cluster-peer-key";
 export const TEAM_TOKEN = "cluster-team-token";
 
 /** Makes one HTTP call; a broken connection rejects. */
