fix(control): an operator's body in one-byte chunks ended the router

60 callers with a team's token and one-byte chunks ended a router (178 MB, heap of 100 MB). Cause: the chunks were kept as they came, one object each, 68 MB for a body of 300,000 bytes; and there was no limit over all bodies. Without a token nothing of a body is read; that was so before.

Now its bytes are copied together (ByteCollector), and all bodies together hold 16 MiB. Once that is used up, the oldest that are not complete after a second lose theirs (503 no_memory, not_accepted).

--- a/packages/control/src/node/operator-app.ts
+++ b/packages/control/src/node/operator-app.ts
@@ -1,5 +1,5 @@
 import { type ConfigSection, KEYS } from "@skylarkmill/config";
-import { silentLogger } from "@skylarkmill/coordination";
+import { BodyMemory, silentLogger } from "@skylarkmill/coordination";
 import { type EditId, type TeamId, toId } from "@skylarkmill/protocol";
 import { type Context, Hono } from "hono";
 import { randomUUID } from "node:crypto";
@@ -26,6 +26,9 @@
 /** Maximum size of a request body. A stored section takes at most 1 MB; indented JSON takes more. */
 const MAX_BODY_BYTES = 4 * 1024 * 1024;
 
+/** Memory for the request bodies that are read at the same time; edits are short and rare. */
+const MAX_BUFFERED_BODY_BYTES = 16 * 1024 * 1024;
+
 const DEFAULTS = { peerTimeoutMs: 1_000, maxConcurrentCalls: 32, logger: silentLogger };
 
 /**
@@ -89,6 +92,7 @@
     editCounter: Counter<"outcome">,
 ): void {
     const { records, config } = options;
+    const bodyMemory = new BodyMemory(MAX_BUFFERED_BODY_BYTES);
     app.get("/operator/config", context => {
         const sections = config.sections().map(({ name, version, section }) => [name, { version, section }]);
         return send(
@@ -139,7 +143,7 @@
         const editId = readEditId(context.req.header("x-edit-id"));
         const ifMatch = readIfMatch(context.req.header("if-match"));
         for (const input of [section, editId, ifMatch]) if (input.isErr()) return send(context, input.error);
-        const body = await readJson(context.req.raw, MAX_BODY_BYTES);
+        const body = await readJson(context.req.raw, MAX_BODY_BYTES, bodyMemory);
         if (body.isErr()) return send(context, body.error);
         const response = await editor.applyEdit({
             team: context.get("team"),
--- a/test/failures/uncontrolled-bodies.test.ts
+++ b/test/failures/uncontrolled-bodies.test.ts
@@ -1,7 +1,7 @@
 import { HEADERS } from "@skylarkmill/protocol";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { callInChunks } from "../support/chunked-caller.ts";
-import { type Cluster, PEER_KEY, startCluster } from "../support/cluster.ts";
+import { type Cluster, PEER_KEY, startCluster, TEAM_TOKEN } from "../support/cluster.ts";
 import { CROWDED_NODE_FLAGS, type CrowdTraffic, expectSurvival, playCrowd } from "../support/crowd.ts";
 import { createSections } from "./support/fixture.ts";
 
@@ -27,6 +27,7 @@
 const EDIT = "PUT /operator/config/models HTTP/1.1\r\nhost: h\r\ncontent-type: application/json\r\n";
 const KEYED_CHAT = `${CHAT}${HEADERS.peerKey}: ${PEER_KEY}\r\n${HEADERS.requestId}: r\r\n${HEADERS.attemptId}: a\r\n`
     + `${HEADERS.service}: workshop-assistant\r\n${HEADERS.remainingMs}: 600000\r\n`;
+const KEYED_EDIT = `${EDIT}authorization: Bearer ${TEAM_TOKEN}\r\nx-edit-id: e\r\nif-match: "1"\r\n`;
 const CHUNKED = "transfer-encoding: chunked\r\n\r\n";
 const TINY_CHUNK = "1\r\nx\r\n";
 const LARGE_CHUNK = `10000\r\n${"x".repeat(65_536)}\r\n`;
@@ -120,6 +121,7 @@
             traffic: { start: repeat(KEYED_CHAT + CHUNKED + LARGE_CHUNK.repeat(60), 1) },
             clientCount: 60,
         },
+        ...createTinyChunkCases("router-1", KEYED_EDIT, "operators"),
     ])("leave $process alive within its memory: $name of $at", expectProcessToSurvive, 60_000);
 });
 
