feat(gateway): metrics and status tell why bodies are refused or wait

refused_bodies_total by reason (late, too_long, no_small_memory, no_large_memory), held_connections, costly_reads_total, costly_read_seconds_total and held_seconds_total; heldConnections, smallBodyBytes and bufferedBytes in /v1/status.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -19,7 +19,7 @@
     type ListenWhenFreeOptions,
 } from "./node/http-server.ts";
 export { createInternalServerOptions, guardInternalServer } from "./node/internal-server-guard.ts";
-export { paceBodies, PacedRequest } from "./node/paced-request.ts";
+export { paceBodies, PacedRequest, processLoopShare } from "./node/paced-request.ts";
 export { createPeerClient, type PeerClient, type PeerClientOptions } from "./node/peer-client.ts";
 export {
     createPeerServer,
--- a/packages/coordination/src/node/paced-request.ts
+++ b/packages/coordination/src/node/paced-request.ts
@@ -15,7 +15,7 @@
 const MIN_COSTLY_PIECES = 100;
 
 /** The event loop is the same for all servers of the process. */
-const processShare = new LoopShare();
+export const processLoopShare = new LoopShare();
 const newestRequests = new WeakMap<Socket, PacedRequest>();
 
 /** A request whose connection can be held while its body is received; Node would read on otherwise. */
@@ -61,7 +61,7 @@
  * const server = createServer({ IncomingMessage: PacedRequest });
  * paceBodies(server);
  */
-export function paceBodies(server: Server, share = processShare): void {
+export function paceBodies(server: Server, share = processLoopShare): void {
     server.on("connection", (socket: Socket) => {
         let readAtMs = 0;
         // Node's parser has its listener already and reads in between.
--- a/packages/coordination/src/runtime/loop-share.ts
+++ b/packages/coordination/src/runtime/loop-share.ts
@@ -5,6 +5,16 @@
 /** Longest time that counts for one read; the process was suspended during a longer one. */
 const MAX_COST_MS = 250;
 
+/** What connections whose reads take long have cost and waited so far. */
+export interface LoopShareTotals {
+    /** Number of costly reads. */
+    readonly readCount: number;
+    /** Time that these reads took on the event loop. */
+    readonly costMs: number;
+    /** Time that connections waited for their turn, over all of them. */
+    readonly heldMs: number;
+}
+
 /** A connection that waits until it may be read again. */
 export interface WaitingRead {
     /** Time that its last read took on the event loop, in milliseconds; the next one is expected to take the same. */
@@ -24,7 +34,10 @@
  * share.add({ costMs: 12, isGone: () => socket.destroyed, resume: () => socket.resume() });
  */
 export class LoopShare {
-    private readonly waiting: WaitingRead[] = [];
+    private readonly waiting: (WaitingRead & { readonly addedAtMs: number; })[] = [];
+    private readCount = 0;
+    private costMs = 0;
+    private heldMs = 0;
     /** Time at which the reads so far have had their share. */
     private freeAtMs = 0;
     private timer: NodeJS.Timeout | undefined;
@@ -37,12 +50,18 @@
         return this.waiting.length;
     }
 
+    get totals(): LoopShareTotals {
+        return { readCount: this.readCount, costMs: this.costMs, heldMs: this.heldMs };
+    }
+
     /** Adds a connection that is not read any more; `resume` is called once, when it may be. */
     add(read: WaitingRead): void {
         const costMs = Math.min(read.costMs, MAX_COST_MS);
         const pauseMs = costMs * (1 / this.maxShare - 1);
         this.freeAtMs = Math.max(this.freeAtMs, nowMs()) + pauseMs;
-        this.waiting.push({ ...read, costMs });
+        this.readCount += 1;
+        this.costMs += read.costMs;
+        this.waiting.push({ ...read, costMs, addedAtMs: nowMs() });
         this.schedule();
     }
 
@@ -65,6 +84,7 @@
 
     private takeNext(): WaitingRead | undefined {
         for (let read = this.waiting.shift(); read !== undefined; read = this.waiting.shift()) {
+            this.heldMs += nowMs() - read.addedAtMs;
             if (!read.isGone()) return read;
         }
         return undefined;
--- a/packages/gateway/src/node/body-reader.ts
+++ b/packages/gateway/src/node/body-reader.ts
@@ -14,6 +14,9 @@
     readonly pool: BodyBlockPool;
 }
 
+/** Why a body is not taken: it is over the limit, or the budget for small or for large ones has no room. */
+export type BodyFault = "too_long" | "no_small_memory" | "no_large_memory";
+
 /** Reads the body of one request within a limit for each body and budgets for all of them. */
 export class BodyReader {
     private readonly request: IncomingMessage;
@@ -27,6 +30,7 @@
     private blocks: Buffer[] = [];
     private body: RequestBody | undefined;
     private isDiscarded = false;
+    private currentFault: BodyFault | undefined;
 
     constructor(request: IncomingMessage, maxBytes: number, memory: BodyMemory) {
         this.request = request;
@@ -34,6 +38,11 @@
         this.memory = memory;
     }
 
+    /** Why the body has been refused. */
+    get fault(): BodyFault | undefined {
+        return this.currentFault;
+    }
+
     /**
      * Resolves with the whole body, or with a refusal as soon as it is clear that the body is not taken. What it keeps is
      * freed then; see `RefusedBody` for the rest of the body. An `undefined` error means that the caller has disconnected.
@@ -42,18 +51,20 @@
         const { request, maxBytes } = this;
         const statedByteCount = Number(request.headers["content-length"] ?? 0);
         return new Promise(resolve => {
-            const refuse = (refusal: Refusal): void => {
+            const refuse = (refusal: Refusal, fault: BodyFault): void => {
+                this.currentFault = fault;
                 this.discard();
                 resolve(err(refusal));
             };
             const tooLong = refusals.invalidRequest("The body is too long.", 413);
-            if (statedByteCount > maxBytes) refuse(tooLong);
-            else if (!this.tryReserve(statedByteCount)) refuse(refusals.noMemory());
+            if (statedByteCount > maxBytes) refuse(tooLong, "too_long");
+            else if (!this.tryReserve(statedByteCount)) refuse(refusals.noMemory(), "no_large_memory");
             request.on("data", (chunk: Buffer) => {
                 if (this.isDiscarded) return;
                 const byteCount = this.byteCount + chunk.length;
-                if (byteCount > maxBytes) refuse(tooLong);
-                else if (!this.tryReserve(byteCount) || !this.tryAppend(chunk)) refuse(refusals.noMemory());
+                if (byteCount > maxBytes) refuse(tooLong, "too_long");
+                else if (!this.tryReserve(byteCount)) refuse(refusals.noMemory(), "no_large_memory");
+                else if (!this.tryAppend(chunk)) refuse(refusals.noMemory(), "no_small_memory");
             });
             request.once("end", () => {
                 if (!this.isDiscarded) resolve(ok(this.complete()));
--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -18,7 +18,7 @@
 import type { CallerLimits } from "../types/configuration.ts";
 import type { RequestHead } from "../types/options.ts";
 import { createRefusalHeaders, refusals } from "../utils/refusals.ts";
-import { type BodyMemory, BodyReader } from "./body-reader.ts";
+import { type BodyFault, type BodyMemory, BodyReader } from "./body-reader.ts";
 
 /** Limits that apply until a configuration has been read. */
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
@@ -52,6 +52,7 @@
         startedAtMs: number,
     ) => void;
     readonly onHeadFault: (fault: HeadFault) => void;
+    readonly onBodyFault: (fault: BodyFault | "late") => void;
     /** Called for each response that is ended since its caller doesn't read it and memory is short. */
     readonly onUnreadResponse: () => void;
     readonly onError: (error: unknown) => void;
@@ -122,6 +123,11 @@
         return this.openResponses.size;
     }
 
+    /** Memory that small bodies take, of requests whose responses have not ended. */
+    get smallBodyByteCount(): number {
+        return this.bodyMemory.smallBudget.byteCount;
+    }
+
     /** Closes idle connections, unless a response has ended whose bytes still wait: Node counts its connection as idle. */
     closeIdleConnections(): void {
         for (const response of this.openResponses.keys()) if (response.writableEnded) return;
@@ -197,12 +203,14 @@
             response.once("close", () => reader.discard());
             const upload = this.watchUpload(request, response, head, startedAtMs, () => {
                 reader.discard();
+                this.options.onBodyFault("late");
                 writer.refuseUpload(this.options.createBodyTimeoutRefusal());
             });
             const body = await reader.read();
             if (body.isOk()) this.uploadWatch.remove(upload);
             if (body.isErr()) {
                 this.uploadWatch.remove(upload);
+                if (reader.fault !== undefined) this.options.onBodyFault(reader.fault);
                 if (body.error !== undefined) this.refuseBody(upload, writer, body.error);
                 return;
             }
--- a/packages/gateway/src/runtime/gateway-metrics.ts
+++ b/packages/gateway/src/runtime/gateway-metrics.ts
@@ -1,3 +1,4 @@
+import { processLoopShare } from "@skylarkmill/coordination";
 import type { WorkspaceId } from "@skylarkmill/protocol";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 
@@ -45,6 +46,31 @@
         "Request heads that were refused, by reason: late, too_large, limit_raised, malformed, ahead or no_memory.",
         ["reason"],
     );
+    readonly refusedBodies = this.counter(
+        "refused_bodies_total",
+        "Requests refused for their bodies, by reason: late, too_long, no_small_memory or no_large_memory.",
+        ["reason"],
+    );
+    readonly heldConnections = this.gauge(
+        "held_connections",
+        "Connections that wait for their turn to be read, since their bodies come in very many pieces.",
+        () => processLoopShare.waitingCount,
+    );
+    readonly costlyReads = this.total(
+        "costly_reads_total",
+        "Reads after which a connection had to wait for its turn.",
+        () => processLoopShare.totals.readCount,
+    );
+    readonly costlyReadSeconds = this.total(
+        "costly_read_seconds_total",
+        "Time that such reads took on the event loop.",
+        () => processLoopShare.totals.costMs / 1_000,
+    );
+    readonly heldSeconds = this.total(
+        "held_seconds_total",
+        "Time that connections waited for their turn, over all of them.",
+        () => processLoopShare.totals.heldMs / 1_000,
+    );
     readonly unreadResponses = this.counter(
         "unread_responses_ended_total",
         "Long responses that were ended for lack of memory, since their callers read nothing.",
@@ -91,8 +117,31 @@
         return new Counter({ name: `skylarkmill_gateway_${name}`, help, labelNames, registers: [this.registry] });
     }
 
-    private gauge(name: string, help: string): Gauge {
-        return new Gauge({ name: `skylarkmill_gateway_${name}`, help, registers: [this.registry] });
+    /** A counter whose value is kept elsewhere. */
+    private total(name: string, help: string, read: () => number): Counter {
+        return new Counter({
+            name: `skylarkmill_gateway_${name}`,
+            help,
+            registers: [this.registry],
+            collect() {
+                this.reset();
+                this.inc(read());
+            },
+        });
+    }
+
+    /** @param read Returns the value, where it is kept elsewhere. */
+    private gauge(name: string, help: string, read?: () => number): Gauge {
+        return new Gauge({
+            name: `skylarkmill_gateway_${name}`,
+            help,
+            registers: [this.registry],
+            ...(read === undefined ? {} : {
+                collect() {
+                    this.set(read());
+                },
+            }),
+        });
     }
 
     private histogram(name: string, help: string): Histogram {
--- a/test/coordination/loop-share.test.ts
+++ b/test/coordination/loop-share.test.ts
@@ -70,6 +70,8 @@
         vi.advanceTimersByTime(10);
         expect(resumed).toEqual([0, 100]);
         expect(share.waitingCount).toBe(0);
+        // 101 reads of 10 ms; the first waited for their pauses, the others for one more read.
+        expect(share.totals).toEqual({ readCount: 101, costMs: 1_010, heldMs: 1_010 + 100 * 1_020 });
     });
 
     // A suspension of the process, or of its machine, in the middle of a read is no cost of that read.
--- a/test/platform/paced-bodies.test.ts
+++ b/test/platform/paced-bodies.test.ts
@@ -1,5 +1,6 @@
 import { afterAll, afterEach, beforeAll, describe, expect, it } from "vitest";
 import { callInChunks } from "../support/chunked-caller.ts";
+import { eventually } from "../support/eventually.ts";
 import { PacedCaller } from "../support/paced-caller.ts";
 import { createConfigurationDocument, HOST, PlatformFixture } from "./stand-ins/fixture.ts";
 
@@ -74,6 +75,28 @@
         40_000,
     );
 
+    it("show in the metrics and the status while they wait", async () => {
+        const readMetric = async (name: string): Promise<number> => {
+            const text = await fixture.gateways[0]!.gateway.metrics.registry.metrics();
+            const value = new RegExp(`^skylarkmill_gateway_${name} (\\S+)$`, "m").exec(text)?.[1];
+            return Number(value);
+        };
+        const lateCount = await readMetric('refused_bodies_total{reason="late"}') || 0;
+        const before = await readMetric("costly_reads_total");
+        connectCrowd(CROWD_DEADLINE_MS);
+        await eventually("held connections", async () => await readMetric("held_connections") > 0 || undefined);
+        expect(fixture.gateways[0]!.gateway.status()).toMatchObject({
+            heldConnections: expect.any(Number) as number,
+            smallBodyBytes: expect.any(Number) as number,
+            bufferedBytes: expect.any(Number) as number,
+        });
+        await Promise.all(callers.map(caller => caller.waitForEnd(caller.connectedAtMs, 20_000)));
+        expect(await readMetric("costly_reads_total")).toBeGreaterThan(before);
+        expect(await readMetric("costly_read_seconds_total")).toBeGreaterThan(0);
+        expect(await readMetric("held_seconds_total")).toBeGreaterThan(0);
+        expect(await readMetric('refused_bodies_total{reason="late"}')).toBeGreaterThan(lateCount);
+    }, 40_000);
+
     it("are refused as not run by a gateway that stops", async () => {
         const runCount = fixture.servers[0]!.requests.length;
         connectCrowd(DEADLINE_MS);
