--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -18,8 +18,13 @@
     listenWhenFree,
     type ListenWhenFreeOptions,
 } from "./node/http-server.ts";
-export { createInternalServerOptions, guardInternalServer } from "./node/internal-server-guard.ts";
-export { paceBodies, PacedRequest, processLoopShare } from "./node/paced-request.ts";
+export {
+    createInternalServerOptions,
+    guardInternalServer,
+    MAX_LATE_BODY_BYTES,
+    MAX_REQUEST_MEMORY_BYTES,
+} from "./node/internal-server-guard.ts";
+export { COSTLY_READ_MS, paceBodies, PacedRequest, processLoopShare } from "./node/paced-request.ts";
 export { createPeerClient, type PeerClient, type PeerClientOptions } from "./node/peer-client.ts";
 export {
     createPeerServer,
@@ -31,10 +36,12 @@
 export { createRecordStore, type RecordStoreOptions } from "./node/record-store.ts";
 export {
     createHeadGuardServerOptions,
+    DEFAULT_MAX_REQUESTS_AHEAD,
     type RawRefusal,
     RequestHeadGuard,
     type RequestHeadGuardOptions,
     type RequestHeadLimits,
+    UNFINISHED_HEAD_SHARE,
 } from "./node/request-head-guard.ts";
 export * from "./runtime/head-fault.ts";
 export * from "./runtime/log-limiter.ts";
--- a/packages/coordination/src/node/internal-server-guard.ts
+++ b/packages/coordination/src/node/internal-server-guard.ts
@@ -6,10 +6,10 @@
 
 /** Heads of requests between own processes hold those of callers, and more. */
 const LIMITS: RequestHeadLimits = { maxHeaderBytes: 32 * 1024, headerTimeoutMs: 60_000 };
-const MAX_REQUEST_MEMORY_BYTES = 24 * 1024 * 1024;
+export const MAX_REQUEST_MEMORY_BYTES = 24 * 1024 * 1024;
 const NO_MEMORY_RETRY_MS = 500;
 /** Bounds of the part of a body that comes after the response; no body inside the limits is as long. */
-const MAX_LATE_BODY_BYTES = 16 * 1024 * 1024;
+export const MAX_LATE_BODY_BYTES = 16 * 1024 * 1024;
 const MAX_LATE_BODY_MS = 30_000;
 
 /**
--- a/packages/coordination/src/node/paced-request.ts
+++ b/packages/coordination/src/node/paced-request.ts
@@ -6,7 +6,7 @@
  * Least time of a read after which its connection waits for its turn. The 64 KiB that Node reads at once take some
  * hundredths of a millisecond as plain bytes, and some ten milliseconds as one-byte chunks.
  */
-const COSTLY_READ_MS = 1;
+export const COSTLY_READ_MS = 1;
 
 /**
  * Least number of a body's pieces in a costly read after which a connection waits although the body is complete. Without
--- a/packages/coordination/src/node/request-head-guard.ts
+++ b/packages/coordination/src/node/request-head-guard.ts
@@ -40,9 +40,9 @@
 const MIN_PARSER_HEADER_BYTES = 32 * 1024;
 /** Least size of a header line, with its end. */
 const MIN_HEADER_LINE_BYTES = 4;
-const DEFAULT_MAX_REQUESTS_AHEAD = 32;
+export const DEFAULT_MAX_REQUESTS_AHEAD = 32;
 /** Part of the memory for requests that unfinished heads of many lines may take besides. */
-const UNFINISHED_HEAD_SHARE = 0.25;
+export const UNFINISHED_HEAD_SHARE = 0.25;
 /** Time for which a refused caller may still send; closing at once would reset the connection before it reads the refusal. */
 const LINGER_MS = 1_000;
 
--- a/packages/coordination/src/runtime/loop-share.ts
+++ b/packages/coordination/src/runtime/loop-share.ts
@@ -1,7 +1,7 @@
 import { nowMs } from "../utils/clock.ts";
 
 /** Part of the event loop's time that costly reads may take together; the rest is for ordinary requests. */
-const DEFAULT_MAX_SHARE = 0.5;
+export const DEFAULT_MAX_SHARE = 0.5;
 /** Longest time that counts for one read; the process was suspended during a longer one. */
 const MAX_COST_MS = 250;
 
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -24,6 +24,7 @@
 import type { HttpResponseWriter } from "../runtime/http-response-writer.ts";
 import { countRunningRequests, LocalDemandTracker } from "../runtime/local-demand-tracker.ts";
 import { MemberSelection, selectReaders } from "../runtime/member-selection.ts";
+import { MEMORY_SHARES } from "../runtime/memory-shares.ts";
 import { OrderRights } from "../runtime/order-rights.ts";
 import { PlacementPlanner } from "../runtime/placement-planner.ts";
 import { BodyBlockPool, type RequestBody } from "../runtime/request-body.ts";
@@ -78,17 +79,6 @@
 const STOP_COORDINATION_TIMEOUT_MS = 200;
 /** Retry delay sent while stopping; it is short because another gateway can serve the request immediately. */
 const STOP_RETRY_MS = 50;
-/**
- * Share of the process's memory for buffered bytes. Blocks of former bodies take as much at most, and parts that were
- * read take memory too until they are collected.
- */
-const BUFFERED_MEMORY_SHARE = 0.2;
-/** Share of the process's memory for requests whose responses have not ended, without their bodies. */
-const REQUEST_MEMORY_SHARE = 0.1;
-/** Share of the process's memory for the small bodies of these requests. */
-const SMALL_BODY_MEMORY_SHARE = 0.1;
-/** Share of the process's memory for the bodies of other gateways' messages, small and large ones each. */
-const PEER_BODY_MEMORY_SHARE = 0.05;
 /** Steps of the ports that the gateway needs to be ready. */
 const CALLER_LISTEN_STEP = "caller.listen";
 const READY_LISTEN_STEP = "ready.listen";
@@ -255,7 +245,7 @@
             dataCentre: options.dataCentre,
             directory: this.directory,
             engineClient: options.engineClient,
-            byteBudget: new ByteBudget(BUFFERED_MEMORY_SHARE * options.memoryLimitBytes),
+            byteBudget: new ByteBudget(MEMORY_SHARES.buffered * options.memoryLimitBytes),
             crashSuspects: this.crashSuspects,
             serverRates: this.serverRates,
             fairOrder: this.fairOrder,
@@ -279,8 +269,8 @@
         options.engineClient.onNotice((server, notice) => serverNotices.apply(server, notice));
         this.callerServer = new CallerServer({
             maxConnections: options.maxConnections,
-            maxRequestMemoryBytes: REQUEST_MEMORY_SHARE * options.memoryLimitBytes,
-            maxSmallBodyMemoryBytes: SMALL_BODY_MEMORY_SHARE * options.memoryLimitBytes,
+            maxRequestMemoryBytes: MEMORY_SHARES.requests * options.memoryLimitBytes,
+            maxSmallBodyMemoryBytes: MEMORY_SHARES.smallBodies * options.memoryLimitBytes,
             byteBudget: this.context.byteBudget,
             isClosing: () => this.isStopping,
             computeDeadlineAtMs: (head, startedAtMs) => this.computeDeadlineAtMs(head, startedAtMs),
@@ -313,8 +303,8 @@
             listNotReadyReasons: () => this.listNotReadyReasons(),
             getStatus: () => this.status(),
             bodyMemory: {
-                largeBudget: new ByteBudget(PEER_BODY_MEMORY_SHARE * options.memoryLimitBytes),
-                smallBudget: new ByteBudget(PEER_BODY_MEMORY_SHARE * options.memoryLimitBytes),
+                largeBudget: new ByteBudget(MEMORY_SHARES.peerBodies * options.memoryLimitBytes),
+                smallBudget: new ByteBudget(MEMORY_SHARES.peerBodies * options.memoryLimitBytes),
                 pool: new BodyBlockPool(),
             },
         });
--- a/packages/skylarkmill/src/commands/settings.ts
+++ b/packages/skylarkmill/src/commands/settings.ts
@@ -1,4 +1,5 @@
 import { COMMAND_SETTINGS } from "../settings/commands.ts";
+import { FIXED_LIMITS } from "../settings/fixed-limits.ts";
 import type { Setting } from "../types/setting.ts";
 import { toEnvironmentVariableName, toFlagName } from "../utils/setting-names.ts";
 
@@ -27,6 +28,9 @@
             "",
         ].join("\n")
     );
+    const limitRows = FIXED_LIMITS.map(limit =>
+        `| ${[limit.meaning, limit.part, limit.value].map(escapeCell).join(" | ")} |`
+    );
     return [
         "# Settings",
         "",
@@ -34,6 +38,14 @@
         "Secrets come from a variable or a file only. All invalid settings are reported at once; the exit code is then 2.",
         "",
         ...sections,
+        "## Limits without a setting",
+        "",
+        "What happens past each is in [design/uncontrolled-callers.md](design/uncontrolled-callers.md).",
+        "",
+        "| meaning | holds for | default |",
+        "|---|---|---|",
+        ...limitRows,
+        "",
     ].join("\n");
 }
 
