--- a/packages/coordination/src/node/new-connections.ts
+++ b/packages/coordination/src/node/new-connections.ts
@@ -35,7 +35,7 @@
         };
         socket.once("close", leave);
         handle.readStop();
-        this.share.add({
+        this.share.wait({
             costMs: FIRST_READ_MS,
             isGone: () => socket.destroyed,
             resume: () => {
--- a/packages/coordination/src/node/paced-request.ts
+++ b/packages/coordination/src/node/paced-request.ts
@@ -10,7 +10,7 @@
  * Least time of a read after which its connection waits for its turn. The 64 KiB that Node reads at once take some
  * hundredths of a millisecond as plain bytes, and some ten milliseconds as one-byte chunks.
  */
-const COSTLY_READ_MS = 1;
+export const COSTLY_READ_MS = 1;
 
 /**
  * Least number of a body's pieces in a costly read after which a connection waits although the body is complete. Without
@@ -22,7 +22,7 @@
 const MAX_ADDRESS_SHARE = 0.5;
 
 /** The event loop is the same for all servers of the process. */
-const processShare = new LoopShare();
+export const processLoopShare = new LoopShare();
 /** Of each connection, the newest request before its last read, and those that this read brought. */
 const recentRequests = new WeakMap<Socket, PacedRequest[]>();
 
@@ -120,7 +120,7 @@
  * const server = createServer({ IncomingMessage: PacedRequest });
  * paceBodies(server);
  */
-export function paceBodies(server: Server, share = processShare, debts = new ReadDebts(MAX_ADDRESS_SHARE)): void {
+export function paceBodies(server: Server, share = processLoopShare, debts = new ReadDebts(MAX_ADDRESS_SHARE)): void {
     const newConnections = new NewConnections(share, debts);
     server.on("connection", (socket: Socket) => {
         const { remoteAddress } = socket;
--- a/test/coordination/loop-share.test.ts
+++ b/test/coordination/loop-share.test.ts
@@ -70,6 +70,8 @@
         vi.advanceTimersByTime(10);
         expect(resumed).toEqual([0, 100]);
         expect(share.waitingCount).toBe(0);
+        // 101 reads of 10 ms; the first waited for their pauses, the others for one more read.
+        expect(share.totals).toEqual({ readCount: 101, costMs: 1_010, heldMs: 1_010 + 100 * 1_020 });
     });
 
     it("don't wait for the time in which the process was suspended during a read", () => {
--- a/test/coordination/new-connections.test.ts
+++ b/test/coordination/new-connections.test.ts
@@ -38,7 +38,7 @@
 class ManualShare extends LoopShare {
     readonly reads: WaitingRead[] = [];
 
-    override add(read: WaitingRead): void {
+    override wait(read: WaitingRead): void {
         this.reads.push(read);
     }
 }
