--- a/test/platform/tiny-control-responses.test.ts
+++ b/test/platform/tiny-control-responses.test.ts
@@ -1,4 +1,4 @@
-import type { ServerRecord } from "@skylarkmill/gateway";
+import type { EngineCall, ServerRecord } from "@skylarkmill/gateway";
 import { PlatformEngineClient } from "@skylarkmill/platform";
 import { once } from "node:events";
 import { type AddressInfo, createServer, type Server } from "node:net";
@@ -17,6 +17,8 @@
     handles: 0,
     at_hand: { in_memory: [], on_disk: [] },
 });
+/** Reads that a response of ten thousand chunks takes at most. */
+const MAX_DATA_CALLS = 200;
 const REPORT_BYTES = 10_000;
 /** Buffers in which a client may keep a report; its bytes are copied to blocks that grow. */
 const MAX_KEPT_PARTS = 20;
@@ -50,3 +52,24 @@
     expect(report.isOk()).toBe(true);
     expect(Math.max(0, ...concat.mock.calls.map(([parts]) => parts.length))).toBeLessThanOrEqual(MAX_KEPT_PARTS);
 });
+
+// Guards against a response whose chunks cost their caller and the gateway more than their bytes.
+it("passes on the one-byte chunks of one read together", async () => {
+    const { port } = server.address() as AddressInfo;
+    const call = {
+        server: { serverId: "e1", address: { host: "127.0.0.1", port } },
+        request: { requestId: "a1", method: "GET", path: "/x", host: "h", headers: [] },
+        deadlineMs: 10_000,
+    } as unknown as EngineCall;
+    const parts: Buffer[] = [];
+    await new Promise<void>((resolve, reject) => {
+        new PlatformEngineClient().sendRequest(call, {
+            onHead: () => undefined,
+            onData: chunk => void parts.push(chunk),
+            onEnd: resolve,
+            onFailure: reject,
+        });
+    });
+    expect(Buffer.concat(parts).toString()).toBe(REPORT.padEnd(REPORT_BYTES));
+    expect(parts.length).toBeLessThan(MAX_DATA_CALLS);
+});
