--- a/test/platform/uncontrolled-callers.test.ts
+++ b/test/platform/uncontrolled-callers.test.ts
@@ -20,6 +20,7 @@
 
 const SHORT = `GET /lookup/x HTTP/1.1\r\nhost: ${HOST}\r\n\r\n`;
 const PROPER = `GET /lookup/x HTTP/1.1\r\nhost: ${HOST}\r\nx-attempt-id: a1\r\nx-deadline-ms: 2000\r\n\r\n`;
+const PROPER_AND_CLOSE = PROPER.replace("\r\n\r\n", "\r\nconnection: close\r\n\r\n");
 const SHORT_LINES = `GET /lookup/x HTTP/1.1\r\nhost: ${HOST}\r\n${
     createLines(index => `${index.toString(36)}:\r\n`)
 }\r\n`;
@@ -46,7 +47,7 @@
 /** A heap that these clients' unfinished heads fill; a machine takes ten times as many connections. */
 const SMALL_HEAP_FLAGS = ["--max-old-space-size=40", "--max-semi-space-size=2"];
 
-// Guards against callers that end the process or hang it, since it keeps what they send and don't read.
+// Guards against callers that end the process or hang it, since it keeps what they send and what they don't read.
 describe("callers that send and never read", () => {
     it.each<CrowdCase>([
         { name: "requests ahead without the usual headers", traffic: { rest: repeat(SHORT, 2_000) } },
@@ -73,6 +74,12 @@
             clientCount: MANY_CLIENTS,
             bodyByteCount: 4_000_000,
         },
+        {
+            name: "long responses that are read late",
+            traffic: { start: repeat(PROPER_AND_CLOSE, 1), readAfterMs: 300 },
+            clientCount: 40,
+            bodyByteCount: 8_000_000,
+        },
         {
             name: "heads over the limit",
             traffic: { rest: repeat(`GET /x HTTP/1.1\r\nhost: ${"x".repeat(400_000)}`, 1) },
--- a/test/support/crowd.ts
+++ b/test/support/crowd.ts
@@ -4,12 +4,14 @@
 import { eventually } from "./eventually.ts";
 import type { SpawnedProcess } from "./spawned-process.ts";
 
-/** What one client of a crowd sends on each of its connections; it never reads. */
+/** What one client of a crowd sends on each of its connections, and whether it reads. */
 export interface CrowdTraffic {
     /** Sent once, at the start of the connection. */
     readonly start?: Buffer;
     /** Sent again and again after that, whenever the connection takes more; nothing by default. */
     readonly rest?: Buffer;
+    /** Time from the start of the connection after which the client reads; by default it never does. */
+    readonly readAfterMs?: number;
 }
 
 interface CrowdOptions {
@@ -28,7 +30,7 @@
 /** Pause of a client before it opens its next connection. */
 const RECONNECT_DELAY_MS = 20;
 
-/** Runs clients that send without reading, for a bounded time; resolves when all their connections are closed. */
+/** Runs clients that send and read late or never, for a bounded time; resolves when all their connections are closed. */
 async function runCrowd(options: CrowdOptions): Promise<void> {
     const { host = "127.0.0.1", port, clientCount, durationMs, traffic, maxConnections, maxBytes } = options;
     const sockets = new Set<Socket>();
@@ -39,6 +41,7 @@
         const socket = connect(port, host);
         sockets.add(socket);
         socket.pause();
+        if (traffic.readAfterMs !== undefined) timers.add(setTimeout(() => socket.resume(), traffic.readAfterMs));
         let byteCount = 0;
         const send = (chunk: Buffer | undefined): void => {
             if (chunk === undefined || byteCount >= maxBytes || socket.destroyed) return;
