--- a/test/support/crowd.ts
+++ b/test/support/crowd.ts
@@ -4,7 +4,7 @@
 import { eventually } from "./eventually.ts";
 import type { SpawnedProcess } from "./spawned-process.ts";
 
-/** What one client of a crowd sends on each of its connections. */
+/** What one client of a crowd sends on each of its connections, and whether it reads. */
 export interface CrowdTraffic {
     /** Whether the client reads what comes; it never does by default. */
     readonly readsResponses?: boolean;
@@ -14,6 +14,8 @@
     readonly start?: Buffer;
     /** Sent again and again after that, whenever the connection takes more; nothing by default. */
     readonly rest?: Buffer;
+    /** Time from the start of the connection after which the client reads; by default it never does. */
+    readonly readAfterMs?: number;
 }
 
 interface CrowdOptions {
@@ -44,6 +46,7 @@
         sockets.add(socket);
         if (traffic.readsResponses === true) socket.resume();
         else socket.pause();
+        if (traffic.readAfterMs !== undefined) timers.add(setTimeout(() => socket.resume(), traffic.readAfterMs));
         let byteCount = 0;
         const send = (chunk: Buffer | undefined): void => {
             if (chunk === undefined || byteCount >= maxBytes || socket.destroyed) return;
