--- a/test/coordination/paced-request.test.ts
+++ b/test/coordination/paced-request.test.ts
@@ -126,14 +126,19 @@
     });
 
     it("waits also when the body is complete, before its next request is read", async () => {
-        // One read brings the whole of it.
         const sent = `${HEAD}${"1\r\nx\r\n".repeat(10_000)}0\r\n\r\n`;
         let requestCount = 0;
+        let newest: IncomingMessage | undefined;
         const { share } = await hold((request, response) => {
             requestCount += 1;
+            newest = request;
             request.resume().once("end", () => response.end("served"));
         }, sent);
-        await eventually("a response", () => received.includes("served") || undefined);
+        await eventually("a response", () => {
+            // One read mostly brings the whole of it.
+            if (newest?.complete === false) { for (const read of share.reads.splice(0)) read.resume(); }
+            return received.includes("served") || undefined;
+        });
         caller.write(sent);
         await sleep(QUIET_MS);
         expect(requestCount).toBe(1);
