docs: limits of router, agent and the ports for own processes, and of addresses

docs/settings.md lists every limit on bodies and connections that has no setting, from the constants that the code uses.

--- a/packages/agent/src/utils/resolve-options.ts
+++ b/packages/agent/src/utils/resolve-options.ts
@@ -9,7 +9,7 @@
 
 const MIB = 1024 * 1024;
 
-const DEFAULT_LIMITS: AgentLimits = {
+export const DEFAULT_AGENT_LIMITS: AgentLimits = {
     maxQueuedCount: 1000,
     maxBodyBytes: 4 * MIB,
     maxBufferedBodyBytes: 64 * MIB,
@@ -29,7 +29,7 @@
 
 /** Adds default values to the agent's options. */
 export function resolveAgentOptions(options: AgentOptions): ResolvedAgentOptions {
-    const limits = { ...DEFAULT_LIMITS, ...options.limits };
+    const limits = { ...DEFAULT_AGENT_LIMITS, ...options.limits };
     const policies: AgentPolicies = {
         createQueueOrder: () => createQueueOrder<ScheduledRequest>(),
         admission: createAdmissionPolicy({ maxCount: limits.maxQueuedCount }),
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -11,7 +11,7 @@
     runStatus,
 } from "./cli/inspect-commands.ts";
 export { type CommandIo, runOperatorCommand } from "./cli/run-operator-command.ts";
-export { createOperatorApp } from "./node/operator-app.ts";
+export { createOperatorApp, MAX_BUFFERED_BODY_BYTES } from "./node/operator-app.ts";
 export { createOperatorPeers, type OperatorPeersOptions } from "./node/operator-peers.ts";
 export { createPlacementDuty } from "./node/placement-duty.ts";
 export * from "./types/operator.ts";
--- a/packages/control/src/node/operator-app.ts
+++ b/packages/control/src/node/operator-app.ts
@@ -27,7 +27,7 @@
 const MAX_BODY_BYTES = 4 * 1024 * 1024;
 
 /** Memory for the request bodies that are read at the same time; edits are short and rare. */
-const MAX_BUFFERED_BODY_BYTES = 16 * 1024 * 1024;
+export const MAX_BUFFERED_BODY_BYTES = 16 * 1024 * 1024;
 
 const DEFAULTS = { peerTimeoutMs: 1_000, maxConcurrentCalls: 32, logger: silentLogger };
 
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -24,9 +24,10 @@
     MAX_LATE_BODY_BYTES,
     MAX_REQUEST_MEMORY_BYTES,
 } from "./node/internal-server-guard.ts";
-export { COSTLY_READ_MS, paceBodies, PacedRequest, processLoopShare } from "./node/paced-request.ts";
+export { MAX_WAITING_PER_ADDRESS } from "./node/new-connections.ts";
+export { COSTLY_READ_MS, MAX_ADDRESS_SHARE, paceBodies, PacedRequest, processLoopShare } from "./node/paced-request.ts";
 export { createPeerClient, type PeerClient, type PeerClientOptions } from "./node/peer-client.ts";
-export type { PeerConnectionLimits } from "./node/peer-connections.ts";
+export { DEFAULT_PEER_CONNECTION_LIMITS, type PeerConnectionLimits } from "./node/peer-connections.ts";
 export {
     createPeerServer,
     createPeerServerWhenFree,
--- a/packages/coordination/src/node/new-connections.ts
+++ b/packages/coordination/src/node/new-connections.ts
@@ -4,7 +4,7 @@
 import { getReadHandle } from "./read-handle.ts";
 
 /** Largest number of new connections that wait for their first read from one address that owes time. */
-const MAX_WAITING_PER_ADDRESS = 64;
+export const MAX_WAITING_PER_ADDRESS = 64;
 /** Time that is kept free for the first read of a connection, in milliseconds; a longer one adds to the time. */
 const FIRST_READ_MS = 1;
 
--- a/packages/coordination/src/node/paced-request.ts
+++ b/packages/coordination/src/node/paced-request.ts
@@ -19,7 +19,7 @@
 const MIN_COSTLY_PIECES = 100;
 
 /** Part of the event loop's time that connections from one address may take before new ones from there have to wait. */
-const MAX_ADDRESS_SHARE = 0.5;
+export const MAX_ADDRESS_SHARE = 0.5;
 
 /** The event loop is the same for all servers of the process. */
 export const processLoopShare = new LoopShare();
--- a/packages/coordination/src/node/peer-connections.ts
+++ b/packages/coordination/src/node/peer-connections.ts
@@ -13,7 +13,7 @@
     readonly refusalLingerMs: number;
 }
 
-const DEFAULT_LIMITS: PeerConnectionLimits = {
+export const DEFAULT_PEER_CONNECTION_LIMITS: PeerConnectionLimits = {
     acceptTimeoutMs: 10_000,
     maxUnacceptedCount: 256,
     maxRefusedCalls: 16,
@@ -40,7 +40,7 @@
     private readonly limits: PeerConnectionLimits;
 
     constructor(server: Http2Server, limits: Partial<PeerConnectionLimits> = {}) {
-        this.limits = { ...DEFAULT_LIMITS, ...limits };
+        this.limits = { ...DEFAULT_PEER_CONNECTION_LIMITS, ...limits };
         // The listener of the server itself comes afterwards and reports the session of the same connection.
         server.prependListener("connection", (socket: Socket) => this.add(socket));
         server.on("session", session => this.addSession(session));
--- a/packages/router/src/types/options.ts
+++ b/packages/router/src/types/options.ts
@@ -78,7 +78,7 @@
     stop(): Promise<void>;
 }
 
-const DEFAULT_LIMITS: RouterLimits = {
+export const DEFAULT_ROUTER_LIMITS: RouterLimits = {
     maxBodyBytes: 4 * 1024 * 1024,
     maxBufferedBodyBytes: 64 * 1024 * 1024,
     maxHeaderBytes: 16 * 1024,
@@ -99,5 +99,5 @@
  * const resolved = resolveRouterOptions({ ...options, limits: { maxRequests: 100 } });
  */
 export function resolveRouterOptions(options: RouterOptions): ResolvedRouterOptions {
-    return { ...options, limits: { ...DEFAULT_LIMITS, ...options.limits }, policies: options.policies ?? {} };
+    return { ...options, limits: { ...DEFAULT_ROUTER_LIMITS, ...options.limits }, policies: options.policies ?? {} };
 }
--- a/packages/skylarkmill/src/settings/fixed-limits.ts
+++ b/packages/skylarkmill/src/settings/fixed-limits.ts
@@ -1,12 +1,18 @@
+import { DEFAULT_AGENT_LIMITS } from "@skylarkmill/agent";
+import { MAX_BUFFERED_BODY_BYTES } from "@skylarkmill/control";
 import {
     COSTLY_READ_MS,
     DEFAULT_MAX_REQUESTS_AHEAD,
     DEFAULT_MAX_SHARE,
+    DEFAULT_PEER_CONNECTION_LIMITS,
+    MAX_ADDRESS_SHARE,
     MAX_LATE_BODY_BYTES,
     MAX_REQUEST_MEMORY_BYTES,
+    MAX_WAITING_PER_ADDRESS,
     UNFINISHED_HEAD_SHARE,
 } from "@skylarkmill/coordination";
 import { MAX_SMALL_BODY_BYTES, MEMORY_SHARES } from "@skylarkmill/gateway";
+import { DEFAULT_ROUTER_LIMITS } from "@skylarkmill/router";
 
 /** A limit on what callers send or leave unread that no setting changes. */
 export interface FixedLimit {
@@ -19,6 +25,7 @@
 const MIB = 1024 * 1024;
 const SMALL_BODY_KIB = MAX_SMALL_BODY_BYTES / 1024;
 const ALL_PORTS = "gateway, router, agent: HTTP ports";
+const PEER_PORTS = "router, agent: ports for own processes";
 const INTERNAL_PORTS = "ports for own processes, operators and probes";
 
 function toPercent(share: number): string {
@@ -81,4 +88,44 @@
         part: ALL_PORTS,
         value: toPercent(DEFAULT_MAX_SHARE),
     },
+    {
+        meaning: "Part of the event loop's time that reads from one address take before its new connections wait.",
+        part: ALL_PORTS,
+        value: toPercent(MAX_ADDRESS_SHARE),
+    },
+    {
+        meaning: "New connections that wait from one such address; further ones are closed.",
+        part: ALL_PORTS,
+        value: String(MAX_WAITING_PER_ADDRESS),
+    },
+    {
+        meaning: "Bodies of all requests until their responses have ended.",
+        part: "router: callers' port",
+        value: `${DEFAULT_ROUTER_LIMITS.maxBufferedBodyBytes / MIB} MiB`,
+    },
+    {
+        meaning: "Bodies of all requests until their responses have ended.",
+        part: "agent: requests' port",
+        value: `${DEFAULT_AGENT_LIMITS.maxBufferedBodyBytes / MIB} MiB`,
+    },
+    {
+        meaning: "Bodies of all requests that are being read.",
+        part: "router: operators' port",
+        value: `${MAX_BUFFERED_BODY_BYTES / MIB} MiB`,
+    },
+    {
+        meaning: "Time within which a connection brings a call with an accepted key.",
+        part: PEER_PORTS,
+        value: `${DEFAULT_PEER_CONNECTION_LIMITS.acceptTimeoutMs} ms`,
+    },
+    {
+        meaning: "Connections without such a call; the oldest is closed beyond that.",
+        part: PEER_PORTS,
+        value: String(DEFAULT_PEER_CONNECTION_LIMITS.maxUnacceptedCount),
+    },
+    {
+        meaning: "Calls without an accepted key on one connection before it is closed at once.",
+        part: PEER_PORTS,
+        value: String(DEFAULT_PEER_CONNECTION_LIMITS.maxRefusedCalls),
+    },
 ];
