fix(agent): a warning about listeners of each response at an agent

npm start printed MaxListenersExceededWarning for each process: 11 listeners for the end of a ServerResponse. Cause: the bound on late bodies and the memory of a body had added two. The bound listens to the end of the writing, and the memory is released by the listener that was there before.

--- a/packages/agent/src/node/request-server.ts
+++ b/packages/agent/src/node/request-server.ts
@@ -143,9 +143,8 @@
     if (!isAcceptedSecret(header(HEADERS.peerKey), options.peerKeys())) return err(REFUSALS.unauthorized());
     const head = parseRequestHead(header, Date.now());
     if (head.isErr()) return err(REFUSALS.badRequestHead(head.error));
-    const signal = createDisconnectSignal(outgoing, head.value.deadlineAtMs);
     const share = options.bodyMemory.open();
-    outgoing.once("close", () => share.release());
+    const signal = createDisconnectSignal(outgoing, head.value.deadlineAtMs, () => share.release());
     const body = await readRequestBody(incoming, options.maxBodyBytes, share);
     if (body.isErr()) {
         if (body.error === "too_large") return err(REFUSALS.bodyTooLarge());
@@ -165,13 +164,15 @@
 }
 
 /**
- * Returns a signal that aborts when the connection closes before the response has been sent.
- * Also closes the connection some time after the deadline, for routers that have stopped reading.
+ * Returns a signal that aborts when the connection closes before the response has been sent; `onEnd` is called at the end
+ * of the response in any case. Also closes the connection some time after the deadline, for routers that have stopped
+ * reading.
  */
-function createDisconnectSignal(outgoing: ServerResponse, deadlineAtMs: number): AbortSignal {
+function createDisconnectSignal(outgoing: ServerResponse, deadlineAtMs: number, onEnd: () => void): AbortSignal {
     const controller = new AbortController();
     destroyAfter(outgoing, Math.max(0, deadlineAtMs - Date.now()) + SEND_GRACE_MS);
     const onClose = (): void => {
+        onEnd();
         if (!outgoing.writableFinished) controller.abort();
     };
     outgoing.once("close", onClose);
--- a/packages/coordination/src/node/internal-server-guard.ts
+++ b/packages/coordination/src/node/internal-server-guard.ts
@@ -24,7 +24,8 @@
 
 /**
  * Guards a server for own processes, operators or probes against others that reach its port: limits the heads of requests,
- * their number ahead of responses and their memory, and bodies that go on after the response. Call it once the server has its `request` listeners.
+ * their number ahead of responses and their memory, and bodies that go on after the response. Call it once the server has
+ * its `request` listeners.
  *
  * @example
  * const server = createServer(createInternalServerOptions(), listener);
@@ -50,7 +51,7 @@
 
 /** Node reads a body to its end when the response has ended before it. */
 function boundLateBody(request: IncomingMessage, response: ServerResponse): void {
-    response.once("close", () => {
+    response.once("finish", () => {
         if (request.complete || request.socket.destroyed) return;
         new RefusedBody(request, {
             maxByteCount: MAX_LATE_BODY_BYTES,
