fix(platform): a paused response kept each piece of a further read

Cause: a response is paused when its caller reads slowly. Node's pause lets its parser go on with the next read, and each chunk of that is kept as a Buffer of its own until the response is resumed, some hundred bytes for one.

--- a/test/platform/paused-responses.test.ts
+++ b/test/platform/paused-responses.test.ts
@@ -1,12 +1,24 @@
 import type { EngineCall } from "@skylarkmill/gateway";
 import { PlatformEngineClient } from "@skylarkmill/platform";
-import { type AddressInfo, createServer, type Socket } from "node:net";
-import { describe, expect, it } from "vitest";
+import { IncomingMessage } from "node:http";
+import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
+import { afterEach, describe, expect, it, vi } from "vitest";
+import { eventually } from "../support/eventually.ts";
 
 const EVENT_INTERVAL_MS = 20;
 /** Exceeds the time until the server has ended its connection. */
 const PAUSE_MS = 150;
 
+afterEach(() => void vi.restoreAllMocks());
+
+function createCall(port: number): EngineCall {
+    return {
+        request: { requestId: "a1", method: "POST", path: "/", host: "x", headers: [], body: undefined },
+        server: { serverId: "e1", address: { host: "127.0.0.1", port } },
+        deadlineMs: 1_000,
+    } as unknown as EngineCall;
+}
+
 function sendResponse(socket: Socket, isChunked: boolean, end: () => void): void {
     const format = (text: string) => isChunked ? `${text.length.toString(16)}\r\n${text}\r\n` : text;
     const framing = isChunked ? "Transfer-Encoding: chunked\r\n" : "";
@@ -24,12 +36,7 @@
 function readSlowly(port: number): Promise<string> {
     return new Promise(resolve => {
         let received = "";
-        const call = {
-            request: { requestId: "a1", method: "POST", path: "/", host: "x", headers: [], body: undefined },
-            server: { serverId: "e1", address: { host: "127.0.0.1", port } },
-            deadlineMs: 1_000,
-        } as unknown as EngineCall;
-        const exchange = new PlatformEngineClient().sendRequest(call, {
+        const exchange = new PlatformEngineClient().sendRequest(createCall(port), {
             onHead: () => undefined,
             onData: chunk => {
                 if (received === "") {
@@ -67,3 +74,47 @@
         await new Promise(resolve => server.close(resolve));
     });
 });
+
+const TINY_CHUNK = "1\r\nx\r\n";
+
+/** Starts a server that sends one-byte chunks without end, as fast as its caller reads. */
+async function startEndlessServer(): Promise<Server> {
+    const server = createServer(socket => {
+        const send = (): void => {
+            while (!socket.destroyed && socket.write(TINY_CHUNK.repeat(10_000)));
+        };
+        socket.on("error", () => undefined).on("drain", send);
+        socket.once("data", () => {
+            socket.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nTransfer-Encoding: chunked\r\n\r\n");
+            send();
+        });
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    return server;
+}
+
+// Guards against responses of which each piece is kept for itself, a hundred times its size, while their callers read slowly.
+it("reads nothing of a response in one-byte chunks while it is paused, and goes on afterwards", async () => {
+    const server = await startEndlessServer();
+    const push = vi.spyOn(IncomingMessage.prototype, "push");
+    const call = createCall((server.address() as AddressInfo).port);
+    let byteCount = 0;
+    const exchange = new PlatformEngineClient().sendRequest(call, {
+        onHead: () => undefined,
+        onData: chunk => {
+            if (byteCount === 0) exchange.pause();
+            byteCount += chunk.length;
+        },
+        onEnd: () => undefined,
+        onFailure: () => undefined,
+    });
+    await eventually("a part of the response", () => byteCount > 0 || undefined);
+    push.mockClear();
+    await new Promise(resolve => setTimeout(resolve, PAUSE_MS));
+    expect(push).not.toHaveBeenCalled();
+    const pausedByteCount = byteCount;
+    exchange.resume();
+    await eventually("a further part", () => byteCount > pausedByteCount || undefined);
+    exchange.cancel();
+    await new Promise(resolve => server.close(resolve));
+});
