fix(gateway): streams of very short events ended the process

40 streams of events of 7 bytes, as fast as a gateway reads them, ended it by its heap limit within 2 s, whether their callers read or not.

Cause: each event was written to its caller by itself. A read of 64 KiB brings some 9,000 of them; each write takes some hundred bytes besides its own until the caller has read it, and each that found the caller late added a listener. The class is that of bodies in tiny pieces: a limit counted bytes, and the cost is by the number.

The events of one read are now checked one by one as before, and relayed together. Those before a faulty event still reach the caller.

--- a/packages/gateway/src/runtime/attempt.ts
+++ b/packages/gateway/src/runtime/attempt.ts
@@ -10,8 +10,8 @@
 
 /** Receives the progress and the outcome of an attempt. */
 export interface AttemptListener {
-    /** Called for each complete event of a genuine stream, see `ResponseHead.isGenuine`. */
-    onEvent(attempt: Attempt, event: StreamEvent): void;
+    /** Called with the complete events that arrived together of a genuine stream, see `ResponseHead.isGenuine`. */
+    onEvents(attempt: Attempt, events: readonly StreamEvent[]): void;
     /** Called when a genuine stream ended after a complete event. */
     onStreamEnd(attempt: Attempt): void;
     /** Called with a complete response that is not a stream. */
@@ -161,13 +161,13 @@
     }
 
     private pushEvents(chunk: Buffer): void {
-        for (const event of this.splitter.push(chunk)) {
-            this.eventCount += 1;
+        const events = this.splitter.push(chunk);
+        if (events.length > 0) {
+            this.eventCount += events.length;
             this.recordAnswer();
-            this.listener.onEvent(this, event);
-            if (this.isFinished) return;
+            this.listener.onEvents(this, events);
         }
-        if (this.splitter.isEventTooLong) this.fail("event too long", true);
+        if (!this.isFinished && this.splitter.isEventTooLong) this.fail("event too long", true);
     }
 
     /** The engine began an answer, so the request does not end engines. */
@@ -227,7 +227,7 @@
         }
     };
     return {
-        onEvent: guard((attempt, event) => listener.onEvent(attempt, event)),
+        onEvents: guard((attempt, events) => listener.onEvents(attempt, events)),
         onStreamEnd: guard(attempt => listener.onStreamEnd(attempt)),
         onResponse: guard((attempt, head, body) => listener.onResponse(attempt, head, body)),
         onNotRun: guard((attempt, head) => listener.onNotRun(attempt, head)),
--- a/packages/gateway/src/runtime/request-task.ts
+++ b/packages/gateway/src/runtime/request-task.ts
@@ -24,7 +24,7 @@
 import { PlaceWait } from "./stages/place-wait.ts";
 import { ReservationWait } from "./stages/reservation-wait.ts";
 import { ServerChoice } from "./stages/server-choice.ts";
-import { StreamContinuity } from "./stages/stream-continuity.ts";
+import { type EventVerdict, StreamContinuity } from "./stages/stream-continuity.ts";
 import { decideWait } from "./stages/wait-decision.ts";
 
 type State = "waiting" | "sent" | "relaying" | "resuming" | "resent" | "done";
@@ -129,26 +129,46 @@
         return !this.hasStarted ? "refused" : "aborted";
     }
 
-    onEvent(attempt: Attempt, event: StreamEvent): void {
+    onEvents(attempt: Attempt, events: readonly StreamEvent[]): void {
+        // Each write takes some hundred bytes besides its own until the caller has read it.
+        const relayed: Buffer[] = [];
+        let fault: string | undefined;
+        for (const event of events) {
+            const verdict = this.checkEvent(attempt, event);
+            if (verdict === "relay") relayed.push(event.raw);
+            else if (verdict !== "skip") {
+                ({ fault } = verdict);
+                break;
+            }
+        }
+        if (relayed.length > 0) this.relayEvents(attempt, Buffer.concat(relayed));
+        if (fault === undefined) return;
+        attempt.cancel();
+        this.onFailed(attempt, fault, true);
+    }
+
+    /** Checks an event, which the caller is sent next if it is to be relayed. */
+    private checkEvent(attempt: Attempt, event: StreamEvent): EventVerdict {
+        const { continuity } = this;
         const head = attempt.head!;
         const isResumed = this.isRetryable && attempt.call.lastEventId !== undefined;
-        const verdict = this.continuity.check(head, event, this.state === "resent", isResumed);
-        if (verdict === "skip") return;
-        if (verdict !== "relay") {
-            attempt.cancel();
-            return this.onFailed(attempt, verdict.fault, true);
-        }
+        const verdict = continuity.check(head, event, this.state === "resent", isResumed);
+        if (verdict !== "relay") return verdict;
         if (this.state !== "relaying") this.applyEvent("ANSWER");
-        if (this.continuity.firstHead === undefined) {
-            this.continuity.firstHead = head;
+        if (continuity.firstHead === undefined) {
+            continuity.firstHead = head;
             this.log.recordFirstByte();
             this.writer.start(head.status, head.headers);
         }
+        if (event.id !== undefined) continuity.lastEventId = event.id;
+        return verdict;
+    }
+
+    private relayEvents(attempt: Attempt, bytes: Buffer): void {
         this.log.recordPause();
-        if (event.id !== undefined) this.continuity.lastEventId = event.id;
         if (!this.canRetry) this.request.body?.discard();
         if (this.canRetry) attempt.restartSilenceTimer(this.timing.pauseTimeoutMs);
-        if (this.writer.write(event.raw)) return;
+        if (this.writer.write(bytes)) return;
         attempt.pause();
         this.writer.onDrain(() => attempt.resume());
     }
--- a/test/platform/stand-ins/platform-server.ts
+++ b/test/platform/stand-ins/platform-server.ts
@@ -62,6 +62,7 @@
  * - `tiny_pieces`: a sound response in one-byte chunks.
  * - `unfinished_tiny_body`, `unfinished_tiny_event`: many one-byte chunks short of the end, then nothing more.
  * - `endless_tiny_body`, `endless_tiny_event`, `endless_tiny_events`: one-byte chunks without end.
+ * - `endless_short_events`: very short events in large chunks without end.
  */
 export type ServerFault =
     | "refused_as_not_run"
@@ -93,13 +94,15 @@
     | "unfinished_tiny_event"
     | "endless_tiny_body"
     | "endless_tiny_event"
-    | "endless_tiny_events";
+    | "endless_tiny_events"
+    | "endless_short_events";
 
 /** Each is kept by a gateway that takes it for a short body, or for the start of an event. */
 const UNFINISHED_BYTES = 15_000;
 /** One-byte chunks that are written at once. */
 const TINY_CHUNKS = toTinyChunks("x".repeat(10_000));
 const TINY_EVENTS = toTinyChunks("data: some words\n\n".repeat(600));
+const SHORT_EVENTS = "data:\n\n".repeat(8_192);
 
 /** Encodes a text in chunks of one byte. */
 function toTinyChunks(text: string): string {
@@ -140,6 +143,10 @@
         filler: TINY_CHUNKS,
     }),
     endless_tiny_events: rawHeaders => ({ start: createChunkedHead(rawHeaders), filler: TINY_EVENTS }),
+    endless_short_events: rawHeaders => ({
+        start: createChunkedHead(rawHeaders),
+        filler: `${SHORT_EVENTS.length.toString(16)}\r\n${SHORT_EVENTS}\r\n`,
+    }),
 };
 /** Spaces and headers that a gateway adds make a head longer than the caller's. */
 const MAX_HEAD_BYTES = 64 * 1024;
--- a/test/platform/uncontrolled-answers.test.ts
+++ b/test/platform/uncontrolled-answers.test.ts
@@ -55,6 +55,19 @@
     }, 60_000);
 });
 
+// Guards against servers that end the process by the number of their events.
+describe("streams of very short events to many callers", () => {
+    it.each([
+        { name: "that read", readsResponses: true },
+        { name: "that don't read", readsResponses: false },
+    ])("leave the process alive within its memory: $name", async ({ readsResponses }) => {
+        gateway = await CrowdedGateway.start();
+        const traffic = { start: createRequest(STREAM), readsResponses };
+        const play = { port: "front", clientCount: CLIENT_COUNT, fault: "endless_short_events" } as const;
+        await gateway.expectToSurvive(traffic, play);
+    }, 60_000);
+});
+
 describe("one response in one-byte chunks", () => {
     it("reaches the caller unchanged as a body", async () => {
         gateway = await CrowdedGateway.start({ bodyByteCount: BODY_BYTES });
