fix(gateway): responses in very many pieces kept the event loop

Beside 12 streams in one-byte chunks 20 ordinary requests, one after the other, took 27 s, and beside 12 of very short events 21 s: until the streams had ended. An ordinary caller waits as long.

Cause: Node's parser handles whatever a read brought, 64 KiB in one-byte chunks in some ten milliseconds, and the next read of the same connection follows at once. Bodies of requests take turns since; responses of servers, reports and replies to orders didn't.

ResponseFlow measures each read of such a connection. After one that took 1 ms or more and brought 1,000 chunks or events the connection isn't read until its turn comes, in the line of request bodies (LoopShare). 64 KiB hold fewer of a stream's ordinary events, also after a suspension of the process, so a sound stream isn't held. A held response isn't taken for a silent one.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -45,7 +45,7 @@
     type RequestHeadLimits,
     UNFINISHED_HEAD_SHARE,
 } from "./node/request-head-guard.ts";
-export { ResponseFlow } from "./node/response-flow.ts";
+export { MIN_COSTLY_RESPONSE_PIECES, ResponseFlow } from "./node/response-flow.ts";
 export * from "./runtime/body-memory.ts";
 export * from "./runtime/head-fault.ts";
 export * from "./runtime/log-limiter.ts";
--- a/packages/gateway/src/runtime/attempt.ts
+++ b/packages/gateway/src/runtime/attempt.ts
@@ -74,7 +74,13 @@
     restartSilenceTimer(timeoutMs: number): void {
         clearTimeout(this.silenceTimer);
         if (this.isFinished) return;
-        this.silenceTimer = setTimeout(() => this.listener.onSilence(this), timeoutMs);
+        this.silenceTimer = setTimeout(() => this.onQuiet(timeoutMs), timeoutMs);
+    }
+
+    /** While the response isn't read, nothing is known of what its server has sent. */
+    private onQuiet(timeoutMs: number): void {
+        if (this.exchange?.isHeld === true) this.restartSilenceTimer(timeoutMs);
+        else this.listener.onSilence(this);
     }
 
     /** Ends an attempt that received no data; the backend server may have run the request. */
@@ -163,6 +169,7 @@
     private pushEvents(chunk: Buffer): void {
         const events = this.splitter.push(chunk);
         if (events.length > 0) {
+            this.exchange?.countPieces(events.length);
             this.eventCount += events.length;
             this.recordAnswer();
             this.listener.onEvents(this, events);
--- a/packages/gateway/src/types/engine.ts
+++ b/packages/gateway/src/types/engine.ts
@@ -194,6 +194,10 @@
     cancel(): void;
     pause(): void;
     resume(): void;
+    /** Adds events into which the newest data was split, since they cost time too. */
+    countPieces(count: number): void;
+    /** Whether the response isn't read for a while, since reading it has taken long. */
+    readonly isHeld: boolean;
 }
 
 /** Sends requests and orders to backend servers. */
--- a/packages/skylarkmill/src/settings/fixed-limits.ts
+++ b/packages/skylarkmill/src/settings/fixed-limits.ts
@@ -9,6 +9,7 @@
     MAX_LATE_BODY_BYTES,
     MAX_REQUEST_MEMORY_BYTES,
     MAX_WAITING_PER_ADDRESS,
+    MIN_COSTLY_RESPONSE_PIECES,
     UNFINISHED_HEAD_SHARE,
 } from "@skylarkmill/coordination";
 import { MAX_SMALL_BODY_BYTES, MEMORY_SHARES } from "@skylarkmill/gateway";
@@ -83,6 +84,11 @@
         part: ALL_PORTS,
         value: `${COSTLY_READ_MS} ms`,
     },
+    {
+        meaning: "Pieces that one read of a server's response brings, beyond which the same holds for its connection.",
+        part: "gateway: backend servers",
+        value: String(MIN_COSTLY_RESPONSE_PIECES),
+    },
     {
         meaning: "Part of the event loop's time for such reads together.",
         part: ALL_PORTS,
--- a/test/gateway/crash-suspects.test.ts
+++ b/test/gateway/crash-suspects.test.ts
@@ -18,6 +18,7 @@
     toId,
 } from "@skylarkmill/protocol";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { createIdleExchange } from "./support/idle-exchange.ts";
 
 const DEADLY = toId<PromptPartId>("deadly");
 const COMMON = toId<PromptPartId>("common");
@@ -227,7 +228,7 @@
             onNotice: undefined as never,
             sendRequest: (_call, receiver) => {
                 response = receiver;
-                return { cancel: () => undefined, pause: () => undefined, resume: () => undefined };
+                return createIdleExchange();
             },
             sendOrder: undefined as never,
             readReport: undefined as never,
--- a/test/gateway/rate-waits.test.ts
+++ b/test/gateway/rate-waits.test.ts
@@ -28,6 +28,7 @@
     toId,
 } from "@skylarkmill/protocol";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { createIdleExchange } from "./support/idle-exchange.ts";
 
 const SERVICE = toId<ServiceId>("desk");
 const DATA_CENTRE = toId<DataCentre>("dc-1");
@@ -146,7 +147,7 @@
             onNotice: () => undefined,
             sendRequest: (call, listener) => {
                 sent.push({ call, listener, atMs: performance.now() });
-                return { cancel: () => undefined, pause: () => undefined, resume: () => undefined };
+                return createIdleExchange();
             },
             sendOrder: undefined as never,
             readReport: undefined as never,
--- a/test/platform/stand-ins/crowded-gateway.ts
+++ b/test/platform/stand-ins/crowded-gateway.ts
@@ -32,6 +32,8 @@
     readonly nodeFlags?: readonly string[] | undefined;
     /** Largest body of a request, by the operators' configuration. */
     readonly maxBodyBytes?: number | undefined;
+    /** Time that each request may take, by the operators' configuration. */
+    readonly routeTimeoutMs?: number | undefined;
 }
 
 export interface CrowdPlay {
@@ -53,12 +55,13 @@
     ) {}
 
     static async start(options: CrowdedGatewayOptions = {}): Promise<CrowdedGateway> {
-        const { bodyByteCount, eventCount, nodeFlags = CROWDED_NODE_FLAGS, maxBodyBytes } = options;
+        const { bodyByteCount, eventCount, nodeFlags = CROWDED_NODE_FLAGS, maxBodyBytes, routeTimeoutMs } = options;
         const folder = mkdtempSync(join(tmpdir(), "uncontrolled-callers-"));
         const fixture = await PlatformFixture.start();
-        if (maxBodyBytes !== undefined) {
-            const document = createConfigurationDocument(2);
-            const limits = { ...document["limits"] as object, max_body_bytes: maxBodyBytes };
+        if (maxBodyBytes !== undefined || routeTimeoutMs !== undefined) {
+            const document = createConfigurationDocument(2, {}, routeTimeoutMs);
+            const bodyLimit = maxBodyBytes === undefined ? {} : { max_body_bytes: maxBodyBytes };
+            const limits = { ...document["limits"] as object, ...bodyLimit };
             fixture.store.put("op/config", { ...document, limits });
         }
         const server = await fixture.addServer({
--- a/test/platform/uncontrolled-answers.test.ts
+++ b/test/platform/uncontrolled-answers.test.ts
@@ -1,10 +1,16 @@
 import { afterEach, describe, expect, it } from "vitest";
+import { eventually } from "../support/eventually.ts";
+import { RawReader } from "../support/raw-reader.ts";
 import { CrowdedGateway } from "./stand-ins/crowded-gateway.ts";
 import { HOST } from "./stand-ins/fixture.ts";
 import type { ServerFault } from "./stand-ins/platform-server.ts";
 
 /** Fewer than the connections that one server takes. */
 const CLIENT_COUNT = 40;
+/** Fewer than the streams that one engine gets at once. */
+const STREAM_COUNT = 12;
+/** Number of ordinary requests, one after the other. */
+const ORDINARY_COUNT = 20;
 const BODY_BYTES = 200_000;
 const EVENT_COUNT = 2_000;
 const STREAM = { path: "/chat/x", headers: "x-model: m1\r\nx-token-count: 100,60\r\n" };
@@ -68,6 +74,26 @@
     }, 60_000);
 });
 
+// Guards against servers whose streams keep the event loop for themselves, until they end after some seconds.
+describe("ordinary requests beside streams that go on", () => {
+    it.each<{ readonly name: string; readonly fault: ServerFault; }>([
+        { name: "in one-byte chunks", fault: "endless_tiny_events" },
+        { name: "in tiny events", fault: "endless_short_events" },
+    ])("are answered: $name", async ({ fault }) => {
+        gateway = await CrowdedGateway.start({ routeTimeoutMs: 40_000 });
+        gateway.engine.faults.push(...Array.from({ length: STREAM_COUNT }, () => fault));
+        const callers = Array.from({ length: STREAM_COUNT }, () => new RawReader(gateway.ports.front));
+        for (const caller of callers) caller.send(createRequest(DRAFT));
+        await eventually("the streams", () => callers.every(({ byteCount }) => byteCount > 0) || undefined, 20_000);
+        const statuses: number[] = [];
+        while (statuses.length < ORDINARY_COUNT) statuses.push((await gateway.fetch("/lookup/x")).status);
+        const openCount = callers.filter(({ isOpen }) => isOpen).length;
+        for (const caller of callers) caller.close();
+        expect(new Set(statuses)).toEqual(new Set([200]));
+        expect(openCount).toBe(STREAM_COUNT);
+    }, 60_000);
+});
+
 describe("one response in one-byte chunks", () => {
     it("reaches the caller unchanged as a body", async () => {
         gateway = await CrowdedGateway.start({ bodyByteCount: BODY_BYTES });
