fix(gateway): long responses were lost beside others that were being read

Cause: since long responses count against the budget until their callers have read them, the budget is short whenever more than a fifth of the memory is on its way. A response that found no room at that moment failed for good, although room comes as soon as the callers before it have read; an idempotent one was run again for it.

A response of a stated length now waits unread until there is room, after those that wait longer, and until its deadline. Its request's body is given up, since bodies kept for another attempt take the same memory. What can never fit fails at once as before, and so does a response of unknown length that outgrows the budget.

--- a/packages/gateway/src/runtime/attempt.ts
+++ b/packages/gateway/src/runtime/attempt.ts
@@ -1,6 +1,6 @@
 import { ByteCollector, nowMs } from "@skylarkmill/coordination";
 import type { EngineCall, EngineClient, EngineExchange, ResponseHead, ResponseListener } from "../types/engine.ts";
-import { type ByteBudget, MAX_SMALL_BODY_BYTES } from "./byte-budget.ts";
+import { type ByteBudget, MAX_SMALL_BODY_BYTES, type RoomWait } from "./byte-budget.ts";
 import type { CrashSuspects } from "./crash-suspects.ts";
 import { EventSplitter, type StreamEvent } from "./event-splitter.ts";
 import type { ServerState } from "./server-state.ts";
@@ -18,6 +18,8 @@
     onResponse(attempt: Attempt, head: ResponseHead, body: readonly Buffer[]): void;
     /** Called when the server states that it did not run the request. */
     onNotRun(attempt: Attempt, head: ResponseHead): void;
+    /** Called when the response waits until there is memory for it; the request needn't be kept for another attempt. */
+    onRoomWait(attempt: Attempt): void;
     /** Called when nothing arrived within the timeout; the attempt continues unless the listener abandons it. */
     onSilence(attempt: Attempt): void;
     /** Called when there is no usable response; `wasSent`: the backend server may have run the request. */
@@ -39,6 +41,8 @@
     private readonly splitter = new EventSplitter();
     private readonly body = new ByteCollector();
     private reservedByteCount = 0;
+    /** Wait of a response that isn't read until there is memory for all of it. */
+    private roomWait: RoomWait | undefined;
     private exchange: EngineExchange | undefined;
     private isFinished = false;
     private silenceTimer: NodeJS.Timeout | undefined;
@@ -79,7 +83,7 @@
 
     /** While the response isn't read, nothing is known of what its server has sent. */
     private onQuiet(timeoutMs: number): void {
-        if (this.exchange?.isHeld === true) this.restartSilenceTimer(timeoutMs);
+        if (this.exchange?.isHeld === true || this.roomWait !== undefined) this.restartSilenceTimer(timeoutMs);
         else this.listener.onSilence(this);
     }
 
@@ -113,9 +117,23 @@
         if (head.isNotRun) return this.finishNotRun(head);
         // What can't be kept is not read at all, since its memory would stay occupied until it is collected.
         const hasBody = this.call.request.method !== "HEAD" && head.status !== 304;
-        if (hasBody && !this.isStreaming && !this.tryReserve(head.statedByteCount)) {
-            this.fail("response too large", true);
-        }
+        if (!hasBody || this.isStreaming || this.tryReserve(head.statedByteCount)) return;
+        if (!this.tryWaitForRoom(head.statedByteCount)) this.fail("response too large", true);
+    }
+
+    /** Lets a response of a stated length wait until it can be kept, since it has run; returns false if it never can. */
+    private tryWaitForRoom(byteCount: number): boolean {
+        const { exchange } = this;
+        if (byteCount > MAX_BUFFERED_BYTES || exchange === undefined) return false;
+        this.roomWait = this.buffers.waitForRoom(byteCount, () => {
+            this.roomWait = undefined;
+            this.reservedByteCount = byteCount;
+            exchange.resume();
+        });
+        if (this.roomWait === undefined) return false;
+        exchange.pause();
+        this.listener.onRoomWait(this);
+        return true;
     }
 
     private finishNotRun(head: ResponseHead): void {
@@ -212,6 +230,8 @@
         this.isFinished = true;
         this.endUnanswered();
         clearTimeout(this.silenceTimer);
+        this.roomWait?.cancel();
+        this.roomWait = undefined;
         this.buffers.release(this.reservedByteCount);
         // The listener may keep the attempt until the caller's connection has closed.
         this.body.clear();
@@ -238,6 +258,7 @@
         onStreamEnd: guard(attempt => listener.onStreamEnd(attempt)),
         onResponse: guard((attempt, head, body) => listener.onResponse(attempt, head, body)),
         onNotRun: guard((attempt, head) => listener.onNotRun(attempt, head)),
+        onRoomWait: guard(attempt => listener.onRoomWait(attempt)),
         onSilence: guard(attempt => listener.onSilence(attempt)),
         onFailed: guard((attempt, cause, wasSent) => listener.onFailed(attempt, cause, wasSent)),
     };
--- a/packages/gateway/src/runtime/request-task.ts
+++ b/packages/gateway/src/runtime/request-task.ts
@@ -56,6 +56,8 @@
     private rejectedCount = 0;
     private sendCount = 0;
     private isWaiting = false;
+    /** Whether the request's body was given up for its response, so that it can't be sent again. */
+    private isBodyDiscarded = false;
     private waitTimer: NodeJS.Timeout | undefined;
     private readonly admission: Admission;
     private readonly choice: ServerChoice;
@@ -218,6 +220,13 @@
         this.refuse(refusals.backendLost());
     }
 
+    onRoomWait(): void {
+        // Bodies that are kept for another attempt take the memory that responses wait for.
+        if (this.request.body === undefined) return;
+        this.isBodyDiscarded = true;
+        this.request.body.discard();
+    }
+
     /** A server that sends nothing may only be slow, so its attempt is abandoned only if another server can be used. */
     onSilence(attempt: Attempt): void {
         const { context, serviceId } = this;
@@ -234,7 +243,7 @@
 
     /** Whether another attempt is allowed after one that may have run the request. */
     private get canRetry(): boolean {
-        return this.isRetryable && !this.continuity.hasUnnumberedData
+        return this.isRetryable && !this.isBodyDiscarded && !this.continuity.hasUnnumberedData
             && this.choice.possibleRunCount < this.route.maxAttempts;
     }
 
