fix(agent): responses in very many chunks kept the event loop

Beside one endless response in one-byte chunks that the agent's client reads, a test of 20 short requests to another server, one after the other, took 1.8 s. Servers and client share the process of the test; no whole agent was measured.

Only the gateway's connections to servers took turns.

The agent's client uses ResponseFlow too, in the same line as the bodies of requests. Its readers take a response with `for await`, where a `data` listener would start the flow, so `countChunks` counts what the parser adds to the response.

--- a/packages/adapters/src/node/backend-client.ts
+++ b/packages/adapters/src/node/backend-client.ts
@@ -1,4 +1,4 @@
-import { detectReset, isCutBy } from "@skylarkmill/coordination";
+import { detectReset, isCutBy, ResponseFlow } from "@skylarkmill/coordination";
 import { isFinalStatus, OutcomeUnknownError, UnavailableError } from "@skylarkmill/protocol";
 import { err, ok, type Result, ResultAsync } from "neverthrow";
 import { Agent, type ClientRequest, request as httpRequest } from "node:http";
@@ -34,6 +34,8 @@
  * A request fails with `UnavailableError` if no byte of it was sent, and with `OutcomeUnknownError` if it may have run.
  * Only the request's signal limits its duration; the client sets no timeout after the connection is open.
  *
+ * A response in very many chunks, whose reads take long, is read in turns with the other costly reads of the process.
+ *
  * @example
  * const client = createBackendClient({ baseUrl: "http://127.0.0.1:9000", maxConnections: 32 });
  * const response = await client.send({ method: "GET", path: "/stock/hub", headers: {}, body: undefined, signal });
@@ -58,10 +60,13 @@
             };
             if (signal.aborted) return fail(signal.reason);
             const request = httpRequest({ agent, host: hostname, port, method, path, headers: { ...headers }, signal });
-            request.once("socket", socket =>
+            let flow: ResponseFlow | undefined;
+            request.once("socket", socket => {
+                flow = new ResponseFlow(socket);
                 watchConnection(request, socket, connectTimeoutMs, () => {
                     mayHaveBeenSent = true;
-                }));
+                });
+            });
             limitInformationalResponses(request);
             request.on("error", fail);
             // A switch of protocols closes the connection with neither an error nor a response.
@@ -81,6 +86,7 @@
                 };
                 request.on("error", destroyIfCut);
                 detectReset(response.socket, destroyIfCut);
+                flow?.countChunks(response);
                 resolve(ok({ statusCode, headers: response.headers, body: response }));
             });
             request.end(body);
--- a/packages/coordination/src/node/response-flow.ts
+++ b/packages/coordination/src/node/response-flow.ts
@@ -1,3 +1,4 @@
+import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
 import type { LoopShare } from "../runtime/loop-share.ts";
 import { nowMs } from "../utils/clock.ts";
@@ -62,6 +63,21 @@
         this.pieceCount += count;
     }
 
+    /**
+     * Counts the chunks of a response as Node's parser adds them, for a reader that gets many at once.
+     *
+     * @example
+     * flow.countChunks(response);
+     * for await (const bytes of response) handle(bytes);
+     */
+    countChunks(response: IncomingMessage): void {
+        const push = response.push.bind(response);
+        response.push = (chunk, encoding) => {
+            this.countPieces(1);
+            return push(chunk, encoding);
+        };
+    }
+
     private endRead(): void {
         const costMs = nowMs() - this.readAtMs;
         if (costMs < COSTLY_READ_MS || this.pieceCount < MIN_COSTLY_RESPONSE_PIECES) return;
--- a/packages/skylarkmill/src/settings/fixed-limits.ts
+++ b/packages/skylarkmill/src/settings/fixed-limits.ts
@@ -86,7 +86,7 @@
     },
     {
         meaning: "Pieces that one read of a server's response brings, beyond which the same holds for its connection.",
-        part: "gateway: backend servers",
+        part: "gateway, agent: backend servers",
         value: String(MIN_COSTLY_RESPONSE_PIECES),
     },
     {
