fix(gateway): later long responses overtook those that wait for room

Cause: only waiters were served in order; a response whose head came later reserved room directly, so a large one could wait until its deadline while smaller ones took whatever was released.

Change: a long response takes room directly only if none waits.

--- a/packages/gateway/src/runtime/attempt.ts
+++ b/packages/gateway/src/runtime/attempt.ts
@@ -117,7 +117,7 @@
         if (head.isNotRun) return this.finishNotRun(head);
         // What can't be kept is not read at all, since its memory would stay occupied until it is collected.
         const hasBody = this.call.request.method !== "HEAD" && head.status !== 304;
-        if (!hasBody || this.isStreaming || this.tryReserve(head.statedByteCount)) return;
+        if (!hasBody || this.isStreaming || this.tryReserveInTurn(head.statedByteCount)) return;
         if (!this.tryWaitForRoom(head.statedByteCount)) this.fail("response too large", true);
     }
 
@@ -150,6 +150,12 @@
         this.body.append(chunk);
     }
 
+    /** Reserves memory for a stated length; returns false if there is no room, or long responses wait for it already. */
+    private tryReserveInTurn(byteCount: number): boolean {
+        const isLong = byteCount > MAX_SMALL_BODY_BYTES;
+        return !(isLong && this.buffers.waiterCount > 0) && this.tryReserve(byteCount);
+    }
+
     /** Reserves memory for `byteCount` bytes of the response in all; returns false if there is no room. */
     private tryReserve(byteCount: number): boolean {
         if (byteCount <= Math.max(MAX_SMALL_BODY_BYTES, this.reservedByteCount)) return true;
--- a/test/gateway/held-responses.test.ts
+++ b/test/gateway/held-responses.test.ts
@@ -121,6 +121,19 @@
         expect(responses[3]!.resume).toHaveBeenCalledTimes(1);
     });
 
+    it("isn't overtaken by a later one that would fit", async () => {
+        const budget = new ByteBudget(100_000);
+        const responses = Array.from({ length: 3 }, () => new SentResponse(budget));
+        const [first, second, third] = responses;
+        first!.begin(60_000);
+        second!.begin(60_000);
+        third!.begin(SIZE);
+        expect(responses.map(({ pause }) => pause.mock.calls.length)).toEqual([0, 1, 1]);
+        first!.complete(60_000);
+        await vi.advanceTimersByTimeAsync(1);
+        expect(responses.map(({ resume }) => resume.mock.calls.length)).toEqual([0, 1, 1]);
+    });
+
     it("leaves the line when it is cancelled", async () => {
         const budget = new ByteBudget(50_000);
         const responses = Array.from({ length: 3 }, () => new SentResponse(budget));
