fix(gateway): requests with small bodies weren't repeated after a wait for room

Cause: a response that waits for room gave up its request's body, whatever its size. Bodies of up to 16 KB take memory of a budget of their own, so giving them up makes no room, and an idempotent request whose server broke off during the wait was lost instead of repeated.

Change: only larger bodies are given up.

--- a/packages/gateway/src/runtime/request-task.ts
+++ b/packages/gateway/src/runtime/request-task.ts
@@ -8,6 +8,7 @@
 import { refusals } from "../utils/refusals.ts";
 import { buildTransitionTable } from "../utils/transition-table.ts";
 import { Attempt, type AttemptListener, guardListener } from "./attempt.ts";
+import { MAX_SMALL_BODY_BYTES } from "./byte-budget.ts";
 import type { StreamEvent } from "./event-splitter.ts";
 import type { WaitingRequest } from "./local-demand-tracker.ts";
 import { RequestLog } from "./request-log.ts";
@@ -221,10 +222,11 @@
     }
 
     onRoomWait(): void {
-        // Bodies that are kept for another attempt take the memory that responses wait for.
-        if (this.request.body === undefined) return;
+        // Large bodies that are kept for another attempt take the memory that responses wait for.
+        const { body } = this.request;
+        if (body === undefined || body.byteCount <= MAX_SMALL_BODY_BYTES) return;
         this.isBodyDiscarded = true;
-        this.request.body.discard();
+        body.discard();
     }
 
     /** A server that sends nothing may only be slow, so its attempt is abandoned only if another server can be used. */
--- /dev/null
+++ b/test/gateway/response-waits.test.ts
@@ -0,0 +1,170 @@
+import { LogLimiter, silentLogger } from "@skylarkmill/coordination";
+import {
+    ByteBudget,
+    type CallerRequest,
+    CrashSuspects,
+    createServerRanking,
+    FairOrder,
+    type GatewayContext,
+    GatewayMetrics,
+    LocalDemandTracker,
+    RequestBody,
+    RequestTask,
+    type ResponseHead,
+    type ResponseListener,
+    type ResponseWriter,
+    RetryBudget,
+    type Route,
+    ServerDirectory,
+    ServerRates,
+    WorkspaceDirectory,
+} from "@skylarkmill/gateway";
+import { type DataCentre, type RequestId, type ServerId, type ServiceId, toId } from "@skylarkmill/protocol";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { createIdleExchange } from "./support/idle-exchange.ts";
+
+const SERVICE = toId<ServiceId>("desk");
+const DATA_CENTRE = toId<DataCentre>("dc-1");
+const BUDGET_BYTES = 100_000;
+
+const route: Route = {
+    name: "lookup",
+    host: "desk.example",
+    prefix: "/lookup/",
+    kind: "idempotent",
+    services: [{ serviceId: SERVICE, weight: 1 }],
+    timeoutMs: 30_000,
+    targetLatencyMs: 400,
+    callerSilenceTimeoutMs: undefined,
+    priority: 2,
+    maxAttempts: 3,
+    isPublic: false,
+    isResumable: false,
+};
+
+const request: CallerRequest = {
+    requestId: toId<RequestId>("r1"),
+    keyDigest: undefined,
+    workspaceId: undefined,
+    method: "POST",
+    path: "/lookup/a",
+    host: "desk.example",
+    modelId: undefined,
+    adapterId: undefined,
+    hasTokenCount: false,
+    promptTokenCount: 0,
+    maxOutputTokenCount: 0,
+    sharedPromptParts: [],
+    lastEventId: undefined,
+    deadlineMs: undefined,
+    headers: [],
+    body: undefined,
+};
+
+const HEAD: ResponseHead = {
+    status: 200,
+    isNotRun: false,
+    isGenuine: true,
+    weightVersion: undefined,
+    load: undefined,
+    isFramed: true,
+    statedByteCount: 0,
+    headers: ["content-type", "text/event-stream"],
+};
+
+beforeEach(() => void vi.useFakeTimers());
+afterEach(() => void vi.useRealTimers());
+
+/** Starts a request that two servers can run. */
+function start(routeFields: Partial<Route>, body?: RequestBody) {
+    const sent: ResponseListener[] = [];
+    const byteBudget = new ByteBudget(BUDGET_BYTES);
+    const directory = new ServerDirectory(silentLogger);
+    const context: GatewayContext = {
+        serverRanking: createServerRanking("least_load"),
+        workspaces: new WorkspaceDirectory(),
+        fairOrder: new FairOrder(() => 1),
+        quotas: { decide: () => ({ kind: "admitted" }), leave: () => undefined, giveBack: () => undefined },
+        dataCentre: DATA_CENTRE,
+        directory,
+        engineClient: {
+            onNotice: () => undefined,
+            sendRequest: (_call, listener) => {
+                sent.push(listener);
+                return createIdleExchange();
+            },
+            sendOrder: undefined as never,
+            readReport: undefined as never,
+        },
+        byteBudget,
+        crashSuspects: new CrashSuspects({ logger: silentLogger, onChange: () => undefined }),
+        serverRates: new ServerRates({
+            logger: silentLogger,
+            requestReservations: async () => undefined,
+            onChange: () => undefined,
+            onStatement: () => undefined,
+            isListed: () => true,
+        }),
+        localDemand: new LocalDemandTracker(() => undefined),
+        metrics: new GatewayMetrics(),
+        logger: silentLogger,
+        requestLogLimiter: new LogLimiter(20),
+        getRetryBudget: () => new RetryBudget({ ratio: 0.2, slack: 50, windowMs: 10_000 }),
+        getGatewayCount: () => 1,
+    };
+    for (const name of ["d1", "d2"]) {
+        directory.upsert({
+            serverId: toId<ServerId>(name),
+            serviceId: SERVICE,
+            address: { host: "10.0.0.1", port: 80 },
+            dataCentre: DATA_CENTRE,
+            draining: false,
+            bornAtMs: 1,
+            slotCount: 8,
+            sequence: 0,
+            models: [],
+            onDisk: [],
+            inMemory: [],
+        });
+    }
+    const writer: ResponseWriter = {
+        hasStarted: false,
+        onCallerDisconnect: () => undefined,
+        sendComplete: () => undefined,
+        sendUnverified: () => undefined,
+        start: () => undefined,
+        // The caller doesn't read.
+        write: () => false,
+        onDrain: () => undefined,
+        end: () => undefined,
+        refuse: () => undefined,
+        abort: () => undefined,
+    };
+    const task = new RequestTask(
+        context,
+        { ...route, ...routeFields },
+        SERVICE,
+        { ...request, body },
+        writer,
+        performance.now(),
+        () => undefined,
+    );
+    task.start();
+    return { task, sent, byteBudget };
+}
+
+// Guards against requests that are lost, although they could be repeated, since their responses waited for a while.
+describe("a request whose connection breaks while its response waits for room", () => {
+    it.each([
+        { name: "takes memory of its own", byteCount: 1_000, sentCount: 2 },
+        { name: "takes the memory that responses wait for", byteCount: 20_000, sentCount: 1 },
+    ])("is repeated unless its body was given up: its body $name", ({ byteCount, sentCount }) => {
+        const { task, sent, byteBudget } = start({}, new RequestBody([], byteCount, () => undefined));
+        byteBudget.reserve(BUDGET_BYTES);
+        sent[0]!.onHead({ ...HEAD, statedByteCount: 40_000 });
+        expect(byteBudget.waiterCount).toBe(1);
+        sent[0]!.onFailure(new Error("the connection closed within the response"), true);
+        expect(sent.length).toBe(sentCount);
+        task.endNow();
+    });
+});
