fix(gateway): streams of slow callers were moved to other servers as silent

Cause: a stream that isn't read, since its caller hasn't read what it was sent, ran into the limit on pauses between events, so its request was run again elsewhere, up to the route's number of attempts, without need. A response that was read again could also be taken for a silent one right then.

Change: the time without an event doesn't count while the response is paused or waits for room, and starts anew when it is read again.

--- a/packages/gateway/src/runtime/attempt.ts
+++ b/packages/gateway/src/runtime/attempt.ts
@@ -46,6 +46,9 @@
     private exchange: EngineExchange | undefined;
     private isFinished = false;
     private silenceTimer: NodeJS.Timeout | undefined;
+    private silenceTimeoutMs: number | undefined;
+    /** Whether the response isn't read since its caller hasn't read what it was sent. */
+    private isPaused = false;
 
     constructor(
         server: ServerState,
@@ -78,12 +81,14 @@
     restartSilenceTimer(timeoutMs: number): void {
         clearTimeout(this.silenceTimer);
         if (this.isFinished) return;
+        this.silenceTimeoutMs = timeoutMs;
         this.silenceTimer = setTimeout(() => this.onQuiet(timeoutMs), timeoutMs);
     }
 
     /** While the response isn't read, nothing is known of what its server has sent. */
     private onQuiet(timeoutMs: number): void {
-        if (this.exchange?.isHeld === true || this.roomWait !== undefined) this.restartSilenceTimer(timeoutMs);
+        const isRead = !this.isPaused && this.roomWait === undefined && this.exchange?.isHeld !== true;
+        if (!isRead) this.restartSilenceTimer(timeoutMs);
         else this.listener.onSilence(this);
     }
 
@@ -97,13 +102,21 @@
     }
 
     pause(): void {
+        this.isPaused = true;
         this.exchange?.pause();
     }
 
     resume(): void {
+        this.isPaused = false;
+        this.onReadAgain();
         this.exchange?.resume();
     }
 
+    /** The server has the whole time again, since what it sent meanwhile comes only now. */
+    private onReadAgain(): void {
+        if (this.silenceTimeoutMs !== undefined) this.restartSilenceTimer(this.silenceTimeoutMs);
+    }
+
     onHead(head: ResponseHead): void {
         if (this.isFinished) return;
         this.head = head;
@@ -128,6 +141,7 @@
         this.roomWait = this.buffers.waitForRoom(byteCount, () => {
             this.roomWait = undefined;
             this.reservedByteCount = byteCount;
+            this.onReadAgain();
             exchange.resume();
         });
         if (this.roomWait === undefined) return false;
--- a/test/gateway/response-waits.test.ts
+++ b/test/gateway/response-waits.test.ts
@@ -26,6 +26,8 @@
 const SERVICE = toId<ServiceId>("desk");
 const DATA_CENTRE = toId<DataCentre>("dc-1");
 const BUDGET_BYTES = 100_000;
+/** Time without an event after which a gateway searches for another server. */
+const PAUSE_TIMEOUT_MS = 900;
 
 const route: Route = {
     name: "lookup",
@@ -127,6 +129,7 @@
             inMemory: [],
         });
     }
+    let drain = (): void => undefined;
     const writer: ResponseWriter = {
         hasStarted: false,
         onCallerDisconnect: () => undefined,
@@ -135,7 +138,9 @@
         start: () => undefined,
         // The caller doesn't read.
         write: () => false,
-        onDrain: () => undefined,
+        onDrain: listener => {
+            drain = listener;
+        },
         end: () => undefined,
         refuse: () => undefined,
         abort: () => undefined,
@@ -150,7 +155,7 @@
         () => undefined,
     );
     task.start();
-    return { task, sent, byteBudget };
+    return { task, sent, byteBudget, drain: () => drain() };
 }
 
 // Guards against requests that are lost, although they could be repeated, since their responses waited for a while.
@@ -168,3 +173,20 @@
         task.endNow();
     });
 });
+
+// Guards against requests that run again and again since their callers read slowly.
+describe("a stream whose caller doesn't read for a while", () => {
+    it("isn't taken for a silent one until it is read again and sends nothing", async () => {
+        const { task, sent, drain } = start({ kind: "streaming", isResumable: true });
+        sent[0]!.onHead(HEAD);
+        sent[0]!.onData(Buffer.from("id: 1\ndata: a\n\n"));
+        await vi.advanceTimersByTimeAsync(20_000);
+        expect(sent.length).toBe(1);
+        drain();
+        await vi.advanceTimersByTimeAsync(PAUSE_TIMEOUT_MS - 1);
+        expect(sent.length).toBe(1);
+        await vi.advanceTimersByTimeAsync(2);
+        expect(sent.length).toBe(2);
+        task.endNow();
+    });
+});
