test(coordination): the hold of a response wasn't checked

Cause: the case compared the bytes in the same turn of the event loop, in which nothing can be read, so all four cases passed with the hold removed.

Change: it waits, with turns that are long enough, before it compares.

--- a/test/coordination/response-flow.test.ts
+++ b/test/coordination/response-flow.test.ts
@@ -6,6 +6,10 @@
 import { eventually } from "../support/eventually.ts";
 
 const BODY_BYTES = 60_000;
+/** Part of the time with which a read that takes 10 ms is followed by a pause of 90 ms. */
+const LONG_TURNS_SHARE = 0.1;
+/** Time in which a response that isn't held back would be read on. */
+const UNREAD_MS = 20;
 
 let server: Server | undefined;
 
@@ -15,12 +19,11 @@
 
 /** Receives a response that comes in chunks of one size; `onFlow` is called before it begins. */
 class ReceivedResponse {
-    readonly share = new LoopShare();
     byteCount = 0;
     hasEnded = false;
     flow: ResponseFlow | undefined;
 
-    private constructor(port: number) {
+    private constructor(port: number, readonly share: LoopShare) {
         const call = request({ port, host: "127.0.0.1", agent: false });
         call.once("socket", socket => {
             this.flow = new ResponseFlow(socket, this.share);
@@ -37,7 +40,7 @@
         call.end();
     }
 
-    static async start(chunkBytes: number): Promise<ReceivedResponse> {
+    static async start(chunkBytes: number, share = new LoopShare()): Promise<ReceivedResponse> {
         const chunk = `${chunkBytes.toString(16)}\r\n${"x".repeat(chunkBytes)}\r\n`;
         server = createServer(socket => {
             socket.on("error", () => undefined);
@@ -47,7 +50,7 @@
             });
         });
         await new Promise<void>(resolve => server!.listen(0, "127.0.0.1", resolve));
-        return new ReceivedResponse((server.address() as AddressInfo).port);
+        return new ReceivedResponse((server.address() as AddressInfo).port, share);
     }
 }
 
@@ -63,11 +66,12 @@
     });
 
     it("that waits for its turn isn't read when its reader resumes it", async () => {
-        const received = await ReceivedResponse.start(1);
+        const received = await ReceivedResponse.start(1, new LoopShare(LONG_TURNS_SHARE));
         await eventually("a turn", () => received.flow?.isHeld || undefined);
         const { byteCount } = received;
         received.flow!.pause();
         received.flow!.resume();
+        await delay(UNREAD_MS);
         expect(received.flow!.isHeld).toBe(true);
         expect(received.byteCount).toBe(byteCount);
         await eventually("its end", () => received.hasEnded || undefined);
