--- a/packages/gateway/src/runtime/attempt.ts
+++ b/packages/gateway/src/runtime/attempt.ts
@@ -46,6 +46,9 @@
     private exchange: EngineExchange | undefined;
     private isFinished = false;
     private silenceTimer: NodeJS.Timeout | undefined;
+    private silenceTimeoutMs: number | undefined;
+    /** Whether the response isn't read since its caller hasn't read what it was sent. */
+    private isPaused = false;
 
     constructor(
         server: ServerState,
@@ -78,12 +81,14 @@
     restartSilenceTimer(timeoutMs: number): void {
         clearTimeout(this.silenceTimer);
         if (this.isFinished) return;
+        this.silenceTimeoutMs = timeoutMs;
         this.silenceTimer = setTimeout(() => this.onQuiet(timeoutMs), timeoutMs);
     }
 
     /** While the response isn't read, nothing is known of what its server has sent. */
     private onQuiet(timeoutMs: number): void {
-        if (this.exchange?.isHeld === true || this.roomWait !== undefined) this.restartSilenceTimer(timeoutMs);
+        const isRead = !this.isPaused && this.roomWait === undefined && this.exchange?.isHeld !== true;
+        if (!isRead) this.restartSilenceTimer(timeoutMs);
         else this.listener.onSilence(this);
     }
 
@@ -97,13 +102,21 @@
     }
 
     pause(): void {
+        this.isPaused = true;
         this.exchange?.pause();
     }
 
     resume(): void {
+        this.isPaused = false;
+        this.onReadAgain();
         this.exchange?.resume();
     }
 
+    /** The server has the whole time again, since what it sent meanwhile comes only now. */
+    private onReadAgain(): void {
+        if (this.silenceTimeoutMs !== undefined) this.restartSilenceTimer(this.silenceTimeoutMs);
+    }
+
     onHead(head: ResponseHead): void {
         if (this.isFinished) return;
         this.head = head;
@@ -117,7 +130,7 @@
         if (head.isNotRun) return this.finishNotRun(head);
         // What can't be kept is not read at all, since its memory would stay occupied until it is collected.
         const hasBody = this.call.request.method !== "HEAD" && head.status !== 304;
-        if (!hasBody || this.isStreaming || this.tryReserve(head.statedByteCount)) return;
+        if (!hasBody || this.isStreaming || this.tryReserveInTurn(head.statedByteCount)) return;
         if (!this.tryWaitForRoom(head.statedByteCount)) this.fail("response too large", true);
     }
 
@@ -128,6 +141,7 @@
         this.roomWait = this.buffers.waitForRoom(byteCount, () => {
             this.roomWait = undefined;
             this.reservedByteCount = byteCount;
+            this.onReadAgain();
             exchange.resume();
         });
         if (this.roomWait === undefined) return false;
@@ -150,6 +164,12 @@
         this.body.append(chunk);
     }
 
+    /** Reserves memory for a stated length; returns false if there is no room, or long responses wait for it already. */
+    private tryReserveInTurn(byteCount: number): boolean {
+        const isLong = byteCount > MAX_SMALL_BODY_BYTES;
+        return !(isLong && this.buffers.waiterCount > 0) && this.tryReserve(byteCount);
+    }
+
     /** Reserves memory for `byteCount` bytes of the response in all; returns false if there is no room. */
     private tryReserve(byteCount: number): boolean {
         if (byteCount <= Math.max(MAX_SMALL_BODY_BYTES, this.reservedByteCount)) return true;
