fix(gateway): a response was taken for a silent one as soon as it was read again

Cause: when the silence timer fires, an attempt asks whether its response is held for its turn. One that was released a moment before counted as silent, though what has arrived is read only after the timers of that turn, and the request was sent to another server.

The time of silence counts from the release now.

--- a/packages/coordination/src/node/response-flow.ts
+++ b/packages/coordination/src/node/response-flow.ts
@@ -32,6 +32,7 @@
     private pieceCount = 0;
     private isPaused = false;
     private isHeldBack = false;
+    private lastReleaseAtMs = -Infinity;
 
     constructor(private readonly socket: Socket, private readonly share: LoopShare = processLoopShare) {
         // Node's HTTP client has its listener already.
@@ -48,6 +49,11 @@
         return this.isHeldBack;
     }
 
+    /** Time at which its last turn came, on the monotonic clock; -Infinity before. */
+    get releasedAtMs(): number {
+        return this.lastReleaseAtMs;
+    }
+
     pause(): void {
         this.isPaused = true;
         this.update();
@@ -89,6 +95,7 @@
 
     private release(): void {
         this.isHeldBack = false;
+        this.lastReleaseAtMs = nowMs();
         this.update();
     }
 
--- a/packages/gateway/src/runtime/attempt.ts
+++ b/packages/gateway/src/runtime/attempt.ts
@@ -87,7 +87,9 @@
 
     /** While the response isn't read, nothing is known of what its server has sent. */
     private onQuiet(timeoutMs: number): void {
-        const isRead = !this.isPaused && this.roomWait === undefined && this.exchange?.isHeld !== true;
+        const isHeld = this.exchange?.isHeld === true
+            || nowMs() - (this.exchange?.releasedAtMs ?? -Infinity) < timeoutMs;
+        const isRead = !this.isPaused && this.roomWait === undefined && !isHeld;
         if (!isRead) this.restartSilenceTimer(timeoutMs);
         else this.listener.onSilence(this);
     }
--- a/packages/gateway/src/types/engine.ts
+++ b/packages/gateway/src/types/engine.ts
@@ -198,6 +198,8 @@
     countPieces(count: number): void;
     /** Whether the response isn't read for a while, since reading it has taken long. */
     readonly isHeld: boolean;
+    /** Time at which the response was last read again after that, on the monotonic clock; -Infinity before. */
+    readonly releasedAtMs: number;
 }
 
 /** Sends requests and orders to backend servers. */
--- a/test/gateway/held-responses.test.ts
+++ b/test/gateway/held-responses.test.ts
@@ -66,9 +66,24 @@
         await vi.advanceTimersByTimeAsync(10 * SILENCE_MS);
         expect(onSilence).not.toHaveBeenCalled();
         exchange.isHeld = false;
+        exchange.releasedAtMs = performance.now();
         await vi.advanceTimersByTimeAsync(SILENCE_MS);
         expect(onSilence).toHaveBeenCalledTimes(1);
     });
+
+    // What has arrived is read only after the timers of the same turn of the event loop.
+    it("isn't taken for a silent one as soon as it is read again", async () => {
+        const exchange = { ...createIdleExchange(), isHeld: true };
+        const onSilence = vi.fn();
+        const attempt = createAttempt({ onSilence });
+        attempt.start(createEngineClient(() => exchange));
+        attempt.restartSilenceTimer(SILENCE_MS);
+        await vi.advanceTimersByTimeAsync(SILENCE_MS - 1);
+        exchange.isHeld = false;
+        exchange.releasedAtMs = performance.now();
+        await vi.advanceTimersByTimeAsync(SILENCE_MS - 1);
+        expect(onSilence).not.toHaveBeenCalled();
+    });
 });
 
 /** A response that a server sends to an attempt. */
