fix(gateway): bodies of requests starved responses that wait for room

Cause: a response that waits needs its whole size at one moment, while new bodies over 16 KB took whatever was released.

While something waits, nothing new gets room of that budget: such a body is refused at once (503 no_memory, not run). What has begun may still grow. The line of responses that made is the same rule, so it is one method now.

--- a/packages/gateway/src/runtime/attempt.ts
+++ b/packages/gateway/src/runtime/attempt.ts
@@ -132,7 +132,7 @@
         if (head.isNotRun) return this.finishNotRun(head);
         // What can't be kept is not read at all, since its memory would stay occupied until it is collected.
         const hasBody = this.call.request.method !== "HEAD" && head.status !== 304;
-        if (!hasBody || this.isStreaming || this.tryReserveInTurn(head.statedByteCount)) return;
+        if (!hasBody || this.isStreaming || this.tryReserveStated(head.statedByteCount)) return;
         if (!this.tryWaitForRoom(head.statedByteCount)) this.fail("response too large", true);
     }
 
@@ -162,21 +162,23 @@
         if (this.isFinished) return;
         this.server.lastByteAtMs = nowMs();
         if (this.isStreaming) return this.pushEvents(chunk);
-        if (!this.tryReserve(this.body.byteCount + chunk.length)) return this.fail("response too large", true);
+        if (!this.tryExtendTo(this.body.byteCount + chunk.length)) return this.fail("response too large", true);
         this.body.append(chunk);
     }
 
-    /** Reserves memory for a stated length; returns false if there is no room, or long responses wait for it already. */
-    private tryReserveInTurn(byteCount: number): boolean {
-        const isLong = byteCount > MAX_SMALL_BODY_BYTES;
-        return !(isLong && this.buffers.waiterCount > 0) && this.tryReserve(byteCount);
+    /** Reserves memory for a stated length; returns false if there is no room, or others wait for it already. */
+    private tryReserveStated(byteCount: number): boolean {
+        if (byteCount <= MAX_SMALL_BODY_BYTES) return true;
+        if (byteCount > MAX_BUFFERED_BYTES || !this.buffers.tryReserve(byteCount)) return false;
+        this.reservedByteCount = byteCount;
+        return true;
     }
 
     /** Reserves memory for `byteCount` bytes of the response in all; returns false if there is no room. */
-    private tryReserve(byteCount: number): boolean {
+    private tryExtendTo(byteCount: number): boolean {
         if (byteCount <= Math.max(MAX_SMALL_BODY_BYTES, this.reservedByteCount)) return true;
         if (byteCount > MAX_BUFFERED_BYTES) return false;
-        if (!this.buffers.tryReserve(byteCount - this.reservedByteCount)) return false;
+        if (!this.buffers.tryExtend(byteCount - this.reservedByteCount)) return false;
         this.reservedByteCount = byteCount;
         return true;
     }
--- a/packages/gateway/src/runtime/byte-budget.ts
+++ b/packages/gateway/src/runtime/byte-budget.ts
@@ -38,8 +38,16 @@
         this.reclaim = reclaim;
     }
 
-    /** Returns false, and reserves nothing, if the limit would be exceeded. */
+    /**
+     * Returns false, and reserves nothing, if the limit would be exceeded, or if something waits for room: it would wait
+     * without end if others took what is released.
+     */
     tryReserve(byteCount: number): boolean {
+        return this.waiters.size === 0 && this.tryExtend(byteCount);
+    }
+
+    /** Reserves more for what has room already, whether something waits or not; returns false as `tryReserve` does. */
+    tryExtend(byteCount: number): boolean {
         const missingByteCount = this.usedByteCount + byteCount - this.maxByteCount;
         if (missingByteCount > 0) this.reclaim(missingByteCount);
         if (this.usedByteCount + byteCount > this.maxByteCount) return false;
@@ -84,7 +92,7 @@
     private serveWaiters(): void {
         this.nextCheck = undefined;
         for (const waiter of this.waiters) {
-            if (!this.tryReserve(waiter.byteCount)) break;
+            if (!this.tryExtend(waiter.byteCount)) break;
             this.waiters.delete(waiter);
             waiter.onRoom();
         }
--- a/test/gateway/held-responses.test.ts
+++ b/test/gateway/held-responses.test.ts
@@ -110,8 +110,12 @@
         this.listener!.onHead({ ...HEAD, statedByteCount });
     }
 
-    complete(byteCount: number): void {
+    receive(byteCount: number): void {
         this.listener!.onData(Buffer.alloc(byteCount));
+    }
+
+    complete(byteCount: number): void {
+        this.receive(byteCount);
         this.listener!.onEnd();
     }
 }
@@ -149,6 +153,31 @@
         expect(responses.map(({ resume }) => resume.mock.calls.length)).toEqual([0, 1, 1]);
     });
 
+    it("isn't starved by bodies of requests that take what is released", async () => {
+        const budget = new ByteBudget(100_000);
+        budget.reserve(100_000);
+        const response = new SentResponse(budget);
+        response.begin(SIZE);
+        for (let count = 0; count < 2; count += 1) {
+            budget.release(20_000);
+            await vi.advanceTimersByTimeAsync(50);
+            expect(budget.tryReserve(20_000)).toBe(false);
+        }
+        expect(response.resume).toHaveBeenCalledTimes(1);
+    });
+
+    it("doesn't keep one of unknown length, which has begun, from its memory", () => {
+        const budget = new ByteBudget(100_000);
+        const [begun, first, waiting] = Array.from({ length: 3 }, () => new SentResponse(budget));
+        begun!.begin(0);
+        begun!.receive(20_000);
+        first!.begin(60_000);
+        waiting!.begin(SIZE);
+        expect(budget.waiterCount).toBe(1);
+        begun!.receive(10_000);
+        expect(begun!.onFailed).not.toHaveBeenCalled();
+    });
+
     it("leaves the line when it is cancelled", async () => {
         const budget = new ByteBudget(50_000);
         const responses = Array.from({ length: 3 }, () => new SentResponse(budget));
