fix(gateway): an error that found no room waited instead of another attempt

Cause: let each response of a stated length wait for room. A long response with status 500 or above then gave up its request's body, so that an idempotent request got the error although another server was free.

Such a response fails at once again, as before. Found in the review. response-waits.test.ts: the new case failed before (one attempt, two expected).

--- a/packages/gateway/src/runtime/attempt.ts
+++ b/packages/gateway/src/runtime/attempt.ts
@@ -133,7 +133,9 @@
         // What can't be kept is not read at all, since its memory would stay occupied until it is collected.
         const hasBody = this.call.request.method !== "HEAD" && head.status !== 304;
         if (!hasBody || this.isStreaming || this.tryReserveStated(head.statedByteCount)) return;
-        if (!this.tryWaitForRoom(head.statedByteCount)) this.fail("response too large", true);
+        // The request of an error may be repeated at once.
+        const canWait = head.status < 500 && this.tryWaitForRoom(head.statedByteCount);
+        if (!canWait) this.fail("response too large", true);
     }
 
     /** Lets a response of a stated length wait until it can be kept, since it has run; returns false if it never can. */
--- a/test/gateway/response-waits.test.ts
+++ b/test/gateway/response-waits.test.ts
@@ -174,6 +174,17 @@
     });
 });
 
+// Guards against responses that wait for room although the request can be run again at once.
+describe("an error that finds no room", () => {
+    it("is followed by another attempt", () => {
+        const { task, sent, byteBudget } = start({}, new RequestBody([], 20_000, () => undefined));
+        byteBudget.reserve(BUDGET_BYTES);
+        sent[0]!.onHead({ ...HEAD, status: 503, statedByteCount: 40_000 });
+        expect([byteBudget.waiterCount, sent.length]).toEqual([0, 2]);
+        task.endNow();
+    });
+});
+
 // Guards against requests that run again and again since their callers read slowly.
 describe("a stream whose caller doesn't read for a while", () => {
     it("isn't taken for a silent one until it is read again and sends nothing", async () => {
