fix(gateway): any number of responses waited for room, each with its first reads

What the first reads of its connection brought is kept meanwhile outside the budget, and nothing limited the number of such responses.

64 wait at most; one more fails at once, as before. The connection of a response that waits isn't read on, so that each keeps one read of 64 KiB.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -3,7 +3,7 @@
 export { PeerClient } from "./node/peer-client.ts";
 export { ViewFollower, type ViewFollowerOptions } from "./node/view-follower.ts";
 export { Attempt, type AttemptListener } from "./runtime/attempt.ts";
-export { ByteBudget, MAX_SMALL_BODY_BYTES } from "./runtime/byte-budget.ts";
+export { ByteBudget, MAX_ROOM_WAITERS, MAX_SMALL_BODY_BYTES } from "./runtime/byte-budget.ts";
 export { ClusterDemandTracker } from "./runtime/cluster-demand-tracker.ts";
 export { type CrashDecision, CrashSuspects, type CrashSuspectsOptions } from "./runtime/crash-suspects.ts";
 export { EngineCommandRunner, type EngineCommandRunnerOptions } from "./runtime/engine-command-runner.ts";
--- a/packages/gateway/src/runtime/byte-budget.ts
+++ b/packages/gateway/src/runtime/byte-budget.ts
@@ -1,6 +1,8 @@
 /** Size up to which a body takes room of a budget of its own, so that large bodies leave room for small ones. */
 export const MAX_SMALL_BODY_BYTES = 16 * 1024;
 
+/** Largest number of responses that wait for room; of each, what one read of its connection brought is kept, 64 KiB. */
+export const MAX_ROOM_WAITERS = 64;
 /** Interval at which room is asked for again while something waits for it. */
 const ROOM_CHECK_INTERVAL_MS = 200;
 
@@ -57,13 +59,13 @@
 
     /**
      * Reserves bytes once there is room, after those that have waited longer, and calls `onRoom` then. Returns undefined if
-     * there never will be.
+     * there never will be, or if too many wait already.
      *
      * @example
      * const wait = budget.waitForRoom(4_194_304, () => exchange.resume());
      */
     waitForRoom(byteCount: number, onRoom: () => void): RoomWait | undefined {
-        if (byteCount > this.maxByteCount) return undefined;
+        if (byteCount > this.maxByteCount || this.waiters.size >= MAX_ROOM_WAITERS) return undefined;
         const waiter = { byteCount, onRoom };
         this.waiters.add(waiter);
         this.checkTimer ??= setInterval(() => this.serveWaiters(), ROOM_CHECK_INTERVAL_MS);
--- a/packages/skylarkmill/src/settings/fixed-limits.ts
+++ b/packages/skylarkmill/src/settings/fixed-limits.ts
@@ -12,7 +12,7 @@
     MIN_COSTLY_RESPONSE_PIECES,
     UNFINISHED_HEAD_SHARE,
 } from "@skylarkmill/coordination";
-import { MAX_SMALL_BODY_BYTES, MEMORY_SHARES } from "@skylarkmill/gateway";
+import { MAX_ROOM_WAITERS, MAX_SMALL_BODY_BYTES, MEMORY_SHARES } from "@skylarkmill/gateway";
 import { DEFAULT_ROUTER_LIMITS } from "@skylarkmill/router";
 
 /** A limit on what callers send or leave unread that no setting changes. */
@@ -69,6 +69,11 @@
         part: "gateway: callers' port",
         value: ofMemory(MEMORY_SHARES.buffered),
     },
+    {
+        meaning: "Responses that wait until that memory has room for them.",
+        part: "gateway: callers' port",
+        value: String(MAX_ROOM_WAITERS),
+    },
     {
         meaning: "Bodies of other gateways' messages, small and large ones each.",
         part: "gateway: peer port",
--- a/test/gateway/held-responses.test.ts
+++ b/test/gateway/held-responses.test.ts
@@ -6,6 +6,7 @@
     CrashSuspects,
     type EngineClient,
     type EngineExchange,
+    MAX_ROOM_WAITERS,
     type ResponseHead,
     type ResponseListener,
     type ServerState,
@@ -222,6 +223,16 @@
         expect(budget.byteCount).toBe(SIZE);
     });
 
+    // Each response that waits keeps what one read of its connection brought.
+    it("fails at once if too many wait already", () => {
+        const budget = new ByteBudget(100_000);
+        budget.reserve(100_000);
+        const responses = Array.from({ length: MAX_ROOM_WAITERS + 1 }, () => new SentResponse(budget));
+        for (const response of responses) response.begin(SIZE);
+        expect(budget.waiterCount).toBe(MAX_ROOM_WAITERS);
+        expect(responses.map(({ onFailed }) => onFailed.mock.calls.length).indexOf(1)).toBe(MAX_ROOM_WAITERS);
+    });
+
     it.each([
         { name: "all of it", byteCount: 60_000 },
         { name: "its size", byteCount: 17 * 1024 * 1024 },
