--- a/packages/coordination/src/node/response-flow.ts
+++ b/packages/coordination/src/node/response-flow.ts
@@ -12,8 +12,8 @@
 export const MIN_COSTLY_RESPONSE_PIECES = 1_000;
 
 /**
- * Stops and continues the reads from the connection of a response in chunks. After the `pause` of the response alone, Node
- * reads on for a while and keeps each chunk for itself.
+ * Stops and continues the reads from the connection of a response. After the `pause` of the response alone, Node reads on
+ * for a while and keeps each chunk of a body in chunks for itself.
  *
  * A connection whose read takes long, since it brings the response in very many pieces, waits for its turn before the next
  * one: its bytes stay with the operating system, and the event loop is there for others.
