--- a/review/stand-ins-2/engine.mjs
+++ b/review/stand-ins-2/engine.mjs
@@ -31,6 +31,9 @@
             eventMs: 40,
             firstMs: 20,
             workMs: 60,
+            /** Difference of the machine's time of day. */
+            clockMs: 0,
+            port: 0,
             adapterMs: 6,
             loadMs: 470,
             maxAdapters: 8,
@@ -39,13 +42,13 @@
             profile: new Map(),
             ...options,
         });
-        this.born = Date.now();
+        this.born = Date.now() + this.clockMs;
     }
 
     async start() {
         this.server = createServer((request, response) => this.receive(request, response));
         this.server.keepAliveTimeout = 5_000;
-        await new Promise(resolve => this.server.listen(0, "127.0.0.1", resolve));
+        await new Promise(resolve => this.server.listen(this.port, "127.0.0.1", resolve));
         this.address = `127.0.0.1:${this.server.address().port}`;
         this.beat();
         this.timer = setInterval(() => this.beat(), 1_200);
