--- a/review/stand-ins-2/engine.mjs
+++ b/review/stand-ins-2/engine.mjs
@@ -170,7 +170,8 @@
         if (operation === "load" && adapter === undefined && this.loading === model) return 202;
         if (operation === "unload" && !holds) return 200;
         if (expected !== undefined && expected !== this.sequence) return 409;
-        if (this.busy) return 409;
+        // An unload that waits for its runs is an order in progress.
+        if (this.busy || this.leaving.size > 0) return 409;
         this.fence = Math.max(this.fence, token);
         return adapter === undefined
             ? this.orderModel(operation, model)
