--- a/review/stand-ins-2/gateway.mjs
+++ b/review/stand-ins-2/gateway.mjs
@@ -1,7 +1,7 @@
 // Starts gateways with the command of the deploy file, and gives the settings of a small deployment.
 import { Buffer } from "node:buffer";
 import { spawn } from "node:child_process";
-import { closeSync, mkdtempSync, openSync, writeFileSync } from "node:fs";
+import { closeSync, mkdtempSync, openSync, rmSync, writeFileSync } from "node:fs";
 import { get } from "node:http";
 import { createServer } from "node:net";
 import { tmpdir } from "node:os";
@@ -25,6 +25,7 @@
 const running = new Set();
 process.on("exit", () => {
     for (const child of running) child.kill("SIGKILL");
+    rmSync(folder, { recursive: true, force: true });
 });
 for (const signal of ["SIGINT", "SIGTERM", "SIGHUP"]) process.on(signal, () => process.exit(2));
 
