feat(gateway): log lines of failed attempts say what the response stated

From the lines of a request one couldn't tell whether a server had refused it without the mark of one that has not run, or had refused another request: the head kept only the conclusions `isNotRun` and `isGenuine`. It now keeps the facts, whether it is marked, names the request and is signed, and the lines of failed attempts name the status, `markedNotRun` and `sameRequest`.

What becomes of a response does not change.

--- a/packages/gateway/src/runtime/attempt.ts
+++ b/packages/gateway/src/runtime/attempt.ts
@@ -10,9 +10,9 @@
 
 /** Receives the progress and the outcome of an attempt. */
 export interface AttemptListener {
-    /** Called with the complete events that arrived together of a genuine stream, see `ResponseHead.isGenuine`. */
+    /** Called with the complete events that arrived together of a signed stream. */
     onEvents(attempt: Attempt, events: readonly StreamEvent[]): void;
-    /** Called when a genuine stream ended after a complete event. */
+    /** Called when a signed stream ended after a complete event. */
     onStreamEnd(attempt: Attempt): void;
     /** Called with a complete response that is not a stream. */
     onResponse(attempt: Attempt, head: ResponseHead, body: readonly Buffer[]): void;
@@ -127,9 +127,11 @@
         this.server.recordReachable();
         if (head.load !== undefined) this.server.recordReportedLoad(head.load, now);
         this.server.placeLimit.recordResponse(head.load, this.server.inFlightCount, now);
-        if (!head.isGenuine && !head.isNotRun) return this.fail("response unsigned or of another request", true);
+        // A refusal that doesn't name the request may be a copy of an earlier one; the request may be running.
+        const isUsable = head.namesRequest && (head.isSigned || head.isMarkedNotRun);
+        if (!isUsable) return this.fail("response unsigned or of another request", true);
         // The head alone states that the request was not run; a faulty server may send a body without end.
-        if (head.isNotRun) return this.finishNotRun(head);
+        if (head.isMarkedNotRun) return this.finishNotRun(head);
         // What can't be kept is not read at all, since its memory would stay occupied until it is collected.
         const hasBody = this.call.request.method !== "HEAD" && head.status !== 304;
         if (!hasBody || this.isStreaming || this.tryReserveStated(head.statedByteCount)) return;
--- a/packages/gateway/src/runtime/request-log.ts
+++ b/packages/gateway/src/runtime/request-log.ts
@@ -2,7 +2,7 @@
 import type { Refusal } from "@skylarkmill/protocol";
 import type { Route } from "../types/configuration.ts";
 import type { GatewayContext } from "../types/context.ts";
-import type { CallerRequest } from "../types/engine.ts";
+import type { CallerRequest, ResponseHead } from "../types/engine.ts";
 import type { Attempt } from "./attempt.ts";
 import type { RequestTiming } from "./request-timing.ts";
 import type { ServerState } from "./server-state.ts";
@@ -81,7 +81,10 @@
 
     writeFailure(step: string, attempt: Attempt, cause: string): void {
         const { serverId } = attempt.server.record;
-        this.write({ step, server: serverId, cause, events: attempt.eventCount }, "attempt failed");
+        this.write(
+            { step, server: serverId, cause, events: attempt.eventCount, ...describeHead(attempt.head) },
+            "attempt failed",
+        );
     }
 
     writeRefusal({ status, code, execution, retryAfterMs }: Refusal): void {
@@ -115,3 +118,9 @@
         this.context.logger.info({ ...requestFields, ...fields, ...(skipped > 0 ? { skipped } : {}) }, message);
     }
 }
+
+/** What a response said of its request; nothing if there was none. */
+function describeHead(head: ResponseHead | undefined): object {
+    if (head === undefined) return {};
+    return { status: head.status, markedNotRun: head.isMarkedNotRun, sameRequest: head.namesRequest };
+}
--- a/packages/gateway/src/types/engine.ts
+++ b/packages/gateway/src/types/engine.ts
@@ -137,10 +137,12 @@
 /** Status, headers and platform data of a response. */
 export interface ResponseHead {
     readonly status: number;
-    /** The backend server states that it did not run the request. */
-    readonly isNotRun: boolean;
-    /** The response names this request and carries a backend server's signature, which the gateway does not verify. */
-    readonly isGenuine: boolean;
+    /** The backend server states that it did not run the request that the response names. */
+    readonly isMarkedNotRun: boolean;
+    /** The response names this request; another one may be late, or a copy. */
+    readonly namesRequest: boolean;
+    /** The response carries a backend server's signature, which the gateway does not verify. */
+    readonly isSigned: boolean;
     readonly weightVersion: number | undefined;
     readonly load: ReportedLoad | undefined;
     /** The response has a length or chunked encoding; otherwise its end is that of the connection, also if it is early. */
--- a/test/gateway/held-responses.test.ts
+++ b/test/gateway/held-responses.test.ts
@@ -21,8 +21,9 @@
 
 const HEAD: ResponseHead = {
     status: 200,
-    isNotRun: false,
-    isGenuine: true,
+    isMarkedNotRun: false,
+    namesRequest: true,
+    isSigned: true,
     weightVersion: undefined,
     load: undefined,
     isFramed: true,
--- a/test/gateway/rate-waits.test.ts
+++ b/test/gateway/rate-waits.test.ts
@@ -79,8 +79,9 @@
 
 const streamHead = {
     status: 200,
-    isNotRun: false,
-    isGenuine: true,
+    isMarkedNotRun: false,
+    namesRequest: true,
+    isSigned: true,
     weightVersion: undefined,
     load: undefined,
     isFramed: true,
