fix(gateway): a request that had run was refused as not run on its server's word

Cause: a gateway took the mark of a request that has not run as its own reason to send the request elsewhere, but passed every other signed response on with its status. A server that fails may answer 503 without the mark after it has run the request; relayed, that status is a promise that nobody made.

Change: `judgeHead` decides by status, mark, id and signature what becomes of a response, once its head is there. For a request that may run once, a status that promises and a missing mark give 502 `refusal_unconfirmed`, `unknown`, with neither the server's signature nor a Retry-After. The body isn't waited for. 500, 502, 504 and other 4xx promise nothing and go on as the server gave them. Requests that may run more than once go on too, after another attempt where one is allowed: their callers may repeat them whatever the status, and the server's Retry-After tells them when.

The attempt counts as failed at its server, which isn't taken for full. The log line `request.unmarked_refusal` has what the response said, and `attempt_failures_total{cause="unmarked_refusal"}` tells such servers from lost ones. A quota doesn't get back what the request used, since it may have run.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -47,6 +47,7 @@
 } from "./runtime/server-ranking.ts";
 export { ServerRates, type ServerRatesOptions } from "./runtime/server-rates.ts";
 export { ServerState } from "./runtime/server-state.ts";
+export { type HeadVerdict, judgeHead } from "./runtime/stages/head-verdict.ts";
 export { type StoreLoad, StoreLoadLimit } from "./runtime/store-load-limit.ts";
 export { type StoreChanges, StoreView, type StoreViewOptions } from "./runtime/store-view.ts";
 export { type Identity, WorkspaceDirectory } from "./runtime/workspace-directory.ts";
--- a/packages/gateway/src/runtime/attempt.ts
+++ b/packages/gateway/src/runtime/attempt.ts
@@ -4,20 +4,23 @@
 import type { CrashSuspects } from "./crash-suspects.ts";
 import { EventSplitter, type StreamEvent } from "./event-splitter.ts";
 import type { ServerState } from "./server-state.ts";
+import { judgeHead } from "./stages/head-verdict.ts";
 
 /** Largest response that is buffered; an attempt with a larger one fails. */
 const MAX_BUFFERED_BYTES = 16 * 1024 * 1024;
 
 /** Receives the progress and the outcome of an attempt. */
 export interface AttemptListener {
-    /** Called with the complete events that arrived together of a signed stream. */
+    /** Called with the complete events that arrived together of a stream whose head is usable, see `HeadVerdict`. */
     onEvents(attempt: Attempt, events: readonly StreamEvent[]): void;
-    /** Called when a signed stream ended after a complete event. */
+    /** Called when such a stream ended after a complete event. */
     onStreamEnd(attempt: Attempt): void;
     /** Called with a complete response that is not a stream. */
     onResponse(attempt: Attempt, head: ResponseHead, body: readonly Buffer[]): void;
     /** Called when the server states that it did not run the request. */
     onNotRun(attempt: Attempt, head: ResponseHead): void;
+    /** Called when the response to a request that may run once would tell its caller, without cause, that it has not run. */
+    onUnmarkedRefusal(attempt: Attempt, head: ResponseHead): void;
     /** Called when the response waits until there is memory for it; the request needn't be kept for another attempt. */
     onRoomWait(attempt: Attempt): void;
     /** Called when nothing arrived within the timeout; the attempt continues unless the listener abandons it. */
@@ -26,6 +29,13 @@
     onFailed(attempt: Attempt, cause: string, wasSent: boolean): void;
 }
 
+/** What the route of a request states about its responses. */
+export interface AttemptKind {
+    readonly isStream: boolean;
+    /** Whether the request may run more than once. */
+    readonly isRetryable: boolean;
+}
+
 /** Sends a request once to one backend server and checks the response. */
 export class Attempt implements ResponseListener {
     readonly server: ServerState;
@@ -33,7 +43,7 @@
     head: ResponseHead | undefined;
     eventCount = 0;
     private readonly listener: AttemptListener;
-    private readonly isStream: boolean;
+    private readonly kind: AttemptKind;
     private readonly buffers: ByteBudget;
     private readonly crashSuspects: CrashSuspects;
     private startedAtMs = 0;
@@ -53,14 +63,14 @@
     constructor(
         server: ServerState,
         call: EngineCall,
-        isStream: boolean,
+        kind: AttemptKind,
         buffers: ByteBudget,
         crashSuspects: CrashSuspects,
         listener: AttemptListener,
     ) {
         this.server = server;
         this.call = call;
-        this.isStream = isStream;
+        this.kind = kind;
         this.buffers = buffers;
         this.crashSuspects = crashSuspects;
         this.listener = listener;
@@ -127,11 +137,11 @@
         this.server.recordReachable();
         if (head.load !== undefined) this.server.recordReportedLoad(head.load, now);
         this.server.placeLimit.recordResponse(head.load, this.server.inFlightCount, now);
-        // A refusal that doesn't name the request may be a copy of an earlier one; the request may be running.
-        const isUsable = head.namesRequest && (head.isSigned || head.isMarkedNotRun);
-        if (!isUsable) return this.fail("response unsigned or of another request", true);
-        // The head alone states that the request was not run; a faulty server may send a body without end.
-        if (head.isMarkedNotRun) return this.finishNotRun(head);
+        // The head alone decides here; a faulty server may send a body without end.
+        const verdict = judgeHead(head, this.kind.isRetryable);
+        if (verdict === "unusable") return this.fail("response unsigned or of another request", true);
+        if (verdict === "not_run") return this.finishNotRun(head);
+        if (verdict === "unmarked_refusal") return this.finishUnmarkedRefusal(head);
         // What can't be kept is not read at all, since its memory would stay occupied until it is collected.
         const hasBody = this.call.request.method !== "HEAD" && head.status !== 304;
         if (!hasBody || this.isStreaming || this.tryReserveStated(head.statedByteCount)) return;
@@ -162,6 +172,13 @@
         this.listener.onNotRun(this, head);
     }
 
+    private finishUnmarkedRefusal(head: ResponseHead): void {
+        this.finish();
+        this.exchange?.cancel();
+        this.server.recordOutcome(false);
+        this.listener.onUnmarkedRefusal(this, head);
+    }
+
     onData(chunk: Buffer): void {
         if (this.isFinished) return;
         this.server.lastByteAtMs = nowMs();
@@ -209,7 +226,7 @@
 
     /** Whether the response is relayed event by event; error responses are buffered. */
     private get isStreaming(): boolean {
-        return this.isStream && this.head !== undefined && this.head.status < 300;
+        return this.kind.isStream && this.head !== undefined && this.head.status < 300;
     }
 
     private pushEvents(chunk: Buffer): void {
@@ -286,6 +303,7 @@
         onStreamEnd: guard(attempt => listener.onStreamEnd(attempt)),
         onResponse: guard((attempt, head, body) => listener.onResponse(attempt, head, body)),
         onNotRun: guard((attempt, head) => listener.onNotRun(attempt, head)),
+        onUnmarkedRefusal: guard((attempt, head) => listener.onUnmarkedRefusal(attempt, head)),
         onRoomWait: guard(attempt => listener.onRoomWait(attempt)),
         onSilence: guard(attempt => listener.onSilence(attempt)),
         onFailed: guard((attempt, cause, wasSent) => listener.onFailed(attempt, cause, wasSent)),
--- a/packages/gateway/src/runtime/request-task.ts
+++ b/packages/gateway/src/runtime/request-task.ts
@@ -209,6 +209,16 @@
         this.retryElsewhere(attempt, `request not run, status ${head.status}`);
     }
 
+    onUnmarkedRefusal(attempt: Attempt): void {
+        this.context.metrics.failures.inc({ cause: "unmarked_refusal" });
+        this.log.writeFailure(
+            "request.unmarked_refusal",
+            attempt,
+            "refusal without the mark of a request that has not run",
+        );
+        this.refuse(refusals.refusalUnconfirmed());
+    }
+
     onFailed(attempt: Attempt, cause: string, wasSent: boolean): void {
         this.context.metrics.failures.inc({ cause: wasSent ? "lost" : "unreachable" });
         if (!wasSent) {
@@ -339,7 +349,7 @@
         const attempt = new Attempt(
             server,
             call,
-            route.kind === "streaming",
+            { isStream: route.kind === "streaming", isRetryable: this.isRetryable },
             context.byteBudget,
             context.crashSuspects,
             guardListener(this, error => this.failUnexpectedly(error)),
--- a/packages/gateway/src/utils/refusals.ts
+++ b/packages/gateway/src/utils/refusals.ts
@@ -130,6 +130,13 @@
         message: "The backend server's answer was lost; the request may have run.",
         execution: "unknown",
     }),
+    refusalUnconfirmed: (): Refusal => ({
+        status: 502,
+        type: "backend_error",
+        code: "refusal_unconfirmed",
+        message: "The backend server refused the request and did not state that it has not run; it may have run.",
+        execution: "unknown",
+    }),
     deadlineExceeded: (): Refusal => ({
         status: 504,
         type: "timeout_error",
--- a/test/gateway/crash-suspects.test.ts
+++ b/test/gateway/crash-suspects.test.ts
@@ -218,7 +218,7 @@
         const attempt = new Attempt(
             new ServerState(server),
             call,
-            true,
+            { isStream: true, isRetryable: true },
             buffers,
             suspects,
             listener as AttemptListener,
--- a/test/gateway/held-responses.test.ts
+++ b/test/gateway/held-responses.test.ts
@@ -54,7 +54,7 @@
     } as unknown as ServerState;
     const call = { request: { sharedPromptParts: [], modelId: undefined, method: "GET" } } as never;
     const suspects = new CrashSuspects({ logger: silentLogger, onChange: () => undefined });
-    return new Attempt(server, call, isStream, budget, suspects, listener as AttemptListener);
+    return new Attempt(server, call, { isStream, isRetryable: true }, budget, suspects, listener as AttemptListener);
 }
 
 // Guards against sound streams that are given up as silent because the gateway doesn't read them for a while.
--- a/test/platform/stand-ins/fixture.ts
+++ b/test/platform/stand-ins/fixture.ts
@@ -19,7 +19,7 @@
 }
 
 export interface CallOptions {
-    readonly method?: "GET" | "POST";
+    readonly method?: "GET" | "HEAD" | "POST";
     readonly headers?: Record<string, string>;
     readonly body?: string;
     readonly signal?: AbortSignal;
--- a/test/platform/stand-ins/platform-server.ts
+++ b/test/platform/stand-ins/platform-server.ts
@@ -166,8 +166,8 @@
 export interface RawReply {
     /** `identity` holds the headers that name the request and sign the response. */
     readonly format: (identity: string) => string;
-    /** How the connection ends after the last byte. */
-    readonly ending: "close" | "reset";
+    /** How the connection ends after the last byte; `none`: it stays open. */
+    readonly ending: "close" | "reset" | "none";
 }
 
 export interface PlatformServerOptions {
@@ -454,6 +454,7 @@
         socket.on("error", () => undefined);
         const bytes = format(`X-Attempt-Id: ${id}\r\nX-Response-Seal: ${SEAL}\r\n`);
         if (ending === "close") return void socket.end(bytes, "latin1");
+        if (ending === "none") return void socket.write(bytes, "latin1");
         // Bytes that the gateway has not read when the connection is reset are lost.
         socket.write(bytes, "latin1", () => setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS));
     }
