fix(gateway): servers that fail with 408 or 429 were taken for sound

What callers saw: lookups that one of two servers failed with 408 or 429 went on to that server as often as to the other one, or more often, since a failure takes less time than an answer.

Cause: the outcome of an attempt was a success for every status below 500, so only a failure with 503 counted against its server. Statuses that state that a request has not run come with the mark from servers that are merely full; one without it is a failure, whatever its number.

--- a/packages/gateway/src/runtime/attempt.ts
+++ b/packages/gateway/src/runtime/attempt.ts
@@ -4,7 +4,7 @@
 import type { CrashSuspects } from "./crash-suspects.ts";
 import { EventSplitter, type StreamEvent } from "./event-splitter.ts";
 import type { ServerState } from "./server-state.ts";
-import { judgeHead } from "./stages/head-verdict.ts";
+import { isUnmarkedRefusal, judgeHead } from "./stages/head-verdict.ts";
 
 /** Largest response that is buffered; an attempt with a larger one fails. */
 const MAX_BUFFERED_BYTES = 16 * 1024 * 1024;
@@ -214,7 +214,7 @@
         if (this.head.status < 300) this.recordAnswer();
         const body = this.body.toParts();
         this.finish();
-        this.server.recordOutcome(this.head.status < 500);
+        this.server.recordOutcome(this.head.status < 500 && !isUnmarkedRefusal(this.head));
         if (this.isStreaming) this.listener.onStreamEnd(this);
         else this.listener.onResponse(this, this.head, body);
     }
--- a/test/platform/unmarked-refusals.test.ts
+++ b/test/platform/unmarked-refusals.test.ts
@@ -110,6 +110,17 @@
     };
 }
 
+/** Starts the servers again, so that nothing is held against them. */
+async function forgetOutcomes(): Promise<void> {
+    for (const server of desks) {
+        fixture.store.remove(`servers/${server.id}`);
+        await fixture.waitUntilServerAvailable(0, server.id, false);
+        server.bornAtMs += 1;
+        server.onRestart();
+        await fixture.waitUntilServerAvailable(0, server.id);
+    }
+}
+
 function readError(text: string): { code: string; execution: string; } | undefined {
     return text.startsWith("{")
         ? (JSON.parse(text) as { error: { code: string; execution: string; }; }).error
@@ -163,12 +174,16 @@
         expect(await countFailures()).toEqual([unmarked + 1, lost]);
     });
 
-    it.each(UNMARKED_STATUSES)("gets fewer requests, though it isn't full: %s", async status => {
+    it.each(UNMARKED_STATUSES.flatMap(status => [
+        { status, kind: "orders", path: "/orders/x" },
+        { status, kind: "lookups", path: "/lookup/x" },
+    ]))("gets fewer $kind, though it isn't full: $status", async ({ status, path }) => {
         const [grey, sound] = desks as [PlatformServerStandIn, PlatformServerStandIn];
+        await forgetOutcomes();
         grey.replies = Array.from({ length: 20 }, () => createReply(status));
         const before = [grey.requests.length, sound.requests.length];
         const statuses = [];
-        for (let count = 0; count < 20; count += 1) statuses.push((await call("/orders/x")).status);
+        for (let count = 0; count < 20; count += 1) statuses.push((await call(path)).status);
         const counts = [grey, sound].map(({ requests }, index) => requests.length - before[index]!);
         grey.replies = replies;
         expect(counts[0]).toBeLessThanOrEqual(2);
