fix(agent): a request that may run once was refused as not run for a status 429

What callers saw: a non-idempotent request to a model was sent to a second server after an engine had answered 429, also if the engine had run it.

OpenAI-style engines have no mark of a request that has not run, and one that fails may answer 429 after the run.

Change: the agent refuses such a request with 502 `refusal_unconfirmed`, `unknown`, without a retry delay; the router doesn't move it and the caller decides. The time for which the engine wants nothing is kept as before. Idempotent requests are moved as before.

--- a/packages/agent/src/runtime/attempt.ts
+++ b/packages/agent/src/runtime/attempt.ts
@@ -142,6 +142,8 @@
             discardBody(response.body);
             const { "retry-after": retryAfter } = response.headers;
             const holdMs = typeof retryAfter === "string" ? parseRetryAfterMs(retryAfter) : undefined;
+            // An engine that fails may send this status after it has run the request.
+            if (this.options.head.isNonIdempotent) return this.fail(REFUSALS.refusalUnconfirmed(), holdMs);
             this.finish("not_run", holdMs);
             return createRefusalResponse(REFUSALS.overloaded("engine_overloaded", holdMs ?? ENGINE_OVERLOAD_RETRY_MS));
         }
@@ -201,8 +203,8 @@
     }
 
     /** Ends an attempt whose request may have run. */
-    private fail(refusal: Refusal): AgentResponse {
-        this.finish(this.options.signal.aborted ? "cancelled" : "unknown");
+    private fail(refusal: Refusal, holdMs?: number): AgentResponse {
+        this.finish(this.options.signal.aborted ? "cancelled" : "unknown", holdMs);
         return createRefusalResponse(
             this.hasDeadlinePassed ? REFUSALS.deadlineExceeded("unknown", "while the request ran") : refusal,
         );
--- a/packages/agent/src/utils/refusals.ts
+++ b/packages/agent/src/utils/refusals.ts
@@ -42,5 +42,13 @@
     backendUnavailable: () =>
         refusal(503, "unavailable_error", "backend_unavailable", "The backend server refused the connection."),
     backendFailed: (detail: string) => refusal(502, "backend_error", "backend_failed", detail, "unknown"),
+    refusalUnconfirmed: () =>
+        refusal(
+            502,
+            "backend_error",
+            "refusal_unconfirmed",
+            "The engine refused the request and did not state that it has not run; it may have run.",
+            "unknown",
+        ),
     badResponse: (detail: string) => refusal(502, "backend_error", "bad_answer", detail, "unknown"),
 } as const;
--- a/test/agent/serving.test.ts
+++ b/test/agent/serving.test.ts
@@ -75,6 +75,27 @@
         },
     );
 
+    // Guards against a request that an engine ran and refused, and that is sent to another server as one that has not run.
+    it.each<{ kind: string; headers: Record<string, string>; status: number; execution: string; }>([
+        { kind: "once at most", headers: { [HEADERS.nonIdempotent]: "1" }, status: 502, execution: "unknown" },
+        { kind: "more than once", headers: {}, status: 503, execution: "not_run" },
+    ])(
+        "takes status 429 for a promise only if the request may run $kind: $execution",
+        async ({ headers, status, execution }) => {
+            const { engine } = testAgent;
+            await testAgent.request(MODEL_HEADERS);
+            const respond = engine.responder;
+            engine.responder = () => createResponse(429, { "retry-after": "0.4" }, []);
+            const refused = await testAgent.request({ ...MODEL_HEADERS, ...headers });
+            expect([refused.status, refused.headers.get(HEADERS.execution)]).toEqual([status, execution]);
+            expect(refused.headers.has("retry-after")).toBe(execution === "not_run");
+            engine.responder = respond;
+            const countAtHold = engine.requests.length;
+            const short = await testAgent.request({ ...MODEL_HEADERS, [HEADERS.remainingMs]: "200" });
+            expect([short.status, engine.requests.length]).toEqual([503, countAtHold]);
+        },
+    );
+
     // Guards against exceeding the engine's memory when a model must be evicted.
     it("evicts an idle model before it loads another one", async () => {
         for (const model of ["m1", "m2", "m3", "m1"]) {
