test(cli): explain shows what a server said whose refusal did not go on

Without the status and the mark in the lines of a request, a caller's 502 can't be traced to a server that answered 503. The case guards the two lines that a gateway writes since the fix, as explain prints them.

--- a/test/cli/explain.test.ts
+++ b/test/cli/explain.test.ts
@@ -37,6 +37,15 @@
             formatLogLine(41, "edge-1", "request.broken", { requestId: "r5", cause: "stopping", waitedMs: 0 }),
             formatLogLine(41, "edge-1", "request.stopped", { requestId: "r5", during: "serving", outcome: "aborted" }),
             formatLogLine(42, "edge-1", "stopped", { open: 0 }),
+            formatLogLine(60, "edge-1", "request.unmarked_refusal", {
+                requestId: "r6",
+                server: "i-1",
+                status: 503,
+                markedNotRun: false,
+                sameRequest: true,
+                waitedMs: 0,
+            }),
+            formatLogLine(60, "edge-1", "request.refused", { requestId: "r6", status: 502, waitedMs: 0 }),
             formatLogLine(43, "edge-1", "start", { host: "edge-1" }),
             formatLogLine(44, "edge-1", "server.leave", { server: "i-1", reason: "draining" }),
         ].join("\n"),
@@ -113,6 +122,16 @@
         },
     );
 
+    // Guards against a caller's 502 that can't be traced to the server that refused the request.
+    it("shows what a server said whose refusal did not go on", async () => {
+        const { out } = await runExplain(["r6", ...files]);
+        const [, refusal, end] = out.trim().split("\n");
+        expect(refusal).toContain("request.unmarked_refusal");
+        expect(refusal).toContain("server=i-1 status=503 markedNotRun=false sameRequest=true");
+        expect(end).toContain("request.refused");
+        expect(end).toContain("status=502");
+    });
+
     it("prints the history as JSON with --json", async () => {
         const { out } = await runExplain(["r2", "--json", ...files]);
         expect(JSON.parse(out)).toMatchObject({ requestId: "r2", own: [{ step: "request.refused" }] });
