--- a/packages/gateway/src/runtime/attempt.ts
+++ b/packages/gateway/src/runtime/attempt.ts
@@ -20,7 +20,7 @@
     /** Called when the server states that it did not run the request. */
     onNotRun(attempt: Attempt, head: ResponseHead): void;
     /** Called when the response to a request that may run once would tell its caller, without cause, that it has not run. */
-    onUnmarkedRefusal(attempt: Attempt, head: ResponseHead): void;
+    onUnmarkedRefusal(attempt: Attempt): void;
     /** Called when the response waits until there is memory for it; the request needn't be kept for another attempt. */
     onRoomWait(attempt: Attempt): void;
     /** Called when nothing arrived within the timeout; the attempt continues unless the listener abandons it. */
@@ -29,7 +29,7 @@
     onFailed(attempt: Attempt, cause: string, wasSent: boolean): void;
 }
 
-/** What the route of a request states about its responses. */
+/** What the route of a request states about its attempts. */
 export interface AttemptKind {
     readonly isStream: boolean;
     /** Whether the request may run more than once. */
@@ -141,7 +141,7 @@
         const verdict = judgeHead(head, this.kind.isRetryable);
         if (verdict === "unusable") return this.fail("response unsigned or of another request", true);
         if (verdict === "not_run") return this.finishNotRun(head);
-        if (verdict === "unmarked_refusal") return this.finishUnmarkedRefusal(head);
+        if (verdict === "unmarked_refusal") return this.finishUnmarkedRefusal();
         // What can't be kept is not read at all, since its memory would stay occupied until it is collected.
         const hasBody = this.call.request.method !== "HEAD" && head.status !== 304;
         if (!hasBody || this.isStreaming || this.tryReserveStated(head.statedByteCount)) return;
@@ -172,11 +172,11 @@
         this.listener.onNotRun(this, head);
     }
 
-    private finishUnmarkedRefusal(head: ResponseHead): void {
+    private finishUnmarkedRefusal(): void {
         this.finish();
         this.exchange?.cancel();
         this.server.recordOutcome(false);
-        this.listener.onUnmarkedRefusal(this, head);
+        this.listener.onUnmarkedRefusal(this);
     }
 
     onData(chunk: Buffer): void {
@@ -303,7 +303,7 @@
         onStreamEnd: guard(attempt => listener.onStreamEnd(attempt)),
         onResponse: guard((attempt, head, body) => listener.onResponse(attempt, head, body)),
         onNotRun: guard((attempt, head) => listener.onNotRun(attempt, head)),
-        onUnmarkedRefusal: guard((attempt, head) => listener.onUnmarkedRefusal(attempt, head)),
+        onUnmarkedRefusal: guard(attempt => listener.onUnmarkedRefusal(attempt)),
         onRoomWait: guard(attempt => listener.onRoomWait(attempt)),
         onSilence: guard(attempt => listener.onSilence(attempt)),
         onFailed: guard((attempt, cause, wasSent) => listener.onFailed(attempt, cause, wasSent)),
