--- a/test/platform/unmarked-refusals.test.ts
+++ b/test/platform/unmarked-refusals.test.ts
@@ -179,6 +179,7 @@
         expect(await countFailures()).toEqual([unmarked + 1, lost]);
     });
 
+    // Guards against servers that fail and are chosen as often as sound ones.
     it.each(UNMARKED_STATUSES.flatMap(status => [
         { status, kind: "orders", path: "/orders/x" },
         { status, kind: "lookups", path: "/lookup/x" },
